--- /dev/null
+++ b/wire/src/main/java/org/quetzalshunt/wire/message/MessageCodec.java
@@ -0,0 +1,56 @@
+package org.quetzalshunt.wire.message;
+
+import java.util.Optional;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TMemoryInputTransport;
+import org.quetzalshunt.wire.generated.Message;
+
+/** Encodes and decodes Thrift values. A value that cannot be decoded is an empty result, never an exception. */
+public final class MessageCodec {
+    /** Largest message; a body of 8 MiB and its headers fit. */
+    public static final int MAXIMUM_BYTES = 12 * 1024 * 1024;
+
+    private static final int INITIAL_BYTES = 256;
+    private static final int MAXIMUM_DEPTH = 32;
+    private static final TConfiguration CONFIGURATION = new TConfiguration(MAXIMUM_BYTES, MAXIMUM_BYTES, MAXIMUM_DEPTH);
+
+    private MessageCodec() {}
+
+    /** Bytes of any Thrift value. */
+    public static byte[] encode(TBase<?, ?> value) {
+        try {
+            TMemoryBuffer buffer = new TMemoryBuffer(INITIAL_BYTES);
+            value.write(new TCompactProtocol(buffer));
+            byte[] bytes = new byte[buffer.length()];
+            System.arraycopy(buffer.getArray(), 0, bytes, 0, bytes.length);
+            return bytes;
+        } catch (TException invalid) {
+            throw new IllegalArgumentException(invalid);
+        }
+    }
+
+    /** Fills an empty value from bytes; false when they are not such a value. */
+    public static boolean decode(byte[] bytes, TBase<?, ?> into) {
+        try {
+            TMemoryInputTransport transport = new TMemoryInputTransport(CONFIGURATION, bytes);
+            into.read(new TCompactProtocol(transport, MAXIMUM_BYTES, MAXIMUM_BYTES));
+            return true;
+        } catch (TException | RuntimeException malformed) {
+            // Generated readers throw unchecked exceptions, such as NegativeArraySizeException, on hostile lengths.
+            return false;
+        }
+    }
+
+    /** Reads one message; empty for bytes that are none, and for a member that this version does not know. */
+    public static Optional<Message> decodeMessage(byte[] bytes) {
+        Message message = new Message();
+        if (!decode(bytes, message) || !message.isSet()) {
+            return Optional.empty();
+        }
+        return Optional.of(message);
+    }
+}
