--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -355,6 +355,8 @@
 struct ConfigurationCheckpoint {
   1: i64 coversBelow
   2: binary state
+  3: optional i32 part
+  4: optional i32 parts
 }
 
 union ConfigurationRecord {
