Add the stand-ins of platform, engine and plain service

Cause: entry and sidecar have nothing to run against: no log service, VM list, weight store, engine or tool service. Change: module standin speaks docs/PLATFORM.md in memory on one event loop each, in process by static factories and as `quetzalshunt standin platform|engine|service`. The engine batches continuously with chunked prefill and a prefix cache; its answers are a function of the messages (StandinAnswer). tinylog writes to standard error from level info on, so that the line that says a process is ready stays readable.

--- a/app/src/main/java/org/quetzalshunt/app/Main.java
+++ b/app/src/main/java/org/quetzalshunt/app/Main.java
@@ -1,5 +1,6 @@
 package org.quetzalshunt.app;
 
+import org.quetzalshunt.standin.StandinCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -9,7 +10,7 @@
         mixinStandardHelpOptions = true,
         version = "quetzalshunt 0.1.0",
         description = "A scheduler for agent programs.",
-        subcommands = {})
+        subcommands = {StandinCommand.class})
 public final class Main {
     private Main() {}
 
--- /dev/null
+++ b/standin/src/main/java/org/quetzalshunt/standin/ServiceCommand.java
@@ -0,0 +1,30 @@
+package org.quetzalshunt.standin;
+
+import java.util.concurrent.Callable;
+import org.quetzalshunt.standin.service.ServiceSettings;
+import org.quetzalshunt.standin.service.ServiceStandin;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+@Command(
+        name = "service",
+        mixinStandardHelpOptions = true,
+        description = "Plain service that answers any call with what it got and how often it ran it.")
+final class ServiceCommand implements Callable<Integer> {
+    @Mixin
+    private ListenOptions listen;
+
+    @Option(
+            names = "--call-millis",
+            defaultValue = "${env:QUETZALSHUNT_STANDIN_CALL_MILLIS:-20}",
+            description = "time of each call (default: ${DEFAULT-VALUE})")
+    private long callMillis;
+
+    @Override
+    public Integer call() {
+        ServiceSettings settings = new ServiceSettings(callMillis);
+        return listen.serve((group, address) ->
+                ServiceStandin.start(group, address, settings).port());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/quetzalshunt/standin/engine/Batch.java
@@ -0,0 +1,167 @@
+package org.quetzalshunt.standin.engine;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.ToIntFunction;
+import org.quetzalshunt.standin.control.RunState;
+
+/**
+ * Continuous batching: in each step every running stream gets one word, and a bounded number of prompt tokens is read.
+ * A free slot goes to the most urgent request that waits, the oldest among equals; a running one is never pushed out.
+ */
+final class Batch {
+    private static final Comparator<Waiting> MOST_URGENT_FIRST = Comparator.<Waiting>comparingInt(
+                    waiting -> waiting.run().request().priority())
+            .thenComparingLong(Waiting::sequence);
+
+    private final EventLoop loop;
+    private final BatchSettings settings;
+    private final LongSupplier clockMillis;
+    private final LongSupplier extraMillis;
+    private final ToIntFunction<EngineRun> cachedTokens;
+    private final Consumer<EngineRun> whenFinished;
+    private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(MOST_URGENT_FIRST);
+    private final List<EngineRun> running = new ArrayList<>();
+    private long sequence;
+    private long wordsEmitted;
+    private boolean stepping;
+
+    private Batch(
+            EventLoop loop,
+            BatchSettings settings,
+            LongSupplier clockMillis,
+            LongSupplier extraMillis,
+            ToIntFunction<EngineRun> cachedTokens,
+            Consumer<EngineRun> whenFinished) {
+        this.loop = loop;
+        this.settings = settings;
+        this.clockMillis = clockMillis;
+        this.extraMillis = extraMillis;
+        this.cachedTokens = cachedTokens;
+        this.whenFinished = whenFinished;
+    }
+
+    /**
+     * An empty batch.
+     *
+     * @param extraMillis what is added between the words of every stream now
+     * @param cachedTokens asked when a run gets its slot: prompt tokens that need no reading
+     * @param whenFinished told after a run's last word
+     */
+    static Batch create(
+            EventLoop loop,
+            BatchSettings settings,
+            LongSupplier clockMillis,
+            LongSupplier extraMillis,
+            ToIntFunction<EngineRun> cachedTokens,
+            Consumer<EngineRun> whenFinished) {
+        return new Batch(loop, settings, clockMillis, extraMillis, cachedTokens, whenFinished);
+    }
+
+    boolean full() {
+        return waiting.size() >= settings.waitingLimit();
+    }
+
+    int runningCount() {
+        return running.size();
+    }
+
+    int waitingCount() {
+        return waiting.size();
+    }
+
+    long wordsEmitted() {
+        return wordsEmitted;
+    }
+
+    void submit(EngineRun run) {
+        waiting.add(new Waiting(run, sequence++));
+        if (!stepping) {
+            beginStep();
+        }
+    }
+
+    void cancel(EngineRun run, RunState state) {
+        run.breakOff(state);
+        running.remove(run);
+        waiting.removeIf(candidate -> candidate.run() == run);
+    }
+
+    /** Ends everything at once, as a crash does. */
+    void breakOffAll() {
+        List<EngineRun> all = new ArrayList<>(running);
+        waiting.forEach(candidate -> all.add(candidate.run()));
+        running.clear();
+        waiting.clear();
+        all.forEach(run -> run.breakOff(RunState.CUT));
+    }
+
+    private void beginStep() {
+        admit();
+        stepping = !running.isEmpty();
+        if (!stepping) {
+            return;
+        }
+        List<EngineRun> streams = new ArrayList<>();
+        List<Prefill> prefills = new ArrayList<>();
+        int budget = settings.prefillChunkTokens();
+        for (EngineRun run : running) {
+            if (run.prefillRemaining() == 0) {
+                streams.add(run);
+            } else if (budget > 0) {
+                int tokens = Math.min(budget, run.prefillRemaining());
+                budget -= tokens;
+                prefills.add(new Prefill(run, tokens));
+            }
+        }
+        int prefillTokens = settings.prefillChunkTokens() - budget;
+        long micros = settings.stepMicros(streams.size(), prefillTokens);
+        loop.schedule(() -> endStep(streams, prefills), micros, TimeUnit.MICROSECONDS);
+    }
+
+    /** A run whose prompt is read in this step gives its first word at its end, as the read itself yields it. */
+    private void endStep(List<EngineRun> streams, List<Prefill> prefills) {
+        for (Prefill prefill : prefills) {
+            prefill.run().prefill(prefill.tokens());
+            if (prefill.run().prefillRemaining() == 0) {
+                streams.add(prefill.run());
+            }
+        }
+        long now = clockMillis.getAsLong();
+        streams.forEach(run -> advance(run, now));
+        beginStep();
+    }
+
+    private void advance(EngineRun run, long nowMillis) {
+        if (run.ended()) {
+            return;
+        }
+        if (run.emit(nowMillis, extraMillis.getAsLong())) {
+            wordsEmitted++;
+        }
+        if (!run.lastWordOut()) {
+            return;
+        }
+        running.remove(run);
+        run.finish();
+        whenFinished.accept(run);
+    }
+
+    private void admit() {
+        while (running.size() < settings.slots() && !waiting.isEmpty()) {
+            EngineRun run = waiting.remove().run();
+            run.admit(cachedTokens.applyAsInt(run));
+            running.add(run);
+        }
+    }
+
+    private record Waiting(EngineRun run, long sequence) {}
+
+    private record Prefill(EngineRun run, int tokens) {}
+}
