--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/log/RecordingFold.java
@@ -0,0 +1,30 @@
+package org.quetzalshunt.core.log;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Remembers what it was given. */
+final class RecordingFold implements LogFold {
+    final List<String> records = new ArrayList<>();
+    final List<String> places = new ArrayList<>();
+    final List<Long> gaps = new ArrayList<>();
+    final List<Long> malformed = new ArrayList<>();
+
+    @Override
+    public void apply(long offset, byte[] record, int indexInBatch) {
+        String text = new String(record, StandardCharsets.UTF_8);
+        records.add(text);
+        places.add(offset + "/" + indexInBatch + " " + text);
+    }
+
+    @Override
+    public void gap(long firstKept) {
+        gaps.add(firstKept);
+    }
+
+    @Override
+    public void malformed(long offset) {
+        malformed.add(offset);
+    }
+}
