Add the sidecar: attempts run once, streams whole, cache leases, load reports

Cause: entries need the gate beside each endpoint before a request can run. Change: core.attempt decides (attempt table, epochs per shard, event-stream parser, resume of a broken stream on the same engine, cache leases, headers allowlist); server.sidecar joins it to links and to the endpoint on one event loop. Conclusion: an entry can run chat and plain attempts through it.

--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarProcess.java
@@ -0,0 +1,137 @@
+package org.quetzalshunt.server.sidecar;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.core.vm.VmRole;
+import org.quetzalshunt.server.http.HttpLimits;
+import org.quetzalshunt.server.http.HttpServer;
+import org.quetzalshunt.server.transport.LinkIdentity;
+import org.quetzalshunt.server.transport.LinkServer;
+import org.quetzalshunt.server.transport.LinkSettings;
+import org.tinylog.Logger;
+
+/** A running sidecar. Its methods may be called from any thread but its own event loop. */
+public final class SidecarProcess {
+    /** Time that only bounds how late a stall, a lapse or a report is; well below each of them. */
+    private static final long TICK_MILLIS = 50;
+
+    /** Lets the last frames leave before the links close. */
+    private static final long LINGER_MILLIS = 200;
+
+    private static final long SHUTDOWN_MILLIS = 2_000;
+
+    private final EventLoopGroup group;
+    private final Sidecar sidecar;
+    private final LinkServer linkServer;
+    private final HttpServer httpServer;
+    private final long drainMillis;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+    private SidecarProcess(
+            EventLoopGroup group, Sidecar sidecar, LinkServer linkServer, HttpServer httpServer, long drainMillis) {
+        this.group = group;
+        this.sidecar = sidecar;
+        this.linkServer = linkServer;
+        this.httpServer = httpServer;
+        this.drainMillis = drainMillis;
+    }
+
+    /** Binds its ports and starts; a taken port fails with a {@link java.net.BindException}, unchecked by Netty. */
+    public static SidecarProcess start(SidecarSettings settings) {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try {
+            return start(settings, group);
+        } catch (RuntimeException failed) {
+            group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS);
+            throw failed;
+        }
+    }
+
+    private static SidecarProcess start(SidecarSettings settings, EventLoopGroup group) {
+        Sidecar sidecar = Sidecar.create(group, settings);
+        LinkIdentity self = new LinkIdentity(settings.id(), VmRole.SIDECAR, settings.dataCentre());
+        LinkServer links = LinkServer.start(
+                group,
+                new InetSocketAddress(settings.bindHost(), settings.linkPort()),
+                LinkSettings.of(self, settings.secret()),
+                sidecar);
+        HttpServer http = HttpServer.start(
+                group,
+                new InetSocketAddress(settings.bindHost(), settings.httpPort()),
+                HttpLimits.defaults(),
+                exchange -> StatusPages.handle(exchange, sidecar));
+        group.next().scheduleWithFixedDelay(() -> tick(sidecar), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        return new SidecarProcess(group, sidecar, links, http, settings.times().drainMillis());
+    }
+
+    /** Port for links of entries. */
+    public int linkPort() {
+        return linkServer.port();
+    }
+
+    /** Port for health and dumps. */
+    public int httpPort() {
+        return httpServer.port();
+    }
+
+    /**
+     * Planned stop: refuses new attempts, finishes what runs within a bounded time, and ends. A second call changes
+     * nothing.
+     *
+     * @return completes when the process has ended
+     */
+    public CompletableFuture<Void> stop() {
+        group.next().execute(() -> {
+            if (sidecar.counts().leaving()) {
+                return;
+            }
+            sidecar.leave();
+            group.next().schedule(this::endDrain, drainMillis, TimeUnit.MILLISECONDS);
+            awaitIdle();
+        });
+        return stopped;
+    }
+
+    /** Closes everything at once, as a crash would; returns when it is closed. */
+    public void kill() {
+        group.next().submit(this::close).syncUninterruptibly();
+        group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        stopped.complete(null);
+    }
+
+    private void awaitIdle() {
+        if (sidecar.counts().running() > 0) {
+            group.next().schedule(this::awaitIdle, TICK_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        group.next().schedule(this::end, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void endDrain() {
+        sidecar.cutAll();
+    }
+
+    private void end() {
+        close();
+        group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).addListener(done -> stopped.complete(null));
+    }
+
+    private void close() {
+        linkServer.close();
+        httpServer.close();
+        sidecar.close();
+    }
+
+    /** An exception must not end the ticks, or deadlines and leases would silently stop. */
+    private static void tick(Sidecar sidecar) {
+        try {
+            sidecar.tick();
+        } catch (RuntimeException problem) {
+            Logger.error(problem, "a tick failed");
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarTimes.java
@@ -0,0 +1,73 @@
+package org.quetzalshunt.server.sidecar;
+
+import org.quetzalshunt.core.attempt.GateSettings;
+
+/**
+ * Times of a sidecar, in milliseconds.
+ *
+ * @param loadPollMillis between two questions for the engine's load while links are open
+ * @param idlePollMillis the same while none is
+ * @param pollTimeoutMillis after which a question to the engine counts as failed
+ * @param reportMillis between two reports to an entry when nothing changes
+ * @param quickReportMillis between two reports when something does
+ * @param drainMillis how long a planned stop waits for running attempts
+ * @param graceMillis how long a repeatable attempt runs on with no receiver
+ * @param cacheLeaseMillis lease time that entries ask for; cache entries found at the start are left alone that long
+ */
+public record SidecarTimes(
+        long loadPollMillis,
+        long idlePollMillis,
+        long pollTimeoutMillis,
+        long reportMillis,
+        long quickReportMillis,
+        long drainMillis,
+        long graceMillis,
+        long cacheLeaseMillis) {
+    private static final long LOAD_POLL_MILLIS = 250;
+    private static final long IDLE_POLL_MILLIS = 1_000;
+    private static final long POLL_TIMEOUT_MILLIS = 1_000;
+    private static final long REPORT_MILLIS = 500;
+    private static final long QUICK_REPORT_MILLIS = 50;
+
+    /** The default deadline of a request: whatever was taken in before the stop ends within it. */
+    private static final long DRAIN_MILLIS = 60_000;
+
+    /** Values in force where settings are silent. */
+    public static SidecarTimes defaults() {
+        return new SidecarTimes(
+                LOAD_POLL_MILLIS,
+                IDLE_POLL_MILLIS,
+                POLL_TIMEOUT_MILLIS,
+                REPORT_MILLIS,
+                QUICK_REPORT_MILLIS,
+                DRAIN_MILLIS,
+                GateSettings.DEFAULT_GRACE_MILLIS,
+                GateSettings.DEFAULT_ORPHAN_CACHE_MILLIS);
+    }
+
+    /** The same with another bound on a planned stop. */
+    public SidecarTimes withDrainMillis(long millis) {
+        return new SidecarTimes(
+                loadPollMillis,
+                idlePollMillis,
+                pollTimeoutMillis,
+                reportMillis,
+                quickReportMillis,
+                millis,
+                graceMillis,
+                cacheLeaseMillis);
+    }
+
+    /** The same with other times for attempts without a receiver and for cache entries without a lease. */
+    public SidecarTimes withGraceAndLease(long grace, long cacheLease) {
+        return new SidecarTimes(
+                loadPollMillis,
+                idlePollMillis,
+                pollTimeoutMillis,
+                reportMillis,
+                quickReportMillis,
+                drainMillis,
+                grace,
+                cacheLease);
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEndpoint.java
@@ -0,0 +1,89 @@
+package org.quetzalshunt.server.sidecar;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.server.http.HttpExchange;
+import org.quetzalshunt.server.http.HttpHandler;
+import org.quetzalshunt.server.http.HttpLimits;
+import org.quetzalshunt.server.http.HttpServer;
+
+/** An endpoint whose answers a test scripts by method and path; keeps every request that came. */
+final class FakeEndpoint {
+    static final String CHAT = "POST /v1/chat/completions";
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_NOT_FOUND = 404;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Map<String, HttpHandler> scripts = new ConcurrentHashMap<>();
+    private final List<HttpExchange> requests = new CopyOnWriteArrayList<>();
+    private final HttpServer server;
+
+    private FakeEndpoint() {
+        server = HttpServer.start(
+                group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), HttpLimits.defaults(), this::handle);
+    }
+
+    static FakeEndpoint start() {
+        FakeEndpoint endpoint = new FakeEndpoint();
+        endpoint.on("GET /engine/load", exchange -> exchange.respondJson(STATUS_OK, "{\"slots\":4}"));
+        endpoint.on("GET /engine/cache", exchange -> exchange.respondJson(STATUS_OK, "{\"entries\":[]}"));
+        return endpoint;
+    }
+
+    /** Scripts the answer for a method and a path prefix; the longest prefix counts. */
+    FakeEndpoint on(String methodAndPath, HttpHandler script) {
+        scripts.put(methodAndPath, script);
+        return this;
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
+    }
+
+    List<HttpExchange> requests(String methodAndPath) {
+        return requests.stream()
+                .filter(exchange -> text(exchange).startsWith(methodAndPath))
+                .toList();
+    }
+
+    void kill() {
+        group.next().submit(server::close).syncUninterruptibly();
+    }
+
+    void close() {
+        group.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    /** Sends events of a stream, each with a text as its data. */
+    static void events(HttpExchange exchange, String... data) {
+        if (!exchange.started()) {
+            exchange.begin(STATUS_OK, Map.of("content-type", "text/event-stream"));
+        }
+        for (String event : data) {
+            exchange.write(("data: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    private void handle(HttpExchange exchange) {
+        requests.add(exchange);
+        scripts.keySet().stream()
+                .filter(prefix -> text(exchange).startsWith(prefix))
+                .max((left, right) -> Integer.compare(left.length(), right.length()))
+                .ifPresentOrElse(
+                        prefix -> scripts.get(prefix).handle(exchange),
+                        () -> exchange.respondText(STATUS_NOT_FOUND, "no script"));
+    }
+
+    private static String text(HttpExchange exchange) {
+        return exchange.method() + " " + exchange.uri();
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEntry.java
@@ -0,0 +1,153 @@
+package org.quetzalshunt.server.sidecar;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.quetzalshunt.core.vm.VmId;
+import org.quetzalshunt.core.vm.VmRole;
+import org.quetzalshunt.server.transport.LinkConnector;
+import org.quetzalshunt.server.transport.LinkIdentity;
+import org.quetzalshunt.server.transport.LinkListener;
+import org.quetzalshunt.server.transport.LinkSettings;
+import org.quetzalshunt.server.transport.PeerLink;
+import org.quetzalshunt.wire.generated.AttemptCancel;
+import org.quetzalshunt.wire.generated.AttemptEnd;
+import org.quetzalshunt.wire.generated.AttemptResume;
+import org.quetzalshunt.wire.generated.AttemptStart;
+import org.quetzalshunt.wire.generated.EndpointReport;
+import org.quetzalshunt.wire.generated.Message;
+
+/** An entry's end of a link: sends what a test tells it, and keeps what comes. */
+final class FakeEntry implements LinkListener {
+    private static final long PATIENCE_MILLIS = 8_000;
+    private static final long LOOK_MILLIS = 5;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<Message> messages = new CopyOnWriteArrayList<>();
+    private final LinkConnector connector;
+    private volatile PeerLink link;
+
+    private FakeEntry(String vm, byte[] secret) {
+        LinkIdentity self = new LinkIdentity(VmId.of(vm, 1), VmRole.ENTRY, "here");
+        this.connector = LinkConnector.create(group, LinkSettings.of(self, secret), this);
+    }
+
+    static FakeEntry connect(String vm, byte[] secret, int port) {
+        FakeEntry entry = new FakeEntry(vm, secret);
+        entry.group
+                .next()
+                .execute(() ->
+                        entry.connector.want(Set.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))));
+        return entry;
+    }
+
+    FakeEntry awaitOpen() {
+        await(() -> link != null);
+        return this;
+    }
+
+    boolean isOpen() {
+        return link != null;
+    }
+
+    void start(AttemptStart start) {
+        send(Message.attemptStart(start));
+    }
+
+    void resume(long attempt, int from) {
+        send(Message.attemptResume(new AttemptResume(attempt, from)));
+    }
+
+    void cancel(long attempt) {
+        send(Message.attemptCancel(new AttemptCancel(attempt)));
+    }
+
+    void send(Message message) {
+        group.next().execute(() -> link.send(message));
+    }
+
+    AttemptEnd awaitEnd(long attempt) {
+        await(() -> messages.stream().anyMatch(message -> isEnd(message, attempt)));
+        return messages.stream()
+                .filter(message -> isEnd(message, attempt))
+                .findFirst()
+                .orElseThrow()
+                .getAttemptEnd();
+    }
+
+    void awaitChunks(long attempt, int count) {
+        await(() -> chunks(attempt).size() >= count);
+    }
+
+    List<String> chunks(long attempt) {
+        return messages.stream()
+                .filter(message ->
+                        message.isSetAttemptChunk() && message.getAttemptChunk().getAttempt() == attempt)
+                .map(message -> new String(message.getAttemptChunk().getData(), StandardCharsets.UTF_8))
+                .toList();
+    }
+
+    List<Integer> statuses(long attempt) {
+        return messages.stream()
+                .filter(message ->
+                        message.isSetAttemptHead() && message.getAttemptHead().getAttempt() == attempt)
+                .map(message -> message.getAttemptHead().getStatus())
+                .toList();
+    }
+
+    List<EndpointReport> reports() {
+        return messages.stream()
+                .filter(Message::isSetEndpointReport)
+                .map(Message::getEndpointReport)
+                .toList();
+    }
+
+    void close() {
+        group.shutdownGracefully(0, PATIENCE_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    static void await(BooleanSupplier condition) {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > deadline) {
+                throw new AssertionError("did not happen within " + PATIENCE_MILLIS + " ms");
+            }
+            pause(LOOK_MILLIS);
+        }
+    }
+
+    static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException stopped) {
+            throw new IllegalStateException(stopped);
+        }
+    }
+
+    @Override
+    public void onOpen(PeerLink opened) {
+        link = opened;
+    }
+
+    @Override
+    public void onMessage(PeerLink from, Message message) {
+        messages.add(message);
+    }
+
+    @Override
+    public void onClose(PeerLink closed) {
+        link = null;
+    }
+
+    private static boolean isEnd(Message message, long attempt) {
+        return message.isSetAttemptEnd() && message.getAttemptEnd().getAttempt() == attempt;
+    }
+}
