--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/program/CallTable.java
@@ -0,0 +1,40 @@
+package org.quetzalshunt.core.program;
+
+import java.util.Map;
+import java.util.Optional;
+import org.agrona.collections.Object2ObjectHashMap;
+
+/** Calls under way at the owner, by client account and idempotency key. */
+final class CallTable {
+    private final Map<String, CallRequest> calls = new Object2ObjectHashMap<>();
+
+    boolean isEmpty() {
+        return calls.isEmpty();
+    }
+
+    void add(CallRequest call) {
+        calls.put(key(call), call);
+    }
+
+    void remove(CallRequest call) {
+        calls.remove(key(call), call);
+    }
+
+    boolean contains(CallRequest call) {
+        CallRequest found = calls.get(key(call));
+        return found != null && found.requestId().equals(call.requestId());
+    }
+
+    void clear() {
+        calls.clear();
+    }
+
+    Optional<Admission> find(CallRequest call) {
+        return Optional.ofNullable(calls.get(key(call)))
+                .map(running -> Calls.sameRequest(running.requestId(), running.digest(), call.digest()));
+    }
+
+    private static String key(CallRequest call) {
+        return call.clientAccount() + '\n' + call.idempotencyKey();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/program/MessageList.java
@@ -0,0 +1,44 @@
+package org.quetzalshunt.core.program;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.agrona.concurrent.UnsafeBuffer;
+
+/** A list of messages as one array of octets: each message behind its length in four octets. */
+public final class MessageList {
+    private MessageList() {}
+
+    /** Joins messages. */
+    public static byte[] join(List<byte[]> messages) {
+        int length = messages.stream()
+                .mapToInt(message -> Integer.BYTES + message.length)
+                .sum();
+        byte[] joined = new byte[length];
+        UnsafeBuffer buffer = new UnsafeBuffer(joined);
+        int position = 0;
+        for (byte[] message : messages) {
+            buffer.putInt(position, message.length);
+            buffer.putBytes(position + Integer.BYTES, message);
+            position += Integer.BYTES + message.length;
+        }
+        return joined;
+    }
+
+    /** Splits what {@link #join} made; a damaged tail is left out. */
+    public static List<byte[]> split(byte[] joined) {
+        List<byte[]> messages = new ArrayList<>();
+        UnsafeBuffer buffer = new UnsafeBuffer(joined);
+        int position = 0;
+        while (position + Integer.BYTES <= joined.length) {
+            int length = buffer.getInt(position);
+            if (length < 0 || length > joined.length - position - Integer.BYTES) {
+                break;
+            }
+            byte[] message = new byte[length];
+            buffer.getBytes(position + Integer.BYTES, message);
+            messages.add(message);
+            position += Integer.BYTES + length;
+        }
+        return messages;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/program/Shard.java
@@ -0,0 +1,561 @@
+package org.quetzalshunt.core.program;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.agrona.collections.Object2ObjectHashMap;
+import org.quetzalshunt.core.document.ServiceLimits;
+import org.quetzalshunt.core.log.LogFold;
+import org.quetzalshunt.core.result.Outcome;
+import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.core.vm.VmId;
+
+/**
+ * One shard at one entry: the fold of its stream, and at its owner the turns and calls under way.
+ *
+ * <p>Nothing is told as done before its record is folded as valid. What a former owner submits after its epoch ended
+ * folds as void, and its callers hear that the outcome is unknown.
+ */
+public final class Shard implements LogFold {
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final int number;
+    private final VmId self;
+    private final ShardSettings settings;
+    private final ShardRecordCodec codec;
+    private final RecordSubmitter submitter;
+    private final ShardListener listener;
+    private final ShardState state = new ShardState();
+    private final Map<String, TurnQueue> queues = new Object2ObjectHashMap<>();
+    private final CallTable calls = new CallTable();
+    private boolean ownedBefore;
+    private long sweptMillis;
+
+    private Shard(
+            int number,
+            VmId self,
+            ShardSettings settings,
+            ShardRecordCodec codec,
+            RecordSubmitter submitter,
+            ShardListener listener) {
+        this.number = number;
+        this.self = self;
+        this.settings = settings;
+        this.codec = codec;
+        this.submitter = submitter;
+        this.listener = listener;
+    }
+
+    /** Makes a shard that has folded nothing yet. */
+    public static Shard create(
+            int number,
+            VmId self,
+            ShardSettings settings,
+            ShardRecordCodec codec,
+            RecordSubmitter submitter,
+            ShardListener listener) {
+        return new Shard(number, self, settings, codec, submitter, listener);
+    }
+
+    /** Tokens that a new program reserves for its first turn. */
+    public static long usualReservation(ServiceLimits limits) {
+        return TurnPlanner.usualReservation(limits);
+    }
+
+    /** Number of the shard, from 0. */
+    public int number() {
+        return number;
+    }
+
+    /** Epoch in force as far as the stream was read; 0 before the first claim. */
+    public long epoch() {
+        return state.epoch();
+    }
+
+    /** Owner as far as the stream was read. */
+    public Optional<VmId> owner() {
+        return state.owner();
+    }
+
+    /** Whether this process owns the shard, as far as the stream was read. */
+    public boolean isOwned() {
+        return state.owner().filter(self::equals).isPresent();
+    }
+
+    /** Records that were void where they stood. */
+    public long voidRecords() {
+        return state.voidRecords();
+    }
+
+    @Override
+    public void apply(long offset, byte[] bytes, int indexInBatch) {
+        Optional<ShardRecord> decoded = codec.decode(bytes);
+        if (decoded.isEmpty()) {
+            return;
+        }
+        ShardRecord record = decoded.get();
+        boolean valid = state.apply(offset, record);
+        if (valid && record instanceof ShardRecord.Claim) {
+            ownershipChanged();
+        }
+        if (valid && record instanceof ShardRecord.ProgramEnded ended) {
+            listener.onProgramEnded(ended.program());
+        }
+    }
+
+    @Override
+    public void gap(long firstKept) {
+        state.reset();
+        ownershipChanged();
+    }
+
+    /** Claims the shard, based on the epoch folded so far; the callback hears whether the claim won. */
+    public void claim(Consumer<Boolean> whenDecided) {
+        ShardRecord.Claim claim = new ShardRecord.Claim(state.epoch(), self.name(), self.incarnation(), false);
+        submitter.submit(codec.encode(claim), folded -> whenDecided.accept(isOwned()));
+    }
+
+    /** Gives the shard up, for a planned stop or a better placed entry. Only when nothing is under way. */
+    public void release(Consumer<Boolean> whenDecided) {
+        ShardRecord.Claim claim = new ShardRecord.Claim(state.epoch(), self.name(), self.incarnation(), true);
+        submitter.submit(codec.encode(claim), folded -> whenDecided.accept(!isOwned()));
+    }
+
+    /** Whether turns or calls wait or run here. */
+    public boolean isBusy() {
+        return !calls.isEmpty() || queues.values().stream().anyMatch(queue -> !queue.isIdle());
+    }
+
+    /** Makes a program; the callback hears once it is durable. A re-send of the same request finds it made. */
+    public void createProgram(ShardRecord.ProgramCreated wanted, Consumer<Outcome<ProgramView>> whenDone) {
+        Optional<Program> existing = state.program(wanted.program());
+        if (existing.isPresent()) {
+            whenDone.accept(existingProgram(existing.get(), wanted.clientAccount()));
+            return;
+        }
+        Optional<Refusal> refusal = parentRefusal(wanted);
+        if (refusal.isPresent()) {
+            whenDone.accept(Outcome.failure(refusal.get()));
+            return;
+        }
+        submit(wanted, folded -> whenDone.accept(created(wanted)));
+    }
+
+    private Outcome<ProgramView> created(ShardRecord.ProgramCreated wanted) {
+        Optional<Program> made = state.program(wanted.program());
+        if (made.isEmpty()) {
+            return Outcome.failure(Refusal.after(
+                    ResultCode.OUTCOME_UNKNOWN,
+                    org.quetzalshunt.core.result.Execution.UNKNOWN,
+                    "the shard passed to another owner"));
+        }
+        return existingProgram(made.get(), wanted.clientAccount());
+    }
+
+    private Outcome<ProgramView> existingProgram(Program program, String clientAccount) {
+        if (!program.clientAccount.equals(clientAccount)) {
+            return Outcome.failure(Refusal.notRun(ResultCode.UNKNOWN_PROGRAM, program.id));
+        }
+        return Outcome.success(view(program));
+    }
+
+    private Optional<Refusal> parentRefusal(ShardRecord.ProgramCreated wanted) {
+        if (wanted.parent().isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<Program> parent = state.program(wanted.parent().get());
+        if (parent.isEmpty() || !parent.get().clientAccount.equals(wanted.clientAccount())) {
+            return Optional.of(
+                    Refusal.notRun(ResultCode.UNKNOWN_PROGRAM, wanted.parent().get()));
+        }
+        if (parent.get().isEnded()) {
+            return Optional.of(
+                    Refusal.notRun(ResultCode.PROGRAM_ENDED, wanted.parent().get()));
+        }
+        return Optional.empty();
+    }
+
+    /** What may be told of a program to its account. */
+    public Optional<ProgramView> find(String program, String clientAccount) {
+        return state.program(program)
+                .filter(found -> found.clientAccount.equals(clientAccount))
+                .map(this::view);
+    }
+
+    /** Ends a program and its sub-agents; the callback hears once it is durable. */
+    public void endProgram(long nowMillis, String program, ResultCode code, Consumer<Boolean> whenDone) {
+        ShardRecord.ProgramEnded ended = new ShardRecord.ProgramEnded(state.epoch(), program, code.number(), nowMillis);
+        submit(
+                ended,
+                folded -> whenDone.accept(
+                        state.program(program).filter(Program::isEnded).isPresent()));
+    }
+
+    /** Takes a request for a turn. The host must know the request id before, since it may start at once. */
+    public Admission offerTurn(long nowMillis, TurnRequest request) {
+        Optional<Admission> known = knownTurn(request);
+        if (known.isPresent()) {
+            return known.get();
+        }
+        Optional<Refusal> refusal = turnRefusal(request);
+        if (refusal.isPresent()) {
+            return new Admission.Refused(refusal.get());
+        }
+        queue(request.program()).waiting().add(request);
+        startNext(nowMillis, request.program());
+        return new Admission.Accepted();
+    }
+
+    private Optional<Admission> knownTurn(TurnRequest request) {
+        if (request.idempotencyKey().isEmpty()) {
+            return Optional.empty();
+        }
+        String key = request.idempotencyKey().get();
+        Optional<StoredResult> result = state.results().find(request.clientAccount(), key);
+        if (result.isPresent()) {
+            return Optional.of(Calls.knownResult(result.get(), request.digest()));
+        }
+        TurnQueue queue = queues.get(request.program());
+        return Optional.ofNullable(queue)
+                .flatMap(found -> found.find(key))
+                .filter(other -> other.clientAccount().equals(request.clientAccount()))
+                .map(other -> Calls.sameRequest(other.requestId(), other.digest(), request.digest()));
+    }
+
+    private Optional<Refusal> turnRefusal(TurnRequest request) {
+        Optional<Program> program = state.program(request.program());
+        if (request.implicitProgram()) {
+            return Optional.empty();
+        }
+        if (program.isEmpty() || !program.get().clientAccount.equals(request.clientAccount())) {
+            return Optional.of(Refusal.notRun(ResultCode.UNKNOWN_PROGRAM, request.program()));
+        }
+        int ended = program.get().turns;
+        if (request.turn().isPresent()
+                && (request.turn().getAsInt() <= ended
+                        || request.turn().getAsInt() > ended + TurnQueue.MAXIMUM_WAITING)) {
+            return Optional.of(Refusal.notRun(ResultCode.TURN_OUT_OF_ORDER, "the next turn is " + (ended + 1)));
+        }
+        TurnQueue queue = queue(request.program());
+        if (queue.waiting().size() >= TurnQueue.MAXIMUM_WAITING) {
+            return Optional.of(Refusal.notRunRetryAfter(
+                    ResultCode.QUEUE_FULL, "too many turns of the program wait", RETRY_AFTER_MILLIS));
+        }
+        return Optional.empty();
+    }
+
+    private TurnQueue queue(String program) {
+        return queues.computeIfAbsent(program, ignored -> new TurnQueue());
+    }
+
+    private static boolean isSame(TurnStart one, TurnStart other) {
+        return one.request().requestId().equals(other.request().requestId());
+    }
+
+    /** Starts the program's next turn when none runs. */
+    private void startNext(long nowMillis, String id) {
+        TurnQueue queue = queue(id);
+        while (queue.running().isEmpty()) {
+            int nextTurn = state.program(id).map(program -> program.turns + 1).orElse(1);
+            Optional<TurnRequest> next = queue.takeNext(nextTurn);
+            if (next.isEmpty()) {
+                break;
+            }
+            start(nowMillis, queue, next.get());
+        }
+        if (queue.isIdle()) {
+            queues.remove(id);
+        }
+    }
+
+    private void start(long nowMillis, TurnQueue queue, TurnRequest request) {
+        Program program = state.program(request.program()).orElseGet(() -> implicitProgram(nowMillis, request));
+        Program payer = state.payer(program);
+        Outcome<TurnStart> planned = TurnPlanner.plan(program, payer, request);
+        if (planned instanceof Outcome.Failure<TurnStart> failure) {
+            listener.onRefused(request.requestId(), failure.refusal());
+            return;
+        }
+        TurnStart start = planned.toOptional().orElseThrow();
+        queue.run(start);
+        reserve(program, payer, start.reservation());
+        if (request.implicitProgram() || start.reservation() <= program.recordedReservation) {
+            listener.onTurnStart(start);
+            return;
+        }
+        ShardRecord.ReservationRaised raised =
+                new ShardRecord.ReservationRaised(state.epoch(), program.id, start.reservation());
+        submit(raised, folded -> raisedThenStart(program, start));
+    }
+
+    private void raisedThenStart(Program program, TurnStart start) {
+        boolean stillRunning = isOwned()
+                && program.recordedReservation >= start.reservation()
+                && Optional.ofNullable(queues.get(program.id))
+                        .flatMap(TurnQueue::running)
+                        .filter(running -> isSame(running, start))
+                        .isPresent();
+        if (stillRunning) {
+            listener.onTurnStart(start);
+            return;
+        }
+        listener.onRefused(
+                start.request().requestId(),
+                Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "the shard passed on", RETRY_AFTER_MILLIS));
+    }
+
+    /** A request outside any program is a program of one turn, recorded together with the end of that turn. */
+    private Program implicitProgram(long nowMillis, TurnRequest request) {
+        return new Program(implicitRecord(nowMillis, request));
+    }
+
+    private ShardRecord.ProgramCreated implicitRecord(long nowMillis, TurnRequest request) {
+        return new ShardRecord.ProgramCreated(
+                state.epoch(),
+                request.program(),
+                request.clientAccount(),
+                Optional.empty(),
+                request.limits().programBudgetTokens(),
+                0,
+                nowMillis,
+                true,
+                request.requestId());
+    }
+
+    private void reserve(Program program, Program payer, long tokens) {
+        program.liveReservations += tokens;
+        if (payer != program) {
+            payer.liveReservations += tokens;
+        }
+    }
+
+    /** Records the end of a turn; the callback hears whether it became part of the program. */
+    public void endTurn(long nowMillis, TurnStart start, TurnResult result, Consumer<Boolean> whenDurable) {
+        TurnRequest request = start.request();
+        Optional<Program> known = state.program(request.program());
+        if (request.implicitProgram() && known.isEmpty()) {
+            submit(implicitRecord(nowMillis, request), folded -> {});
+        }
+        Program program = known.orElseGet(() -> implicitProgram(nowMillis, request));
+        ShardRecord.TurnEnded ended = TurnRecords.ended(nowMillis, state.epoch(), program, start, result);
+        submit(ended, folded -> {
+            boolean kept = state.program(request.program())
+                    .filter(found -> found.turns >= start.turn())
+                    .isPresent();
+            whenDurable.accept(folded && kept && isOwned());
+            closeTurn(nowMillis, start);
+        });
+        if (request.implicitProgram()) {
+            ShardRecord.ProgramEnded end =
+                    new ShardRecord.ProgramEnded(state.epoch(), request.program(), ResultCode.OK.number(), nowMillis);
+            submit(end, folded -> {});
+        }
+    }
+
+    /**
+     * Charges an attempt that ran and gave nothing. The callback hears, once the charge is durable, whether the budget
+     * covers one more attempt of the turn; without it an engine that fails would let a program spend twice.
+     */
+    public void chargeLostAttempt(TurnStart start, Consumer<Boolean> whenCharged) {
+        if (start.request().implicitProgram()) {
+            whenCharged.accept(true);
+            return;
+        }
+        ShardRecord.BudgetCharged charged =
+                new ShardRecord.BudgetCharged(state.epoch(), start.request().program(), start.reservation());
+        submit(charged, folded -> whenCharged.accept(folded && isOwned() && withinBudget(start)));
+    }
+
+    private boolean withinBudget(TurnStart start) {
+        return state.program(start.request().program())
+                .map(state::payer)
+                .filter(payer -> payer.budgetTokens - payer.spentTokens - payer.liveReservations >= 0)
+                .isPresent();
+    }
+
+    /** Ends a turn that gave nothing and costs nothing more than was charged before. */
+    public void failTurn(long nowMillis, TurnStart start) {
+        closeTurn(nowMillis, start);
+    }
+
+    private void closeTurn(long nowMillis, TurnStart start) {
+        String id = start.request().program();
+        TurnQueue queue = queues.get(id);
+        if (queue == null
+                || queue.running().filter(running -> isSame(running, start)).isEmpty()) {
+            return;
+        }
+        queue.runEnded();
+        if (!start.request().implicitProgram()) {
+            state.program(id).ifPresent(program -> reserve(program, state.payer(program), -start.reservation()));
+        }
+        startNext(nowMillis, id);
+    }
+
+    /** Gives up a turn that still waits; false when it runs or is not known. */
+    public boolean withdrawTurn(String program, String requestId) {
+        TurnQueue queue = queues.get(program);
+        return queue != null
+                && queue.waiting().removeIf(request -> request.requestId().equals(requestId));
+    }
+
+    /** Takes a call that must run at most once; it starts when its intent is folded as valid. */
+    public Admission offerCall(long nowMillis, CallRequest call) {
+        Optional<Admission> running = calls.find(call);
+        if (running.isPresent()) {
+            return running.get();
+        }
+        Optional<StoredResult> result = state.results().find(call.clientAccount(), call.idempotencyKey());
+        if (result.isPresent()) {
+            return Calls.knownResult(result.get(), call.digest());
+        }
+        calls.add(call);
+        ShardRecord.CallIntent intent = new ShardRecord.CallIntent(
+                state.epoch(),
+                call.clientAccount(),
+                call.idempotencyKey(),
+                call.service(),
+                call.requestId(),
+                call.digest(),
+                nowMillis);
+        submit(intent, folded -> intentFolded(call));
+        return new Admission.Accepted();
+    }
+
+    private void intentFolded(CallRequest call) {
+        if (!calls.contains(call)) {
+            return;
+        }
+        boolean valid = isOwned()
+                && state.results()
+                        .find(call.clientAccount(), call.idempotencyKey())
+                        .filter(intent -> intent.requestId().equals(call.requestId()) && !intent.ended())
+                        .isPresent();
+        if (valid) {
+            listener.onCallStart(call);
+            return;
+        }
+        calls.remove(call);
+        listener.onRefused(
+                call.requestId(),
+                Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "the call's intent was not kept", RETRY_AFTER_MILLIS));
+    }
+
+    /** Records the outcome of a call; the callback hears whether it is kept for re-sends. */
+    public void endCall(
+            long nowMillis, CallRequest call, ResultCode code, StoredAnswer answer, Consumer<Boolean> whenDurable) {
+        ShardRecord.CallEnded ended = new ShardRecord.CallEnded(
+                state.epoch(),
+                call.clientAccount(),
+                call.idempotencyKey(),
+                call.requestId(),
+                code.number(),
+                answer,
+                nowMillis);
+        submit(ended, folded -> {
+            calls.remove(call);
+            whenDurable.accept(folded
+                    && state.results()
+                            .find(call.clientAccount(), call.idempotencyKey())
+                            .filter(StoredResult::ended)
+                            .isPresent());
+        });
+    }
+
+    /**
+     * Submits a record of the epoch in force, if it is this process's. Without the check a former owner that has read
+     * the claim of its successor would write records of the successor's epoch, and they would be valid.
+     */
+    private void submit(ShardRecord record, Consumer<Boolean> whenFolded) {
+        if (!isOwned()) {
+            whenFolded.accept(false);
+            return;
+        }
+        submitter.submit(codec.encode(record), whenFolded);
+    }
+
+    /** Sweeps: requests past their deadline, programs idle for too long, results past their time. */
+    public void tick(long nowMillis) {
+        if (nowMillis - sweptMillis < settings.sweepMillis()) {
+            return;
+        }
+        sweptMillis = nowMillis;
+        expireWaiting(nowMillis);
+        if (isOwned()) {
+            endIdlePrograms(nowMillis);
+        }
+        state.forgetBefore(nowMillis - settings.resultMillis());
+    }
+
+    private void expireWaiting(long nowMillis) {
+        List<TurnRequest> expired = new ArrayList<>();
+        queues.values().forEach(queue -> queue.waiting().removeIf(request -> {
+            boolean late = request.deadlineMillis() <= nowMillis;
+            if (late) {
+                expired.add(request);
+            }
+            return late;
+        }));
+        queues.values().removeIf(TurnQueue::isIdle);
+        expired.forEach(request -> listener.onRefused(
+                request.requestId(), Refusal.notRun(ResultCode.DEADLINE_PASSED, "it waited for an earlier turn")));
+    }
+
+    private void endIdlePrograms(long nowMillis) {
+        state.programs().stream()
+                .filter(program -> !program.isEnded() && !queues.containsKey(program.id))
+                .filter(program -> program.lastActiveMillis + settings.programIdleMillis() < nowMillis)
+                .map(program -> program.id)
+                .toList()
+                .forEach(id -> endProgram(nowMillis, id, ResultCode.DEADLINE_PASSED, ended -> {}));
+    }
+
+    /** Programs by id, for lists that operators page through. */
+    public List<ProgramView> programs() {
+        return state.programs().stream()
+                .map(this::view)
+                .sorted(Comparator.comparing(ProgramView::id))
+                .toList();
+    }
+
+    /** Counts for metrics: programs, octets of history, results kept. */
+    public void measure(BiConsumer<String, Long> gauge) {
+        gauge.accept("programs", (long) state.programs().size());
+        gauge.accept(
+                "historyBytes",
+                state.programs().stream()
+                        .mapToLong(program -> program.history.bytes())
+                        .sum());
+        gauge.accept("results", (long) state.results().size());
+    }
+
+    private ProgramView view(Program program) {
+        Optional<TurnQueue> queue = Optional.ofNullable(queues.get(program.id));
+        return new ProgramView(
+                program.id,
+                program.clientAccount,
+                program.parent,
+                program.budgetTokens,
+                program.spentTokens,
+                program.turns,
+                queue.map(found -> found.waiting().size()).orElse(0),
+                queue.flatMap(TurnQueue::running).isPresent(),
+                program.endedCode,
+                program.lastActiveMillis);
+    }
+
+    private void ownershipChanged() {
+        boolean owned = isOwned();
+        if (ownedBefore && !owned) {
+            queues.clear();
+            calls.clear();
+            listener.onOwnershipLost(number);
+        }
+        ownedBefore = owned;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/program/ShardNumbers.java
@@ -0,0 +1,55 @@
+package org.quetzalshunt.core.program;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * Maps names to shards. A sub-agent's id is its root's id, a separator and a suffix, so that a whole tree of programs
+ * is in one shard and shares its root's budget without messages between shards.
+ */
+public final class ShardNumbers {
+    /** Between a root's id and the suffix of a sub-agent. */
+    public static final char SEPARATOR = '.';
+
+    private static final int BYTE_MASK = 0xff;
+
+    private ShardNumbers() {}
+
+    /** Root id of a program id. */
+    public static String root(String program) {
+        int separator = program.indexOf(SEPARATOR);
+        return separator < 0 ? program : program.substring(0, separator);
+    }
+
+    /** Shard of a program, by its root. */
+    public static int ofProgram(String program, int shards) {
+        return of(root(program), shards);
+    }
+
+    /** Shard of a call outside any program, by its account and idempotency key. */
+    public static int ofCall(String clientAccount, String idempotencyKey, int shards) {
+        return of(clientAccount + '\n' + idempotencyKey, shards);
+    }
+
+    private static int of(String name, int shards) {
+        byte[] digest = sha256(name.getBytes(StandardCharsets.UTF_8));
+        int hash = 0;
+        for (int index = 0; index < Integer.BYTES; index++) {
+            hash = (hash << Byte.SIZE) | (digest[index] & BYTE_MASK);
+        }
+        return Math.floorMod(hash, shards);
+    }
+
+    static byte[] sha256(byte[]... parts) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            for (byte[] part : parts) {
+                digest.update(part);
+            }
+            return digest.digest();
+        } catch (NoSuchAlgorithmException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/entry/AttemptBoard.java
@@ -0,0 +1,183 @@
+package org.quetzalshunt.server.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.agrona.collections.Long2ObjectHashMap;
+import org.quetzalshunt.core.program.TurnUsage;
+import org.quetzalshunt.core.result.Execution;
+import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.server.transport.PeerLink;
+import org.quetzalshunt.wire.generated.AttemptCancel;
+import org.quetzalshunt.wire.generated.AttemptChunk;
+import org.quetzalshunt.wire.generated.AttemptEnd;
+import org.quetzalshunt.wire.generated.AttemptHead;
+import org.quetzalshunt.wire.generated.AttemptResume;
+import org.quetzalshunt.wire.generated.AttemptStart;
+import org.quetzalshunt.wire.generated.Message;
+import org.tinylog.Logger;
+
+/**
+ * Attempts under way at sidecars. Guards against cut and crossed answers: frames carry the attempt's id and a sequence
+ * number, a gap or a wrong count at the end makes the attempt a failure, and frames of a former attempt find no one.
+ */
+final class AttemptBoard {
+    /** A broken link comes back within its first few tries, or the sidecar is gone. */
+    private static final long RESUME_MILLIS = 3_000;
+
+    /** A sidecar enforces the deadline itself; this is for the case that it died or was paused. */
+    private static final long DEADLINE_GRACE_MILLIS = 1_000;
+
+    private final EntryClock clock;
+    private final Map<String, PeerLink> links = new HashMap<>();
+    private final Long2ObjectHashMap<Attempt> attempts = new Long2ObjectHashMap<>();
+    private final long idBase;
+    private int counter;
+
+    AttemptBoard(EntryClock clock, long seed) {
+        this.clock = clock;
+        this.idBase = new SplittableRandom(seed).nextLong() & 0x7fff_ffff_0000_0000L;
+    }
+
+    /** Starts an attempt. Empty when there is no link to the endpoint's sidecar. */
+    Optional<Long> start(String endpoint, AttemptStart order, AttemptListener listener) {
+        PeerLink link = links.get(endpoint);
+        if (link == null) {
+            return Optional.empty();
+        }
+        long id = idBase | (counter++ & 0xffff_ffffL);
+        order.setAttempt(id);
+        long deadline = clock.now() + order.getRemainingMillis() + DEADLINE_GRACE_MILLIS;
+        attempts.put(id, new Attempt(id, endpoint, listener, deadline));
+        link.send(Message.attemptStart(order));
+        return Optional.of(id);
+    }
+
+    /** Gives an attempt up; its listener hears no more. */
+    void cancel(long id) {
+        Attempt attempt = attempts.remove(id);
+        if (attempt == null) {
+            return;
+        }
+        PeerLink link = links.get(attempt.endpoint);
+        if (link != null) {
+            link.send(Message.attemptCancel(new AttemptCancel(id)));
+        }
+    }
+
+    int running() {
+        return attempts.size();
+    }
+
+    Optional<PeerLink> link(String endpoint) {
+        return Optional.ofNullable(links.get(endpoint));
+    }
+
+    Map<String, PeerLink> links() {
+        return links;
+    }
+
+    void linkOpened(PeerLink link) {
+        String endpoint = link.remote().id().name();
+        links.put(endpoint, link);
+        for (Attempt attempt : List.copyOf(attempts.values())) {
+            if (attempt.endpoint.equals(endpoint) && attempt.lostMillis > 0) {
+                attempt.lostMillis = 0;
+                link.send(Message.attemptResume(new AttemptResume(attempt.id, attempt.nextSequence)));
+            }
+        }
+    }
+
+    void linkClosed(PeerLink link) {
+        String endpoint = link.remote().id().name();
+        if (!links.remove(endpoint, link)) {
+            return;
+        }
+        attempts.values().stream()
+                .filter(attempt -> attempt.endpoint.equals(endpoint))
+                .forEach(attempt -> attempt.lostMillis = clock.now());
+    }
+
+    void onHead(AttemptHead head) {
+        Attempt attempt = attempts.get(head.getAttempt());
+        if (attempt != null && !attempt.headSeen) {
+            attempt.headSeen = true;
+            attempt.listener.onHead(head.getStatus(), head.getHeaders() == null ? Map.of() : head.getHeaders());
+        }
+    }
+
+    void onChunk(AttemptChunk chunk) {
+        Attempt attempt = attempts.get(chunk.getAttempt());
+        if (attempt == null || chunk.getSequence() < attempt.nextSequence) {
+            return;
+        }
+        if (chunk.getSequence() > attempt.nextSequence) {
+            Logger.warn("attempt {}: chunk {} in place of {}", attempt.id, chunk.getSequence(), attempt.nextSequence);
+            fail(attempt, ResultCode.ANSWER_CUT, Execution.RAN);
+            return;
+        }
+        attempt.nextSequence++;
+        attempt.listener.onChunk(chunk.getData());
+    }
+
+    void onEnd(AttemptEnd end) {
+        Attempt attempt = attempts.get(end.getAttempt());
+        if (attempt == null) {
+            return;
+        }
+        ResultCode code = ResultCode.fromNumber(end.getResultCode());
+        if (code == ResultCode.OK && end.getChunks() != attempt.nextSequence) {
+            fail(attempt, ResultCode.ANSWER_CUT, Execution.RAN);
+            return;
+        }
+        attempts.remove(attempt.id);
+        Optional<TurnUsage> usage = Optional.ofNullable(end.getUsage())
+                .map(counted -> new TurnUsage(
+                        counted.getPromptTokens(), counted.getCachedTokens(), counted.getCompletionTokens()));
+        String reason = end.getFinishReason() == null ? "" : end.getFinishReason();
+        attempt.listener.onOutcome(new AttemptOutcome(code, Execution.fromNumber(end.getExecution()), usage, reason));
+    }
+
+    /** Ends attempts whose sidecar does not come back, or which outlived their deadline. */
+    void tick(long nowMillis) {
+        if (attempts.isEmpty()) {
+            return;
+        }
+        List<Attempt> ended = new ArrayList<>();
+        for (Attempt attempt : attempts.values()) {
+            boolean lost = attempt.lostMillis > 0 && nowMillis - attempt.lostMillis > RESUME_MILLIS;
+            if (lost || nowMillis > attempt.deadlineMillis) {
+                ended.add(attempt);
+            }
+        }
+        for (Attempt attempt : ended) {
+            boolean lost = attempt.lostMillis > 0;
+            fail(attempt, lost ? ResultCode.ENDPOINT_FAILED : ResultCode.DEADLINE_PASSED_RUNNING, Execution.UNKNOWN);
+        }
+    }
+
+    private void fail(Attempt attempt, ResultCode code, Execution execution) {
+        cancel(attempt.id);
+        attempt.listener.onOutcome(AttemptOutcome.failed(code, execution));
+    }
+
+    private static final class Attempt {
+        private final long id;
+        private final String endpoint;
+        private final AttemptListener listener;
+        private final long deadlineMillis;
+        private int nextSequence;
+        private boolean headSeen;
+        private long lostMillis;
+
+        Attempt(long id, String endpoint, AttemptListener listener, long deadlineMillis) {
+            this.id = id;
+            this.endpoint = endpoint;
+            this.listener = listener;
+            this.deadlineMillis = deadlineMillis;
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ConfigurationHost.java
@@ -0,0 +1,95 @@
+package org.quetzalshunt.server.entry;
+
+import java.util.function.BiConsumer;
+import org.quetzalshunt.core.configuration.Configuration;
+import org.quetzalshunt.core.configuration.ConfigurationChange;
+import org.quetzalshunt.core.configuration.Freshness;
+import org.quetzalshunt.core.log.LogFold;
+import org.quetzalshunt.core.log.LogTransport;
+import org.quetzalshunt.core.log.StreamSession;
+import org.quetzalshunt.core.log.StreamSettings;
+import org.quetzalshunt.core.log.Submission;
+import org.quetzalshunt.wire.record.ConfigurationRecordCodec;
+
+/** The configuration stream at this process: its fold, its proof of freshness, and changes put here. */
+final class ConfigurationHost {
+    static final String STREAM = "configuration";
+
+    /** Half of the four seconds within which a change must be in force; the rest is for the change to travel. */
+    private static final long FRESHNESS_MILLIS = 2_000;
+
+    private static final long COMMIT_MILLIS = 20;
+
+    private final EntryClock clock;
+    private final Configuration configuration = Configuration.create(ConfigurationRecordCodec::decode);
+    private final Freshness freshness = Freshness.create(FRESHNESS_MILLIS);
+    private final StreamSession session;
+
+    ConfigurationHost(EntryClock clock, String writerId, long seed, LogTransport transport, LogFold alsoFoldedInto) {
+        this.clock = clock;
+        this.session = StreamSession.create(
+                STREAM, StreamSettings.tailing(COMMIT_MILLIS, seed), writerId, transport, both(alsoFoldedInto));
+    }
+
+    private LogFold both(LogFold other) {
+        return new LogFold() {
+            @Override
+            public void apply(long offset, byte[] record, int indexInBatch) {
+                configuration.apply(offset, record, indexInBatch);
+                other.apply(offset, record, indexInBatch);
+            }
+
+            @Override
+            public void gap(long firstKept) {
+                configuration.gap(firstKept);
+                other.gap(firstKept);
+            }
+
+            @Override
+            public void malformed(long offset) {
+                configuration.malformed(offset);
+                other.malformed(offset);
+            }
+
+            @Override
+            public void foldedBelow(long position) {
+                configuration.foldedBelow(position);
+                other.foldedBelow(position);
+            }
+        };
+    }
+
+    Configuration configuration() {
+        return configuration;
+    }
+
+    Freshness freshness() {
+        return freshness;
+    }
+
+    StreamSession session() {
+        return session;
+    }
+
+    void tick() {
+        session.tick(clock.now());
+        session.lastReadMillis().ifPresent(freshness::readToEnd);
+    }
+
+    /** Whether this process may decide on keys and documents now. */
+    boolean isReady() {
+        return configuration.complete() && session.lastReadMillis().isPresent() && session.caughtUp();
+    }
+
+    boolean isFresh() {
+        return freshness.fresh(clock.now(), configuration.next());
+    }
+
+    /** Appends a change; the callback hears what became of its record. */
+    void put(ConfigurationChange change, BiConsumer<Submission, Configuration> whenFolded) {
+        session.submit(
+                clock.now(),
+                ConfigurationRecordCodec.encode(change),
+                submission -> whenFolded.accept(submission, configuration));
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryMeasures.java
@@ -0,0 +1,63 @@
+package org.quetzalshunt.server.entry;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.function.Supplier;
+import org.quetzalshunt.core.program.TurnStart;
+import org.quetzalshunt.core.program.TurnUsage;
+import org.quetzalshunt.core.result.Refusal;
+
+/** What an entry counts, in Prometheus' format. Labels are services, accounts and codes, all bounded by documents. */
+final class EntryMeasures {
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Timer turnLatency = Timer.builder("quetzalshunt.turn.latency")
+            .description("from arrival to the durable end of a turn")
+            .publishPercentiles(0.5, 0.95, 0.99)
+            .register(registry);
+    private final Timer firstToken = Timer.builder("quetzalshunt.first.token")
+            .description("from arrival to the first token")
+            .publishPercentiles(0.5, 0.95, 0.99)
+            .register(registry);
+    private final Counter recomputed = Counter.builder("quetzalshunt.prompt.tokens.recomputed")
+            .description("tokens of a program's history that an engine computed again")
+            .register(registry);
+    private final Counter completion = Counter.builder("quetzalshunt.completion.tokens")
+            .description("tokens generated")
+            .register(registry);
+
+    void turnEnded(TurnStart start, TurnUsage usage, long latencyMillis) {
+        turnLatency.record(Duration.ofMillis(latencyMillis));
+        completion.increment((double) usage.completionTokens());
+        recomputed.increment((double) Math.max(0, start.contextTokens() - usage.cachedTokens()));
+    }
+
+    void firstToken(long millis) {
+        firstToken.record(Duration.ofMillis(millis));
+    }
+
+    void refused(String clientAccount, Refusal refusal) {
+        registry.counter(
+                        "quetzalshunt.refusals",
+                        "account",
+                        clientAccount,
+                        "code",
+                        Integer.toString(refusal.code().number()))
+                .increment();
+    }
+
+    void promiseBroken(String promise) {
+        registry.counter("quetzalshunt.promises.broken", "promise", promise).increment();
+    }
+
+    void gauge(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).register(registry);
+    }
+
+    String scrape() {
+        return registry.scrape();
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/entry/Keys.java
@@ -0,0 +1,36 @@
+package org.quetzalshunt.server.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+import org.quetzalshunt.server.http.HttpExchange;
+
+/** A caller's key: read from its header, hashed at once, and never passed on. */
+final class Keys {
+    private static final String BEARER = "Bearer ";
+
+    private Keys() {}
+
+    /** SHA-256 of the bearer token (RFC 6750, section 2.1) in lower-case hex; empty when no key came. */
+    static Optional<String> hash(HttpExchange exchange) {
+        return exchange.header("authorization")
+                .filter(value -> value.regionMatches(true, 0, BEARER, 0, BEARER.length()))
+                .map(value -> value.substring(BEARER.length()).trim())
+                .filter(key -> !key.isEmpty())
+                .map(key -> HexFormat.of().formatHex(sha256(key.getBytes(StandardCharsets.UTF_8))));
+    }
+
+    static byte[] sha256(byte[]... parts) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            for (byte[] part : parts) {
+                digest.update(part);
+            }
+            return digest.digest();
+        } catch (NoSuchAlgorithmException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/entry/OwnerService.java
@@ -0,0 +1,297 @@
+package org.quetzalshunt.server.entry;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.IntFunction;
+import org.quetzalshunt.core.document.ServiceDocument;
+import org.quetzalshunt.core.document.ServiceLimits;
+import org.quetzalshunt.core.program.Admission;
+import org.quetzalshunt.core.program.CallRequest;
+import org.quetzalshunt.core.program.MessageMode;
+import org.quetzalshunt.core.program.ProgramView;
+import org.quetzalshunt.core.program.Shard;
+import org.quetzalshunt.core.program.ShardListener;
+import org.quetzalshunt.core.program.ShardRecord;
+import org.quetzalshunt.core.program.StoredAnswer;
+import org.quetzalshunt.core.program.TurnRequest;
+import org.quetzalshunt.core.program.TurnStart;
+import org.quetzalshunt.core.result.Outcome;
+import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.server.http.ResponseSink;
+import org.quetzalshunt.wire.json.Json;
+
+/** Handles requests at the owner of their shard. */
+final class OwnerService implements ShardListener {
+    static final String CHAT_PATH = "/v1/chat/completions";
+    static final String PROGRAMS_PATH = "/v1/programs";
+    static final String SERVICES_PATH = "/v1/services/";
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final OwnerContext owner;
+    private final IntFunction<Shard> shards;
+
+    OwnerService(OwnerContext owner, IntFunction<Shard> shards) {
+        this.owner = owner;
+        this.shards = shards;
+    }
+
+    /** Handles a request whose shard this entry owns. */
+    void handle(int shardNumber, OwnerRequest request, ResponseSink sink) {
+        Shard shard = shards.apply(shardNumber);
+        if (!shard.isOwned()) {
+            refuse(sink, request, Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "ask again", RETRY_AFTER_MILLIS));
+            return;
+        }
+        if (request.path().equals(CHAT_PATH)) {
+            chat(shard, request, sink);
+            return;
+        }
+        if (request.path().startsWith(PROGRAMS_PATH)) {
+            program(shard, request, sink);
+            return;
+        }
+        call(shard, request, sink);
+    }
+
+    private void chat(Shard shard, OwnerRequest request, ResponseSink sink) {
+        Outcome<ChatBody> read = ChatBody.read(request.body());
+        if (read instanceof Outcome.Failure<ChatBody> failure) {
+            refuse(sink, request, failure.refusal());
+            return;
+        }
+        ChatBody body = read.toOptional().orElseThrow();
+        Optional<ServiceDocument> document = document(body.service());
+        if (document.isEmpty()) {
+            refuse(sink, request, Refusal.notRun(ResultCode.UNKNOWN_SERVICE, body.service()));
+            return;
+        }
+        ChatRun run = new ChatRun(owner, request, body, sink, shard);
+        owner.runs().put(request.requestId(), run);
+        TurnRequest turn = turnRequest(request, body, document.get().limits());
+        Admission admission = shard.offerTurn(owner.clock().now(), turn);
+        if (admission instanceof Admission.Accepted) {
+            sink.onClose(() -> {
+                shard.withdrawTurn(turn.program(), request.requestId());
+                run.callerGone();
+            });
+            return;
+        }
+        owner.runs().remove(request.requestId());
+        settle(admission, request, sink, answer -> replay(answer, body, request, sink));
+    }
+
+    private static void replay(StoredAnswer answer, ChatBody body, OwnerRequest request, ResponseSink sink) {
+        if (!body.stream()) {
+            Answers.stored(sink, answer, request.requestId());
+            return;
+        }
+        sink.begin(200, Answers.headers(request.requestId(), Answers.EVENT_STREAM));
+        ChatAnswer.replay(answer.body(), body.includeUsage()).forEach(sink::write);
+        sink.end();
+    }
+
+    private TurnRequest turnRequest(OwnerRequest request, ChatBody body, ServiceLimits limits) {
+        boolean implicit = request.header(CallerHeaders.PROGRAM).isEmpty();
+        return new TurnRequest(
+                request.requestId(),
+                request.header(CallerHeaders.PROGRAM).orElseGet(() -> ProgramIds.implicit(request)),
+                implicit,
+                request.clientAccount(),
+                turn(request),
+                Optional.of(request.idempotencyKey()),
+                body.digest(),
+                body.messages(),
+                mode(request),
+                body.maximumTokens(),
+                request.deadlineMillis(),
+                limits,
+                body.service());
+    }
+
+    private static OptionalInt turn(OwnerRequest request) {
+        return request.header(CallerHeaders.TURN)
+                .map(value -> OptionalInt.of(Integer.parseInt(value)))
+                .orElse(OptionalInt.empty());
+    }
+
+    private static MessageMode mode(OwnerRequest request) {
+        return switch (request.header(CallerHeaders.MESSAGES).orElse("")) {
+            case "all" -> MessageMode.ALL;
+            case "new" -> MessageMode.NEW;
+            default -> MessageMode.AUTOMATIC;
+        };
+    }
+
+    private void program(Shard shard, OwnerRequest request, ResponseSink sink) {
+        if (request.method().equals("POST")) {
+            create(shard, request, sink);
+            return;
+        }
+        String id = request.path().substring(PROGRAMS_PATH.length() + 1);
+        Optional<ProgramView> found = shard.find(id, request.clientAccount());
+        if (found.isEmpty()) {
+            refuse(sink, request, Refusal.notRun(ResultCode.UNKNOWN_PROGRAM, id));
+            return;
+        }
+        if (request.method().equals("GET") || found.get().endedCode().isPresent()) {
+            answer(sink, request, 200, found.get());
+            return;
+        }
+        shard.endProgram(owner.clock().now(), id, ResultCode.OK, ended -> ended(ended, shard, id, request, sink));
+    }
+
+    private void ended(boolean ended, Shard shard, String id, OwnerRequest request, ResponseSink sink) {
+        Optional<ProgramView> view = shard.find(id, request.clientAccount());
+        if (!ended || view.isEmpty()) {
+            refuse(sink, request, Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "ask again", RETRY_AFTER_MILLIS));
+            return;
+        }
+        answer(sink, request, 200, view.get());
+    }
+
+    private void create(Shard shard, OwnerRequest request, ResponseSink sink) {
+        Outcome<ProgramBody> read = ProgramBody.read(request.body());
+        if (read instanceof Outcome.Failure<ProgramBody> failure) {
+            refuse(sink, request, failure.refusal());
+            return;
+        }
+        ProgramBody body = read.toOptional().orElseThrow();
+        ServiceLimits limits = ServiceLimits.defaults();
+        String id = body.parent()
+                .map(parent -> ProgramIds.child(parent, request))
+                .orElseGet(() -> request.header(CallerHeaders.PROGRAM).orElseThrow());
+        long budget = body.budgetTokens().orElse(limits.programBudgetTokens());
+        ShardRecord.ProgramCreated record = new ShardRecord.ProgramCreated(
+                shard.epoch(),
+                id,
+                request.clientAccount(),
+                body.parent(),
+                budget,
+                Math.min(budget, Shard.usualReservation(limits)),
+                owner.clock().now(),
+                false,
+                request.requestId());
+        shard.createProgram(record, outcome -> {
+            outcome.toOptional().ifPresent(view -> answer(sink, request, 201, view));
+            outcome.toRefusal().ifPresent(refusal -> refuse(sink, request, refusal));
+        });
+    }
+
+    private void call(Shard shard, OwnerRequest request, ResponseSink sink) {
+        String rest = request.path().substring(SERVICES_PATH.length());
+        int slash = rest.indexOf('/');
+        String service = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        Optional<ServiceDocument> document = document(service);
+        if (document.isEmpty()) {
+            refuse(sink, request, Refusal.notRun(ResultCode.UNKNOWN_SERVICE, service));
+            return;
+        }
+        boolean atMostOnce = document.get().isNonIdempotent(request.method(), path) || request.hasCallersKey();
+        Optional<CallRequest> call = atMostOnce
+                ? Optional.of(new CallRequest(
+                        request.requestId(),
+                        request.clientAccount(),
+                        request.idempotencyKey(),
+                        service,
+                        callDigest(request)))
+                : Optional.empty();
+        CallRun run = new CallRun(owner, request, service, path, document.get().limits(), call, sink, shard);
+        owner.callRuns().put(request.requestId(), run);
+        sink.onClose(run::callerGone);
+        if (call.isEmpty()) {
+            run.start();
+            return;
+        }
+        Admission admission = shard.offerCall(owner.clock().now(), call.get());
+        if (admission instanceof Admission.Accepted) {
+            return;
+        }
+        owner.callRuns().remove(request.requestId());
+        settle(admission, request, sink, answer -> Answers.stored(sink, answer, request.requestId()));
+    }
+
+    private static byte[] callDigest(OwnerRequest request) {
+        byte[] line = (request.method() + ' ' + request.path() + '\n').getBytes(StandardCharsets.UTF_8);
+        return Keys.sha256(line, request.body());
+    }
+
+    private void settle(
+            Admission admission,
+            OwnerRequest request,
+            ResponseSink sink,
+            java.util.function.Consumer<StoredAnswer> answered) {
+        if (admission instanceof Admission.Replay replay) {
+            answered.accept(replay.answer());
+            return;
+        }
+        if (admission instanceof Admission.Refused refused) {
+            refuse(sink, request, refused.refusal());
+            return;
+        }
+        Admission.Attach attach = (Admission.Attach) admission;
+        owner.waiters().add(attach.requestId(), outcome -> {
+            outcome.toOptional().ifPresent(answered);
+            outcome.toRefusal().ifPresent(refusal -> refuse(sink, request, refusal));
+        });
+    }
+
+    private Optional<ServiceDocument> document(String service) {
+        return owner.configuration().document(service).flatMap(versioned -> versioned.document());
+    }
+
+    private void refuse(ResponseSink sink, OwnerRequest request, Refusal refusal) {
+        owner.measures().refused(request.clientAccount(), refusal);
+        Answers.refuse(sink, refusal, request.requestId());
+    }
+
+    private static void answer(ResponseSink sink, OwnerRequest request, int status, ProgramView view) {
+        ObjectNode node = ProgramBody.write(view);
+        sink.respond(status, Answers.headers(request.requestId(), "application/json"), Json.bytes(node));
+    }
+
+    @Override
+    public void onTurnStart(TurnStart start) {
+        ChatRun run = owner.runs().get(start.request().requestId());
+        if (run != null) {
+            run.start(start);
+        }
+    }
+
+    @Override
+    public void onCallStart(CallRequest call) {
+        CallRun run = owner.callRuns().get(call.requestId());
+        if (run != null) {
+            run.start();
+        }
+    }
+
+    @Override
+    public void onRefused(String requestId, Refusal refusal) {
+        ChatRun run = owner.runs().get(requestId);
+        if (run != null) {
+            run.fail(refusal);
+        }
+        CallRun callRun = owner.callRuns().get(requestId);
+        if (callRun != null) {
+            callRun.intentRefused(refusal);
+        }
+    }
+
+    @Override
+    public void onOwnershipLost(int shard) {
+        owner.runs().values().stream().filter(run -> run.isOf(shard)).toList().forEach(ChatRun::ownershipLost);
+        owner.callRuns().values().stream()
+                .filter(run -> run.isOf(shard))
+                .toList()
+                .forEach(CallRun::ownershipLost);
+    }
+
+    @Override
+    public void onProgramEnded(String program) {
+        owner.programEnded(program);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/quetzalshunt/wire/record/ShardRecords.java
@@ -0,0 +1,243 @@
+package org.quetzalshunt.wire.record;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.quetzalshunt.core.program.ShardRecord;
+import org.quetzalshunt.core.program.ShardRecordCodec;
+import org.quetzalshunt.core.program.StoredAnswer;
+import org.quetzalshunt.core.program.TurnUsage;
+import org.quetzalshunt.wire.generated.BudgetCharged;
+import org.quetzalshunt.wire.generated.CallEnded;
+import org.quetzalshunt.wire.generated.CallIntent;
+import org.quetzalshunt.wire.generated.ClaimRecord;
+import org.quetzalshunt.wire.generated.ProgramCreated;
+import org.quetzalshunt.wire.generated.ProgramEnded;
+import org.quetzalshunt.wire.generated.ReservationRaised;
+import org.quetzalshunt.wire.generated.ShardCheckpoint;
+import org.quetzalshunt.wire.generated.TurnEnded;
+import org.quetzalshunt.wire.message.MessageCodec;
+
+/** Records of the shard streams as Thrift compact protocol bytes. A record with a missing field is no record. */
+public final class ShardRecords implements ShardRecordCodec {
+    private ShardRecords() {}
+
+    /** Makes the codec; it has no state. */
+    public static ShardRecords create() {
+        return new ShardRecords();
+    }
+
+    @Override
+    public byte[] encode(ShardRecord record) {
+        return MessageCodec.encode(toThrift(record));
+    }
+
+    @Override
+    public Optional<ShardRecord> decode(byte[] bytes) {
+        org.quetzalshunt.wire.generated.ShardRecord record = new org.quetzalshunt.wire.generated.ShardRecord();
+        if (!MessageCodec.decode(bytes, record) || !record.isSet()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.ofNullable(fromThrift(record));
+        } catch (NullPointerException missingField) {
+            return Optional.empty();
+        }
+    }
+
+    private static org.quetzalshunt.wire.generated.ShardRecord toThrift(ShardRecord record) {
+        if (record instanceof ShardRecord.Claim claim) {
+            return org.quetzalshunt.wire.generated.ShardRecord.claim(
+                    new ClaimRecord(claim.basedOnEpoch(), claim.vm(), claim.incarnation(), claim.release()));
+        }
+        if (record instanceof ShardRecord.ProgramCreated created) {
+            return org.quetzalshunt.wire.generated.ShardRecord.programCreated(created(created));
+        }
+        if (record instanceof ShardRecord.TurnEnded ended) {
+            return org.quetzalshunt.wire.generated.ShardRecord.turnEnded(turnEnded(ended));
+        }
+        if (record instanceof ShardRecord.ReservationRaised raised) {
+            return org.quetzalshunt.wire.generated.ShardRecord.reservationRaised(
+                    new ReservationRaised(raised.epoch(), raised.program(), raised.tokens()));
+        }
+        if (record instanceof ShardRecord.BudgetCharged charged) {
+            return org.quetzalshunt.wire.generated.ShardRecord.budgetCharged(
+                    new BudgetCharged(charged.epoch(), charged.program(), charged.tokens()));
+        }
+        if (record instanceof ShardRecord.CallIntent intent) {
+            return org.quetzalshunt.wire.generated.ShardRecord.callIntent(new CallIntent(
+                    intent.epoch(),
+                    intent.clientAccount(),
+                    intent.idempotencyKey(),
+                    intent.service(),
+                    intent.requestId(),
+                    ByteBuffer.wrap(intent.requestDigest()),
+                    intent.intendedMillis()));
+        }
+        if (record instanceof ShardRecord.CallEnded ended) {
+            return org.quetzalshunt.wire.generated.ShardRecord.callEnded(callEnded(ended));
+        }
+        if (record instanceof ShardRecord.ProgramEnded ended) {
+            return org.quetzalshunt.wire.generated.ShardRecord.programEnded(
+                    new ProgramEnded(ended.epoch(), ended.program(), ended.resultCode(), ended.endedMillis()));
+        }
+        ShardRecord.Checkpoint checkpoint = (ShardRecord.Checkpoint) record;
+        return org.quetzalshunt.wire.generated.ShardRecord.checkpoint(new ShardCheckpoint(
+                checkpoint.epoch(),
+                checkpoint.coversBelow(),
+                checkpoint.part(),
+                checkpoint.parts(),
+                ByteBuffer.wrap(checkpoint.state())));
+    }
+
+    private static ProgramCreated created(ShardRecord.ProgramCreated created) {
+        ProgramCreated thrift = new ProgramCreated();
+        thrift.setEpoch(created.epoch());
+        thrift.setProgram(created.program());
+        thrift.setClientAccount(created.clientAccount());
+        created.parent().ifPresent(thrift::setParent);
+        thrift.setBudgetTokens(created.budgetTokens());
+        thrift.setReservationTokens(created.reservationTokens());
+        thrift.setCreatedMillis(created.createdMillis());
+        thrift.setImplicitProgram(created.implicitProgram());
+        thrift.setRequestId(created.requestId());
+        return thrift;
+    }
+
+    private static TurnEnded turnEnded(ShardRecord.TurnEnded ended) {
+        TurnEnded thrift = new TurnEnded();
+        thrift.setEpoch(ended.epoch());
+        thrift.setProgram(ended.program());
+        thrift.setTurn(ended.turn());
+        thrift.setRequestId(ended.requestId());
+        ended.idempotencyKey().ifPresent(thrift::setIdempotencyKey);
+        thrift.setRequestDigest(ended.requestDigest());
+        thrift.setPreviousHash(ended.previousHash());
+        thrift.setMessages(ended.messages());
+        // Named by its key, an answer is kept whole for re-sends; without one, the message in the history is enough.
+        thrift.setAnswer(ended.answer());
+        thrift.setStatus(ended.stored().status());
+        thrift.setContentType(ended.stored().contentType());
+        thrift.setStored(ended.idempotencyKey().isPresent() ? ended.stored().body() : new byte[0]);
+        thrift.setPromptTokens(ended.usage().promptTokens());
+        thrift.setCachedTokens(ended.usage().cachedTokens());
+        thrift.setCompletionTokens(ended.usage().completionTokens());
+        thrift.setSpentTokens(ended.spentTokens());
+        thrift.setNextReservationTokens(ended.nextReservationTokens());
+        thrift.setEndedMillis(ended.endedMillis());
+        return thrift;
+    }
+
+    private static CallEnded callEnded(ShardRecord.CallEnded ended) {
+        CallEnded thrift = new CallEnded();
+        thrift.setEpoch(ended.epoch());
+        thrift.setClientAccount(ended.clientAccount());
+        thrift.setIdempotencyKey(ended.idempotencyKey());
+        thrift.setRequestId(ended.requestId());
+        thrift.setResultCode(ended.resultCode());
+        thrift.setStatus(ended.stored().status());
+        thrift.setContentType(ended.stored().contentType());
+        thrift.setAnswer(ended.stored().body());
+        thrift.setEndedMillis(ended.endedMillis());
+        return thrift;
+    }
+
+    private static ShardRecord fromThrift(org.quetzalshunt.wire.generated.ShardRecord record) {
+        return switch (record.getSetField()) {
+            case CLAIM -> claim(record.getClaim());
+            case PROGRAM_CREATED -> created(record.getProgramCreated());
+            case TURN_ENDED -> turnEnded(record.getTurnEnded());
+            case RESERVATION_RAISED ->
+                new ShardRecord.ReservationRaised(
+                        record.getReservationRaised().getEpoch(),
+                        text(record.getReservationRaised().getProgram()),
+                        record.getReservationRaised().getTokens());
+            case BUDGET_CHARGED ->
+                new ShardRecord.BudgetCharged(
+                        record.getBudgetCharged().getEpoch(),
+                        text(record.getBudgetCharged().getProgram()),
+                        record.getBudgetCharged().getTokens());
+            case CALL_INTENT -> intent(record.getCallIntent());
+            case CALL_ENDED -> callEnded(record.getCallEnded());
+            case PROGRAM_ENDED ->
+                new ShardRecord.ProgramEnded(
+                        record.getProgramEnded().getEpoch(),
+                        text(record.getProgramEnded().getProgram()),
+                        record.getProgramEnded().getResultCode(),
+                        record.getProgramEnded().getEndedMillis());
+            case CHECKPOINT ->
+                new ShardRecord.Checkpoint(
+                        record.getCheckpoint().getEpoch(),
+                        record.getCheckpoint().getCoversBelow(),
+                        record.getCheckpoint().getPart(),
+                        record.getCheckpoint().getParts(),
+                        octets(record.getCheckpoint().getState()));
+            default -> null;
+        };
+    }
+
+    private static ShardRecord claim(ClaimRecord claim) {
+        return new ShardRecord.Claim(
+                claim.getBasedOnEpoch(), text(claim.getVm()), claim.getIncarnation(), claim.isRelease());
+    }
+
+    private static ShardRecord created(ProgramCreated created) {
+        return new ShardRecord.ProgramCreated(
+                created.getEpoch(),
+                text(created.getProgram()),
+                text(created.getClientAccount()),
+                Optional.ofNullable(created.getParent()),
+                created.getBudgetTokens(),
+                created.getReservationTokens(),
+                created.getCreatedMillis(),
+                created.isImplicitProgram(),
+                text(created.getRequestId()));
+    }
+
+    private static ShardRecord turnEnded(TurnEnded ended) {
+        return new ShardRecord.TurnEnded(
+                ended.getEpoch(),
+                text(ended.getProgram()),
+                ended.getTurn(),
+                text(ended.getRequestId()),
+                Optional.ofNullable(ended.getIdempotencyKey()),
+                octets(ended.getRequestDigest()),
+                octets(ended.getPreviousHash()),
+                octets(ended.getMessages()),
+                octets(ended.getAnswer()),
+                new StoredAnswer(ended.getStatus(), text(ended.getContentType()), octets(ended.getStored())),
+                new TurnUsage(ended.getPromptTokens(), ended.getCachedTokens(), ended.getCompletionTokens()),
+                ended.getSpentTokens(),
+                ended.getNextReservationTokens(),
+                ended.getEndedMillis());
+    }
+
+    private static ShardRecord intent(CallIntent intent) {
+        return new ShardRecord.CallIntent(
+                intent.getEpoch(),
+                text(intent.getClientAccount()),
+                text(intent.getIdempotencyKey()),
+                text(intent.getServiceName()),
+                text(intent.getRequestId()),
+                octets(intent.getRequestDigest()),
+                intent.getIntendedMillis());
+    }
+
+    private static ShardRecord callEnded(CallEnded ended) {
+        return new ShardRecord.CallEnded(
+                ended.getEpoch(),
+                text(ended.getClientAccount()),
+                text(ended.getIdempotencyKey()),
+                text(ended.getRequestId()),
+                ended.getResultCode(),
+                new StoredAnswer(ended.getStatus(), text(ended.getContentType()), octets(ended.getAnswer())),
+                ended.getEndedMillis());
+    }
+
+    private static String text(String value) {
+        return java.util.Objects.requireNonNull(value);
+    }
+
+    private static byte[] octets(byte[] value) {
+        return java.util.Objects.requireNonNull(value);
+    }
+}
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -230,6 +230,8 @@
   7: i64 createdMillis
   8: bool implicitProgram
   9: optional string idempotencyKey
+  10: string requestId
+  11: i64 reservationTokens
 }
 
 struct TurnEnded {
@@ -250,6 +252,15 @@
   15: optional string contentType
   16: optional string serviceName
   17: i32 status
+  18: i64 spentTokens
+  19: binary stored
+}
+
+/** Reserves more for a program's next turn than its last record did; folded before that turn runs. */
+struct ReservationRaised {
+  1: i64 epoch
+  2: string program
+  3: i64 tokens
 }
 
 struct CallIntent {
@@ -288,13 +299,11 @@
   4: i64 observedMillis
 }
 
-/** Spending of a sub-agent that lives in another shard, charged to the root's budget. */
+/** Spending of an attempt that ran and gave no turn. */
 struct BudgetCharged {
   1: i64 epoch
-  2: string root
-  3: string program
-  4: i32 turn
-  5: i64 tokens
+  2: string program
+  3: i64 tokens
 }
 
 /** State of one shard below an offset; replaces every record below it and nothing at or above it. */
@@ -316,11 +325,7 @@
   7: PoisonObserved poisonObserved
   8: BudgetCharged budgetCharged
   9: ShardCheckpoint checkpoint
-}
-
-struct ShardBatch {
-  1: string batch
-  2: list<binary> records
+  10: ReservationRaised reservationRaised
 }
 
 /* Records of the configuration stream. */
