--- a/core/src/main/java/org/quetzalshunt/core/configuration/Configuration.java
+++ b/core/src/main/java/org/quetzalshunt/core/configuration/Configuration.java
@@ -201,14 +201,17 @@
         if (whole.isEmpty()) {
             return;
         }
+        Optional<ConfigurationState> covered = CheckpointForm.decode(whole.get(), reader);
+        if (covered.isEmpty()) {
+            malformed(offset);
+            return;
+        }
         lastCheckpointCoversBelow = Math.max(lastCheckpointCoversBelow, change.coversBelow());
         // A complete state has seen every record that the checkpoint covers, so it can only be as new or newer:
         // taking the checkpoint could bring back an older version. One that ends before the gap does lacks records.
-        if (complete || change.coversBelow() < gapEnd) {
-            return;
+        if (!complete && change.coversBelow() >= gapEnd) {
+            restore(covered.get(), change.coversBelow());
         }
-        CheckpointForm.decode(whole.get(), reader)
-                .ifPresentOrElse(restored -> restore(restored, change.coversBelow()), () -> malformed(offset));
     }
 
     private void restore(ConfigurationState restored, long coversBelow) {
