--- /dev/null
+++ b/server/src/test/java/org/quetzalshunt/server/log/LogClientTest.java
@@ -0,0 +1,141 @@
+package org.quetzalshunt.server.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalshunt.core.log.LogFold;
+import org.quetzalshunt.core.log.StreamSession;
+import org.quetzalshunt.core.log.StreamSettings;
+import org.quetzalshunt.core.log.Submission;
+import org.quetzalshunt.server.http.HttpClient;
+import org.quetzalshunt.server.http.HttpExchange;
+import org.quetzalshunt.server.http.HttpLimits;
+import org.quetzalshunt.server.http.HttpServer;
+
+final class LogClientTest {
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<byte[]> records = new ArrayList<>();
+    private final BlockingQueue<String> folded = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Submission> heard = new LinkedBlockingQueue<>();
+    private final HttpServer server = HttpServer.start(
+            group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), HttpLimits.defaults(), this::serve);
+    private volatile String nextFault = "";
+
+    @AfterEach
+    void stop() {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void serve(HttpExchange exchange) {
+        if (exchange.method().equals("GET")) {
+            long from = Long.parseLong(exchange.query("from").orElseThrow());
+            StringBuilder body = new StringBuilder("{\"first\":0,\"next\":" + records.size() + ",\"records\":[");
+            for (int offset = (int) from; offset < records.size(); offset++) {
+                String data = Base64.getEncoder().encodeToString(records.get(offset));
+                body.append(offset == from ? "" : ",").append("{\"offset\":").append(offset);
+                body.append(",\"data\":\"").append(data).append("\"}");
+            }
+            exchange.respondJson(200, body.append("]}").toString());
+            return;
+        }
+        String fault = nextFault;
+        nextFault = "";
+        switch (fault) {
+            case "lostAnswer" -> {
+                records.add(exchange.body());
+                exchange.abort();
+            }
+            case "cut" -> exchange.abort();
+            case "429", "503" -> exchange.respondText(Integer.parseInt(fault), "no");
+            case "nonsense" -> {
+                records.add(exchange.body());
+                exchange.respondJson(200, "{\"offset\":\"x\"}");
+            }
+            default -> {
+                records.add(exchange.body());
+                exchange.respondJson(200, "{\"offset\":" + (records.size() - 1) + "}");
+            }
+        }
+    }
+
+    private StreamSession start(List<InetSocketAddress> addresses) {
+        LogClient client = LogClient.create(HttpClient.create(group), addresses, System::currentTimeMillis);
+        LogFold fold = new LogFold() {
+            @Override
+            public void apply(long offset, byte[] record, int indexInBatch) {
+                folded.add(new String(record, StandardCharsets.UTF_8));
+            }
+
+            @Override
+            public void gap(long firstKept) {
+                folded.add("gap");
+            }
+        };
+        StreamSession session =
+                StreamSession.create("configuration", StreamSettings.onDemand(1, 5), "vm#1", client, fold);
+        client.attach(session);
+        group.scheduleAtFixedRate(() -> session.tick(System.currentTimeMillis()), 0, 5, TimeUnit.MILLISECONDS);
+        return session;
+    }
+
+    private InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
+    }
+
+    private Submission submit(StreamSession session, String record) throws InterruptedException {
+        group.execute(
+                () -> session.submit(System.currentTimeMillis(), record.getBytes(StandardCharsets.UTF_8), heard::add));
+        return heard.poll(10, TimeUnit.SECONDS);
+    }
+
+    /**
+     * An operator's change goes to the log, and the log's answer is lost, cut, refused or unreadable. Whichever it is,
+     * the change must be in the log once, and its author told the offset at which it is.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"none", "lostAnswer", "cut", "429", "503", "nonsense"})
+    void aRecordIsFoldedOnceWhateverBecomesOfItsAppend(String fault) throws InterruptedException {
+        StreamSession session = start(List.of(address()));
+        assertThat(submit(session, "first")).isEqualTo(Submission.folded(0));
+        nextFault = fault;
+        assertThat(submit(session, "second")).isEqualTo(Submission.folded(1));
+        assertThat(submit(session, "third")).isEqualTo(Submission.folded(2));
+        assertThat(folded).containsExactly("first", "second", "third").inOrder();
+    }
+
+    @Test
+    void afterAFailureTheNextAddressIsAsked() throws InterruptedException {
+        InetSocketAddress nobody = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+        StreamSession session = start(List.of(nobody, address()));
+        assertThat(submit(session, "record")).isEqualTo(Submission.folded(0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "[]",
+                "{\"first\":0}",
+                "{\"first\":0,\"next\":1,\"records\":[{\"offset\":0}]}",
+                "{\"first\":0,\"next\":1,\"records\":[{\"offset\":0,\"data\":\"=%\"}]}",
+            })
+    void anAnswerThatIsNoneIsNone(String body) {
+        assertThat(LogAnswers.read(body.getBytes(StandardCharsets.UTF_8))).isEmpty();
+    }
+}
