--- a/core/src/main/java/org/quetzalshunt/core/program/Shard.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/Shard.java
@@ -149,10 +149,8 @@
     private Outcome<ProgramView> created(ShardRecord.ProgramCreated wanted) {
         Optional<Program> made = state.program(wanted.program());
         if (made.isEmpty()) {
-            return Outcome.failure(Refusal.after(
-                    ResultCode.OUTCOME_UNKNOWN,
-                    org.quetzalshunt.core.result.Execution.UNKNOWN,
-                    "the shard passed to another owner"));
+            return Outcome.failure(Refusal.notRunRetryAfter(
+                    ResultCode.NOT_OWNER, "the shard passed to another owner", RETRY_AFTER_MILLIS));
         }
         return existingProgram(made.get(), wanted.clientAccount());
     }
--- a/server/src/main/java/org/quetzalshunt/server/entry/CallRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/CallRun.java
@@ -126,7 +126,7 @@
 
     private void tell(Refusal refusal) {
         owner.callRuns().remove(request.requestId());
-        Answers.refuse(sink, refusal, request.requestId());
+        owner.refuse(request, sink, refusal);
         owner.waiters().refused(request.requestId(), refusal);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/entry/ChatRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ChatRun.java
@@ -86,7 +86,7 @@
         attempt.ifPresent(id -> owner.attempts().cancel(id));
         start.ifPresent(this::closeTurn);
         owner.runs().remove(request.requestId());
-        Answers.refuse(sink, refusal, request.requestId());
+        owner.refuse(request, sink, refusal);
         owner.waiters().refused(request.requestId(), refusal);
     }
 
@@ -99,11 +99,14 @@
         if (done) {
             return;
         }
-        boolean ran = mayHaveRun || attempt.isPresent();
-        fail(
-                ran
-                        ? Refusal.after(ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN, "the shard passed on; ask again")
-                        : Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "the shard passed on; ask again", 1_000));
+        fail(ownershipRefusal());
+    }
+
+    /** A turn that was not recorded is no part of its program, so before any of it was passed on it can run elsewhere. */
+    private Refusal ownershipRefusal() {
+        return sink.started()
+                ? Refusal.after(ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN, "the shard passed on; ask again")
+                : Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "the shard passed on; ask again", 1_000);
     }
 
     private void closeTurn(TurnStart turn) {
@@ -158,9 +161,8 @@
     private void recorded(boolean kept, TurnStart turn, StoredAnswer stored, TurnUsage usage) {
         owner.runs().remove(request.requestId());
         if (!kept) {
-            Refusal refusal = Refusal.after(
-                    ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN, "the program passed to another owner; ask again");
-            Answers.refuse(sink, refusal, request.requestId());
+            Refusal refusal = ownershipRefusal();
+            owner.refuse(request, sink, refusal);
             owner.waiters().refused(request.requestId(), refusal);
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
@@ -107,7 +107,9 @@
                 new HashMap<>(),
                 new Waiters(),
                 measures,
-                program -> caches.programEnded(shards, program));
+                program -> caches.programEnded(shards, program),
+                (request, sink) ->
+                        router.route(RequestShards.of(request, settings.shards()), request.passedOn(), sink));
         OwnerService service = new OwnerService(owner, number -> shards.shard(number));
         shards = new ShardHost(
                 self,
@@ -170,6 +172,7 @@
 
     private void onVmList(List<Vm> vms) {
         membership.onVmList(clock.now(), vms);
+        shards.vmsListed();
         connector.want(peers.wantedAddresses());
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/entry/OwnerContext.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/OwnerContext.java
@@ -1,8 +1,12 @@
 package org.quetzalshunt.server.entry;
 
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.quetzalshunt.core.configuration.Configuration;
+import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.server.http.ResponseSink;
 
 /**
  * What runs at the owner share.
@@ -16,6 +20,7 @@
  * @param waiters re-sends of what is under way
  * @param measures what is counted
  * @param programEnder frees what is held for a program that ended
+ * @param rerouter brings a request to the present owner of its shard
  */
 record OwnerContext(
         EntryClock clock,
@@ -26,7 +31,21 @@
         Map<String, CallRun> callRuns,
         Waiters waiters,
         EntryMeasures measures,
-        Consumer<String> programEnder) {
+        Consumer<String> programEnder,
+        BiConsumer<OwnerRequest, ResponseSink> rerouter) {
+
+    /**
+     * Tells a refusal, or, where it only says that the shard is another entry's now, brings the request there. Its
+     * idempotency key keeps it from running twice, and the caller need not know who owns what.
+     */
+    void refuse(OwnerRequest request, ResponseSink sink, Refusal refusal) {
+        if (refusal.code() == ResultCode.NOT_OWNER && !sink.started()) {
+            rerouter.accept(request, sink);
+            return;
+        }
+        measures.refused(request.clientAccount(), refusal);
+        Answers.refuse(sink, refusal, request.requestId());
+    }
 
     void programEnded(String program) {
         programEnder.accept(program);
--- a/server/src/main/java/org/quetzalshunt/server/entry/OwnerService.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/OwnerService.java
@@ -244,8 +244,7 @@
     }
 
     private void refuse(ResponseSink sink, OwnerRequest request, Refusal refusal) {
-        owner.measures().refused(request.clientAccount(), refusal);
-        Answers.refuse(sink, refusal, request.requestId());
+        owner.refuse(request, sink, refusal);
     }
 
     private static void answer(ResponseSink sink, OwnerRequest request, int status, ProgramView view) {
