--- a/core/src/main/java/org/quetzalshunt/core/limit/Bucket.java
+++ b/core/src/main/java/org/quetzalshunt/core/limit/Bucket.java
@@ -4,9 +4,6 @@
 import static org.quetzalshunt.core.limit.LimitMessage.MICRO_TOKENS;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.List;
-import org.quetzalshunt.core.vm.VmId;
 
 /**
  * One account's row: the part of its token bucket that this entry holds, and the requests that wait for tokens.
@@ -26,12 +23,15 @@
     final AccountKey key;
     final Demand demand = new Demand();
     final ArrayDeque<Waiter> waiting = new ArrayDeque<>();
-    /** At the account's home: entries that asked of late and so may hold parts, oldest first. */
-    final List<VmId> holders = new ArrayList<>();
+    /** At the account's home: the other entries that ask for tokens. */
+    final Holders holders = new Holders();
 
     int holdersCursor;
     long askedMillis = Long.MIN_VALUE / 2;
     long askIntervalMillis;
+    /** Since when requests wait here without a break; the largest value when none waits. */
+    long shortSinceMillis = Long.MAX_VALUE;
+
     long lastTakeMillis = Long.MIN_VALUE / 2;
     long version = Long.MIN_VALUE;
     long taken;
@@ -146,6 +146,10 @@
         clamp();
     }
 
+    boolean isFull() {
+        return level >= capacity();
+    }
+
     long capacity() {
         return capacityOf(parts);
     }
--- a/core/src/main/java/org/quetzalshunt/core/limit/CarryOver.java
+++ b/core/src/main/java/org/quetzalshunt/core/limit/CarryOver.java
@@ -1,13 +1,9 @@
 package org.quetzalshunt.core.limit;
 
-import static org.quetzalshunt.core.limit.LimitMessage.ALL_PARTS;
-
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import org.quetzalshunt.core.limit.LimitMessage.CarryReport;
 import org.quetzalshunt.core.limit.LimitMessage.Holding;
@@ -25,51 +21,62 @@
     /** A report that was not acknowledged is sent again after this time. */
     private static final long REPEAT_MILLIS = 100;
 
+    /** Steps whose parts are still to be granted; of more, the oldest are folded into the newer ones. */
+    private static final int MOST_RECLAIMS = 8;
+
     private final VmId self;
     private final LimitSettings settings;
     private final Map<VmId, CarryReport> unacknowledged = new HashMap<>();
-    private final Map<AccountKey, Long> reported = new HashMap<>();
-    private final Set<VmId> awaited = new HashSet<>();
-    private Generation generation = Generation.none();
-    private long completeMillis;
+    private final List<Reclaim> reclaims = new ArrayList<>();
     private long sentMillis;
-    private long grantedMillis;
-    private boolean granted;
+    private long nextDueMillis = Long.MAX_VALUE;
 
     CarryOver(VmId self, LimitSettings settings) {
         this.self = self;
         this.settings = settings;
     }
 
-    /** Starts the step. The holdings are what this VM carries over; it may be nothing. */
-    void start(long nowMillis, Generation next, List<Holding> holdings, BiConsumer<VmId, LimitMessage> sender) {
-        generation = next;
-        granted = false;
+    /**
+     * Starts the step.
+     *
+     * @param carries whether this VM was a member before and still is
+     * @param holdings what it carries over; it may be nothing
+     */
+    void start(
+            long nowMillis,
+            Generation next,
+            boolean carries,
+            List<Holding> holdings,
+            BiConsumer<VmId, LimitMessage> sender) {
         unacknowledged.clear();
-        reported.clear();
-        awaited.clear();
-        Set<VmId> carriers = next.carriers();
+        keepReclaims(next, carries);
         if (next.homes.contains(self)) {
-            awaited.addAll(carriers);
-            awaited.remove(self);
-            holdings.forEach(this::count);
+            long wait = waitMillis(next.record, settings);
+            reclaims.add(new Reclaim(self, nowMillis, next, holdings, wait));
         }
-        completeMillis = nowMillis;
-        if (carriers.contains(self)) {
-            prepareReports(holdings);
+        nextDueMillis = nowMillis;
+        if (next.carriers().contains(self)) {
+            prepareReports(next, holdings);
             send(nowMillis, sender);
         }
     }
 
-    private void prepareReports(List<Holding> holdings) {
-        for (VmId home : generation.homes) {
+    private void keepReclaims(Generation next, boolean carries) {
+        reclaims.removeIf(reclaim -> !carries || !reclaim.isComplete());
+        if (reclaims.size() == MOST_RECLAIMS) {
+            reclaims.remove(0);
+        }
+        reclaims.forEach(reclaim -> reclaim.outlives(next));
+    }
+
+    private void prepareReports(Generation next, List<Holding> holdings) {
+        for (VmId home : next.homes) {
             if (home.equals(self)) {
                 continue;
             }
             List<Holding> ofHome = new ArrayList<>(holdings);
-            ofHome.removeIf(
-                    holding -> !generation.home(holding.key()).orElseThrow().equals(home));
-            unacknowledged.put(home, new CarryReport(generation.offset, ofHome));
+            ofHome.removeIf(holding -> !next.home(holding.key()).orElseThrow().equals(home));
+            unacknowledged.put(home, new CarryReport(next.offset, ofHome));
         }
     }
 
@@ -78,17 +85,13 @@
         unacknowledged.forEach(sender);
     }
 
-    /** Counts a survivor's report, once. */
+    /** Takes in a survivor's report about the generation in force. */
     void onReport(long nowMillis, VmId from, CarryReport report) {
-        if (!awaited.remove(from)) {
+        if (reclaims.isEmpty()) {
             return;
         }
-        report.holdings().forEach(this::count);
-        completeMillis = nowMillis;
-    }
-
-    private void count(Holding holding) {
-        reported.merge(holding.key(), holding.parts(), Long::sum);
+        reclaims.get(reclaims.size() - 1).onReport(nowMillis, from, report.holdings());
+        nextDueMillis = nowMillis;
     }
 
     void onAcknowledgement(VmId from) {
@@ -101,31 +104,36 @@
         }
     }
 
-    /** Whether this home grants now what nobody holds; true once a generation. */
-    boolean becomesGranted(long nowMillis) {
-        boolean home = generation.homes.contains(self);
-        if (granted || !home || !awaited.isEmpty() || nowMillis < completeMillis + waitMillis()) {
+    /** Whether parts of some accounts may have come free since the last call. */
+    boolean anyDue(long nowMillis) {
+        if (nowMillis < nextDueMillis) {
             return false;
         }
-        granted = true;
-        grantedMillis = nowMillis;
+        nextDueMillis = reclaims.stream()
+                .mapToLong(Reclaim::dueMillis)
+                .filter(due -> due > nowMillis)
+                .min()
+                .orElse(Long.MAX_VALUE);
         return true;
     }
 
-    /** When this home granted what nobody held; now, if it did not yet. */
-    long grantedMillis(long nowMillis) {
-        return granted ? grantedMillis : nowMillis;
-    }
-
-    /** Parts of an account that nobody carried over and that are this home's since it granted them; 0 before. */
-    long unheldParts(AccountKey key) {
-        boolean home = generation.home(key).filter(self::equals).isPresent();
-        return granted && home ? Math.max(0, ALL_PARTS - reported.getOrDefault(key, 0L)) : 0;
+    /** Claims, for this home, the parts of an account that nobody holds. */
+    long claimUnheld(long nowMillis, AccountKey key) {
+        long unheld = reclaims.stream()
+                .mapToLong(reclaim -> reclaim.unheld(nowMillis, key))
+                .max()
+                .orElse(0);
+        if (unheld > 0) {
+            reclaims.forEach(reclaim -> reclaim.granted(key, unheld));
+        }
+        return unheld;
     }
 
-    /** Time from the last report to the grant. */
-    private long waitMillis() {
-        return waitMillis(generation.record, settings);
+    /** Since when this home could have granted all that nobody holds; now, if it may not yet. */
+    long grantedMillis(long nowMillis) {
+        return reclaims.isEmpty()
+                ? nowMillis
+                : Math.min(nowMillis, reclaims.get(reclaims.size() - 1).dueMillis());
     }
 
     /** Time that a generation's reclaimed parts stay unused. Before the first generation nobody can have held any. */
--- a/core/src/main/java/org/quetzalshunt/core/limit/FleetLimits.java
+++ b/core/src/main/java/org/quetzalshunt/core/limit/FleetLimits.java
@@ -35,6 +35,9 @@
     /** Idle accounts are looked for this often. */
     private static final long IDLE_SWEEP_MILLIS = 1_000;
 
+    /** An entry that holds this much is the only one with traffic, and keeps it. */
+    private static final long NEARLY_ALL_PARTS = ALL_PARTS * 15 / 16;
+
     /** Told to callers of an account that this entry does not know yet. */
     private static final long UNKNOWN_ACCOUNT_RETRY_MILLIS = 1_000;
 
@@ -43,7 +46,9 @@
     private final LimitPort port;
     private final BucketTable table = new BucketTable();
     private final TransferLedger ledger = new TransferLedger();
-    private final Set<Bucket> withWaiters = new HashSet<>();
+    /** Rows with waiting requests, or with parts that may have to go back to their home. */
+    private final Set<Bucket> active = new HashSet<>();
+
     private final Lease lease;
     private final CarryOver carryOver;
     private final GenerationProposer proposer;
@@ -103,6 +108,7 @@
         serve(nowMillis, bucket);
         if (bucket.waiting.isEmpty() && bucket.hasToken() && mayUse(nowMillis)) {
             long moment = bucket.take();
+            fetcher.onServed(nowMillis);
             fetcher.fetch(nowMillis, bucket);
             return new Take.Taken(moment);
         }
@@ -112,14 +118,14 @@
         }
         long handle = nextHandle++;
         bucket.waiting.add(new Waiter(handle, nowMillis + settings.waitMillis(), later));
-        withWaiters.add(bucket);
+        active.add(bucket);
         fetcher.fetch(nowMillis, bucket);
         return new Take.Waiting(handle);
     }
 
     /** Ends a wait whose caller went away; its callback is not called. */
     public void cancel(long handle) {
-        for (Bucket bucket : withWaiters) {
+        for (Bucket bucket : active) {
             if (bucket.waiting.removeIf(waiter -> waiter.handle() == handle)) {
                 return;
             }
@@ -187,13 +193,15 @@
         serve(nowMillis, bucket);
         long given = 0;
         if (lease.holds(nowMillis)) {
-            Sharing.Gift gift = Sharing.decide(nowMillis, bucket, request);
+            Sharing.Gift gift = request.passedOn()
+                    ? Sharing.ofHolder(nowMillis, bucket, request)
+                    : Sharing.ofHome(nowMillis, bucket, request);
             give(nowMillis, bucket, request.asker(), gift);
             given = gift.microTokens();
         }
         if (!request.passedOn()) {
             fetcher.passOn(nowMillis, bucket, request, given);
-            fetcher.noteHolder(bucket, request.asker());
+            bucket.holders.note(nowMillis, request.asker(), request.demandMilliTokens());
         }
     }
 
@@ -204,7 +212,6 @@
         bucket.moved = true;
         bucket.remove(nowMillis, gift.parts(), gift.microTokens());
         send(to, ledger.send(nowMillis, to, generation.offset, bucket.key, gift.parts(), gift.microTokens()));
-        fetcher.noteHolder(bucket, to);
     }
 
     private void onTransfer(long nowMillis, VmId from, Transfer transfer) {
@@ -215,9 +222,7 @@
         Bucket bucket = bucket(nowMillis, transfer.key());
         bucket.moved = true;
         add(nowMillis, bucket, transfer.parts(), transfer.microTokens());
-        if (bucket.hasToken()) {
-            fetcher.onTokens(bucket);
-        }
+        active.add(bucket);
         serve(nowMillis, bucket);
     }
 
@@ -232,7 +237,7 @@
         send(from, new CarryAcknowledgement(report.generation()));
         carryOver.onReport(nowMillis, from, report);
         for (Holding holding : report.holdings()) {
-            fetcher.noteHolder(bucket(nowMillis, holding.key()), from);
+            bucket(nowMillis, holding.key()).holders.note(nowMillis, from, 0);
         }
     }
 
@@ -272,7 +277,7 @@
         lease.onGeneration(next.members);
         fetcher.onGeneration(next);
         proposer.onGeneration(nowMillis, next);
-        carryOver.start(nowMillis, next, holdings, this::send);
+        carryOver.start(nowMillis, next, carries, holdings, this::send);
         tick(nowMillis);
     }
 
@@ -309,7 +314,7 @@
             lease.tick(nowMillis, generation.offset, this::send);
             carryOver.tick(nowMillis, this::send);
             ledger.repeat(nowMillis, this::send);
-            if (carryOver.becomesGranted(nowMillis)) {
+            if (carryOver.anyDue(nowMillis)) {
                 table.rows().forEach(bucket -> grantUnheld(nowMillis, bucket));
             }
         }
@@ -321,7 +326,7 @@
     }
 
     private void grantUnheld(long nowMillis, Bucket bucket) {
-        long unheld = carryOver.unheldParts(bucket.key);
+        long unheld = carryOver.claimUnheld(nowMillis, bucket.key);
         if (unheld > 0) {
             add(nowMillis, bucket, unheld, 0);
             if (generation.record.first()) {
@@ -359,9 +364,8 @@
             boolean idle = leaving || nowMillis - bucket.lastTakeMillis >= IDLE_MILLIS;
             if (idle && bucket.parts() > 0 && bucket.waiting.isEmpty()) {
                 bucket.accrue(nowMillis);
-                heir(bucket.key)
-                        .ifPresent(heir ->
-                                give(nowMillis, bucket, heir, new Sharing.Gift(bucket.parts(), bucket.level())));
+                Sharing.Gift all = new Sharing.Gift(bucket.parts(), bucket.level());
+                heir(bucket.key).ifPresent(vm -> give(nowMillis, bucket, vm, all));
             }
         }
     }
@@ -369,11 +373,10 @@
     /** Who keeps what is not used here: the account's home; for a leaving home, any live member. */
     private Optional<VmId> heir(AccountKey key) {
         Optional<VmId> home = generation.home(key);
-        boolean selfIsHome = home.filter(self::equals).isPresent();
-        if (selfIsHome && !leaving) {
+        if (isHome(key) && !leaving) {
             return Optional.empty();
         }
-        if (!selfIsHome && home.filter(fetcher::isAlive).isPresent()) {
+        if (!isHome(key) && home.filter(fetcher::isAlive).isPresent()) {
             return home;
         }
         List<VmId> live = generation.record.members().stream()
@@ -401,19 +404,41 @@
     }
 
     private void serveAll(long nowMillis) {
-        if (withWaiters.isEmpty()) {
+        if (active.isEmpty()) {
             return;
         }
-        for (Bucket bucket : List.copyOf(withWaiters)) {
+        for (Bucket bucket : List.copyOf(active)) {
             serve(nowMillis, bucket);
-            if (bucket.waiting.isEmpty()) {
-                withWaiters.remove(bucket);
-            } else {
-                fetcher.fetch(nowMillis, bucket);
+            fetcher.fetch(nowMillis, bucket);
+            bringBack(nowMillis, bucket);
+            boolean quiet = bucket.waiting.isEmpty();
+            if (quiet && (bucket.parts() == 0 || isHome(bucket.key))) {
+                active.remove(bucket);
             }
         }
     }
 
+    /** Brings back to the home what is of no use here, so that another entry finds it there. */
+    private void bringBack(long nowMillis, Bucket bucket) {
+        if (bucket.parts() == 0 || bucket.parts() >= NEARLY_ALL_PARTS) {
+            return;
+        }
+        bucket.accrue(nowMillis);
+        // A piece without room for one token runs full and never serves the requests that wait for it.
+        boolean hopeless = bucket.isFull() && !bucket.hasToken();
+        if (!bucket.waiting.isEmpty() && !hopeless) {
+            return;
+        }
+        Sharing.Gift surplus = Sharing.surplus(nowMillis, bucket);
+        if (surplus.parts() > 0 && mayUse(nowMillis)) {
+            heir(bucket.key).ifPresent(vm -> give(nowMillis, bucket, vm, surplus));
+        }
+    }
+
+    private boolean isHome(AccountKey key) {
+        return generation.home(key).filter(self::equals).isPresent();
+    }
+
     private void serve(long nowMillis, Bucket bucket) {
         if (bucket.waiting.isEmpty()) {
             return;
@@ -421,6 +446,7 @@
         bucket.accrue(nowMillis);
         while (!bucket.waiting.isEmpty() && bucket.hasToken() && mayUse(nowMillis)) {
             Waiter waiter = bucket.waiting.poll();
+            fetcher.onServed(nowMillis);
             waiter.later().accept(new TakeOutcome.Taken(bucket.take()));
         }
         while (!bucket.waiting.isEmpty() && bucket.waiting.peek().deadlineMillis() <= nowMillis) {
--- a/core/src/main/java/org/quetzalshunt/core/limit/GenerationProposer.java
+++ b/core/src/main/java/org/quetzalshunt/core/limit/GenerationProposer.java
@@ -15,7 +15,7 @@
  */
 final class GenerationProposer {
     /** Lets VMs that start or die together fall into one generation. */
-    private static final long SETTLING_MILLIS = 200;
+    private static final long SETTLING_MILLIS = 100;
 
     /** The same when the change would need the long wait: VMs that restart together may turn it into a short one. */
     private static final long LONG_SETTLING_MILLIS = 2_000;
--- a/core/src/main/java/org/quetzalshunt/core/limit/LimitSettings.java
+++ b/core/src/main/java/org/quetzalshunt/core/limit/LimitSettings.java
@@ -21,8 +21,8 @@
     /** A caller does not notice 200 ms before a model's first token, and tokens from any entry arrive well within it. */
     private static final long DEFAULT_WAIT_MILLIS = 200;
 
-    /** A bound on how much faster one VM's clock may run than another's, in parts of a thousand; real ones stay below 1. */
-    private static final long CLOCK_DRIFT_PER_THOUSAND = 20;
+    /** How much faster one VM's clock may run than another's, in parts of a thousand: ten times what NTP ever slews by. */
+    private static final long CLOCK_DRIFT_PER_THOUSAND = 5;
 
     /** Slack for the granularity of clocks and ticks. */
     private static final long CLOCK_GRAIN_MILLIS = 50;
--- a/core/src/main/java/org/quetzalshunt/core/limit/TokenFetcher.java
+++ b/core/src/main/java/org/quetzalshunt/core/limit/TokenFetcher.java
@@ -23,14 +23,17 @@
     /** First pause between two requests, a few times the way to the home, to a holder, and back. */
     private static final long FIRST_INTERVAL_MILLIS = 10;
 
+    /** Requests that wait longer without a break mean an account over its rate; until then it asks at the first pause. */
+    private static final long PATIENCE_MILLIS = 400;
+
     /** Longest pause: an account over its rate asks in vain, and once a second is enough to see that it still does. */
     private static final long LONGEST_INTERVAL_MILLIS = 1_000;
 
-    /** Holders that a home asks on behalf of one request. */
+    /** Holders that a home asks on behalf of one request; when the asker comes again in vain, it asks all it knows. */
     private static final int PASSED_ON_TO = 3;
 
-    /** Holders that a home remembers of one account; more would not be asked in time anyway. */
-    private static final int HOLDERS_KEPT = 16;
+    /** A second request within this time means that the first brought too little. */
+    private static final long AGAIN_MILLIS = 100;
 
     private final VmId self;
     private final MessageBudget budget = new MessageBudget();
@@ -57,6 +60,11 @@
 
     /** Asks for tokens if the bucket is short of them and it is time to ask. */
     void fetch(long nowMillis, Bucket bucket) {
+        if (bucket.waiting.isEmpty()) {
+            bucket.shortSinceMillis = Long.MAX_VALUE;
+        } else {
+            bucket.shortSinceMillis = Math.min(bucket.shortSinceMillis, nowMillis);
+        }
         if (bucket.parts() == ALL_PARTS || !generation.contains(self)) {
             return;
         }
@@ -64,10 +72,9 @@
         if (!isShort(bucket, demand) || nowMillis - bucket.askedMillis < bucket.askIntervalMillis) {
             return;
         }
-        boolean afterPause = nowMillis - bucket.askedMillis > 2 * LONGEST_INTERVAL_MILLIS;
-        bucket.askIntervalMillis = afterPause
-                ? FIRST_INTERVAL_MILLIS
-                : Math.min(LONGEST_INTERVAL_MILLIS, Math.max(FIRST_INTERVAL_MILLIS, bucket.askIntervalMillis * 2));
+        boolean newlyShort = nowMillis - bucket.shortSinceMillis < PATIENCE_MILLIS;
+        bucket.askIntervalMillis =
+                newlyShort ? FIRST_INTERVAL_MILLIS : Math.min(LONGEST_INTERVAL_MILLIS, bucket.askIntervalMillis * 2);
         bucket.askedMillis = nowMillis;
         ask(nowMillis, bucket, demand);
     }
@@ -81,9 +88,9 @@
         return !earnsEnough && bucket.level() < low;
     }
 
-    /** Notes that tokens came, so that the next shortage asks at once. */
-    void onTokens(Bucket bucket) {
-        bucket.askIntervalMillis = FIRST_INTERVAL_MILLIS / 2;
+    /** Notes a request served here, whose share of the traffic may be spent on fetching. */
+    void onServed(long nowMillis) {
+        budget.onServed(nowMillis);
     }
 
     private void ask(long nowMillis, Bucket bucket, double demand) {
@@ -110,26 +117,30 @@
     private void askAnyone(long nowMillis, Bucket bucket, Request request) {
         List<VmId> live = new ArrayList<>(generation.record.members());
         live.removeIf(vm -> vm.equals(self) || !alive.test(vm));
-        sendInTurn(nowMillis, bucket, live, asPassedOn(request, 0));
+        sendInTurn(nowMillis, bucket, live, PASSED_ON_TO, asPassedOn(request, 0));
     }
 
     /** Passes on to likely holders what the home could not give. */
     void passOn(long nowMillis, Bucket bucket, Request request, long givenMicroTokens) {
-        if (request.wantedMicroTokens() <= givenMicroTokens) {
+        // A home that holds nearly all parts and still cannot serve knows that the fleet is dry.
+        boolean othersHoldLittle = bucket.parts() > ALL_PARTS * 15 / 16;
+        if (request.wantedMicroTokens() <= givenMicroTokens || othersHoldLittle) {
             return;
         }
-        List<VmId> holders = new ArrayList<>(bucket.holders);
+        List<VmId> holders = bucket.holders.all();
         holders.removeIf(vm -> vm.equals(request.asker()) || vm.equals(self) || !alive.test(vm));
-        sendInTurn(nowMillis, bucket, holders, asPassedOn(request, givenMicroTokens));
+        boolean again = bucket.holders.askedWithin(nowMillis, AGAIN_MILLIS, request.asker());
+        int many = again ? holders.size() : PASSED_ON_TO;
+        sendInTurn(nowMillis, bucket, holders, many, asPassedOn(request, givenMicroTokens));
     }
 
     /** Sends to the last of the candidates, which asked most recently, and to the others in turn. */
-    private void sendInTurn(long nowMillis, Bucket bucket, List<VmId> candidates, Request request) {
+    private void sendInTurn(long nowMillis, Bucket bucket, List<VmId> candidates, int many, Request request) {
         if (candidates.isEmpty()) {
             return;
         }
         sendWithinBudget(nowMillis, candidates.remove(candidates.size() - 1), request);
-        for (int count = 1; count < PASSED_ON_TO && !candidates.isEmpty(); count++) {
+        for (int count = 1; count < many && !candidates.isEmpty(); count++) {
             bucket.holdersCursor++;
             int index = Math.floorMod(bucket.holdersCursor, candidates.size());
             sendWithinBudget(nowMillis, candidates.remove(index), request);
@@ -147,18 +158,6 @@
                 true);
     }
 
-    /** Notes that an entry may hold parts of an account. */
-    void noteHolder(Bucket bucket, VmId holder) {
-        if (holder.equals(self)) {
-            return;
-        }
-        bucket.holders.remove(holder);
-        bucket.holders.add(holder);
-        if (bucket.holders.size() > HOLDERS_KEPT) {
-            bucket.holders.remove(0);
-        }
-    }
-
     private void sendWithinBudget(long nowMillis, VmId to, Request request) {
         if (budget.tryUse(nowMillis)) {
             sender.accept(to, request);
--- a/core/src/main/java/org/quetzalshunt/core/membership/Membership.java
+++ b/core/src/main/java/org/quetzalshunt/core/membership/Membership.java
@@ -64,8 +64,24 @@
         return changed;
     }
 
-    /** Takes in one VM's word. Word of a former incarnation, or older than what is known, changes nothing. */
+    /**
+     * Takes in a VM's word that came over its own connection. Word of a former incarnation, or older than what is known,
+     * changes nothing.
+     */
     public void onHeartbeat(long nowMillis, HeartbeatNews news) {
+        Peer peer = peers.get(news.vm());
+        if (peer != null && news.incarnation() >= peer.incarnation) {
+            peer.connectionLostMillis = Long.MIN_VALUE;
+        }
+        onPassedOn(nowMillis, news);
+    }
+
+    /** Takes in words that another VM passed on, the digest of its heartbeat. */
+    public void onDigest(long nowMillis, List<HeartbeatNews> digest) {
+        digest.forEach(news -> onPassedOn(nowMillis, news));
+    }
+
+    private void onPassedOn(long nowMillis, HeartbeatNews news) {
         Peer peer = peers.get(news.vm());
         if (peer == null || peer == own || !onIncarnation(nowMillis, VmId.of(news.vm(), news.incarnation()))) {
             return;
--- a/core/src/main/java/org/quetzalshunt/core/membership/MembershipSettings.java
+++ b/core/src/main/java/org/quetzalshunt/core/membership/MembershipSettings.java
@@ -18,8 +18,8 @@
     /** Four rounds: a word needs about four rounds to reach 330 VMs at the default fan-out, measured in the design note. */
     private static final long DEFAULT_SILENCE_MILLIS = 4_000;
 
-    /** After a lost connection one round is enough: a live peer reconnects, or is heard through others, within it. */
-    private static final long DEFAULT_LOST_CONNECTION_MILLIS = 700;
+    /** After a lost connection, one round and the time to connect again: a live peer is heard within it. */
+    private static final long DEFAULT_LOST_CONNECTION_MILLIS = 600;
 
     /** Four straight heartbeats a round keep fleets of up to five entries fully meshed. */
     private static final int DEFAULT_FAN_OUT = 4;
