Commands entry and sidecar with settings checked at start

Cause: the processes could be started from code only. A last entry that stops gives its shards up without waiting for another to take them.

--- a/app/src/main/java/org/quetzalshunt/app/Main.java
+++ b/app/src/main/java/org/quetzalshunt/app/Main.java
@@ -1,5 +1,9 @@
 package org.quetzalshunt.app;
 
+import java.io.PrintWriter;
+import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.server.settings.EntryCommand;
+import org.quetzalshunt.server.settings.SidecarCommand;
 import org.quetzalshunt.standin.StandinCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -10,12 +14,26 @@
         mixinStandardHelpOptions = true,
         version = "quetzalshunt 0.1.0",
         description = "A scheduler for agent programs.",
-        subcommands = {StandinCommand.class})
+        subcommands = {EntryCommand.class, SidecarCommand.class, StandinCommand.class})
 public final class Main {
     private Main() {}
 
     /** Runs a subcommand; exits with its code. */
     public static void main(String[] arguments) {
-        System.exit(new CommandLine(new Main()).execute(arguments));
+        CommandLine line = new CommandLine(new Main());
+        line.setParameterExceptionHandler(Main::wrongArguments);
+        System.exit(line.execute(arguments));
+    }
+
+    /** A wrong flag or a missing setting is told with its number, like a wrong value. */
+    private static int wrongArguments(CommandLine.ParameterException problem, String[] arguments) {
+        PrintWriter error = problem.getCommandLine().getErr();
+        error.printf(
+                "%d %s: %s%n",
+                ResultCode.INVALID_SETTING.number(), ResultCode.INVALID_SETTING.meaning(), problem.getMessage());
+        error.printf(
+                "See: %s --help%n", problem.getCommandLine().getCommandSpec().qualifiedName());
+        error.flush();
+        return CommandLine.ExitCode.USAGE;
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/entry/ShardHost.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ShardHost.java
@@ -153,7 +153,8 @@
             return;
         }
         Optional<String> candidate = membership.candidate(hosted.shard.number());
-        boolean elsewhere = candidate.filter(name -> !name.equals(self.name())).isPresent();
+        boolean elsewhere =
+                leaving || candidate.filter(name -> !name.equals(self.name())).isPresent();
         if (!elsewhere) {
             hosted.misplacedSince = 0;
             hosted.draining = false;
