Engine stand-in: faults that hit what they mean to, settings checked at start

Cause: a counted fault was used up by the reports that a sidecar polls; a crash left running streams open until the next request came; a setting of zero slots was taken and served nothing. Change: counted hang, refuse and exit hit chat completions only; a crash breaks off all runs at once; the load report is noted after each step; each flag has a lower bound, a wrong one ends with code 7000, its name and exit 2.

--- a/standin/src/main/java/org/quetzalshunt/standin/EngineCommand.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/EngineCommand.java
@@ -10,7 +10,9 @@
 import org.quetzalshunt.standin.engine.OrderSettings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 
 @Command(
         name = "engine",
@@ -19,6 +21,9 @@
 final class EngineCommand implements Callable<Integer> {
     private static final int EXIT_CODE_OF_A_HALT = 70;
 
+    @Spec
+    private CommandSpec command;
+
     @Mixin
     private ListenOptions listen;
 
@@ -135,6 +140,7 @@
 
     @Override
     public Integer call() {
+        check();
         EngineSettings settings = settings();
         Runnable halt = () -> Runtime.getRuntime().halt(EXIT_CODE_OF_A_HALT);
         return listen.serve((group, address) ->
@@ -158,4 +164,22 @@
                 loadLagMillis,
                 resumeMillis);
     }
+
+    private void check() {
+        SettingCheck.of(command)
+                .atLeast("--slots", slots, 1)
+                .atLeast("--waiting-limit", waitingLimit, 0)
+                .atLeast("--prefill-tokens-per-second", prefillTokensPerSecond, 1)
+                .atLeast("--prefill-chunk-tokens", prefillChunkTokens, 1)
+                .atLeast("--step-micros", stepMicros, 1)
+                .atLeast("--step-micros-per-stream", stepMicrosPerStream, 0)
+                .atLeast("--cache-tokens", cacheTokens, 0)
+                .atLeast("--cache-event-lag-millis", cacheEventLagMillis, 0)
+                .atLeast("--lost-cache-event-every", lostCacheEventEvery, 0)
+                .atLeast("--transfer-tokens-per-second", transferTokensPerSecond, 1)
+                .atLeast("--order-millis", orderMillis, 0)
+                .atLeast("--order-fails-every", orderFailsEvery, 0)
+                .atLeast("--load-lag-millis", loadLagMillis, 0)
+                .atLeast("--resume-millis", resumeMillis, 0);
+    }
 }
--- a/standin/src/main/java/org/quetzalshunt/standin/PlatformCommand.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/PlatformCommand.java
@@ -6,13 +6,18 @@
 import org.quetzalshunt.standin.platform.PlatformStandin;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 
 @Command(
         name = "platform",
         mixinStandardHelpOptions = true,
         description = "Log service, VM list and weight store, in memory.")
 final class PlatformCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec command;
+
     @Mixin
     private ListenOptions listen;
 
@@ -54,6 +59,7 @@
 
     @Override
     public Integer call() {
+        check();
         PlatformSettings settings = new PlatformSettings(
                 appendsPerSecond,
                 retentionMillis,
@@ -64,4 +70,13 @@
         return listen.serve((group, address) ->
                 PlatformStandin.start(group, address, settings).port());
     }
+
+    private void check() {
+        SettingCheck.of(command)
+                .atLeast("--appends-per-second", appendsPerSecond, 1)
+                .atLeast("--retention-millis", retentionMillis, 1)
+                .atLeast("--vm-list-lag-millis", vmListLagMillis, 0)
+                .atLeast("--weight-load-millis", weightLoadMillis, 0)
+                .atLeast("--weight-loads-per-second", weightLoadsPerSecond, 0.001);
+    }
 }
--- a/standin/src/main/java/org/quetzalshunt/standin/ServiceCommand.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/ServiceCommand.java
@@ -5,13 +5,18 @@
 import org.quetzalshunt.standin.service.ServiceStandin;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 
 @Command(
         name = "service",
         mixinStandardHelpOptions = true,
         description = "Plain service that answers any call with what it got and how often it ran it.")
 final class ServiceCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec command;
+
     @Mixin
     private ListenOptions listen;
 
@@ -23,8 +28,13 @@
 
     @Override
     public Integer call() {
+        check();
         ServiceSettings settings = new ServiceSettings(callMillis);
         return listen.serve((group, address) ->
                 ServiceStandin.start(group, address, settings).port());
     }
+
+    private void check() {
+        SettingCheck.of(command).atLeast("--call-millis", callMillis, 0);
+    }
 }
--- a/standin/src/main/java/org/quetzalshunt/standin/control/FaultSwitches.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/control/FaultSwitches.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quetzalshunt.wire.json.Json;
 
@@ -14,21 +15,29 @@
 
     private final Set<FaultKind> supported;
     private final LongSupplier clockMillis;
+    private final Consumer<Fault> whenSet;
     private final Map<FaultKind, Armed> armed = new EnumMap<>(FaultKind.class);
 
-    private FaultSwitches(Set<FaultKind> supported, LongSupplier clockMillis) {
+    private FaultSwitches(Set<FaultKind> supported, LongSupplier clockMillis, Consumer<Fault> whenSet) {
         this.supported = supported;
         this.clockMillis = clockMillis;
+        this.whenSet = whenSet;
     }
 
     /** All off; only the kinds that the stand-in supports can be turned on. */
     public static FaultSwitches create(Set<FaultKind> supported, LongSupplier clockMillis) {
-        return new FaultSwitches(supported, clockMillis);
+        return create(supported, clockMillis, fault -> {});
+    }
+
+    /** The same, with what happens at once when a fault is turned on. */
+    public static FaultSwitches create(Set<FaultKind> supported, LongSupplier clockMillis, Consumer<Fault> whenSet) {
+        return new FaultSwitches(supported, clockMillis, whenSet);
     }
 
     /** Turns a fault on. */
     public void set(Fault fault) {
         armed.put(fault.kind(), new Armed(fault, clockMillis.getAsLong()));
+        whenSet.accept(fault);
     }
 
     /** Turns every fault off. */
@@ -63,6 +72,18 @@
         return fault;
     }
 
+    /**
+     * The fault if it is on and meant for this request. One with a count is for calls that do work: the reports that
+     * a sidecar asks for all the time would use it up before it hit anything.
+     */
+    public Optional<Fault> hit(FaultKind kind, boolean work) {
+        Optional<Fault> fault = standing(kind);
+        if (fault.isPresent() && fault.get().count() > 0 && !work) {
+            return Optional.empty();
+        }
+        return hit(kind);
+    }
+
     /** Follows a {@code POST /standin/faults}; gives what is wrong with it, if anything. */
     Optional<String> order(byte[] body) {
         JsonNode node = Json.parse(body).orElse(Json.object());
--- a/standin/src/main/java/org/quetzalshunt/standin/engine/Batch.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/engine/Batch.java
@@ -6,9 +6,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.ToIntFunction;
 import org.quetzalshunt.standin.control.RunState;
 
 /**
@@ -23,45 +21,22 @@
     private final EventLoop loop;
     private final BatchSettings settings;
     private final LongSupplier clockMillis;
-    private final LongSupplier extraMillis;
-    private final ToIntFunction<EngineRun> cachedTokens;
-    private final Consumer<EngineRun> whenFinished;
+    private final BatchHooks hooks;
     private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(MOST_URGENT_FIRST);
     private final List<EngineRun> running = new ArrayList<>();
     private long sequence;
     private long wordsEmitted;
     private boolean stepping;
 
-    private Batch(
-            EventLoop loop,
-            BatchSettings settings,
-            LongSupplier clockMillis,
-            LongSupplier extraMillis,
-            ToIntFunction<EngineRun> cachedTokens,
-            Consumer<EngineRun> whenFinished) {
+    private Batch(EventLoop loop, BatchSettings settings, LongSupplier clockMillis, BatchHooks hooks) {
         this.loop = loop;
         this.settings = settings;
         this.clockMillis = clockMillis;
-        this.extraMillis = extraMillis;
-        this.cachedTokens = cachedTokens;
-        this.whenFinished = whenFinished;
+        this.hooks = hooks;
     }
 
-    /**
-     * An empty batch.
-     *
-     * @param extraMillis what is added between the words of every stream now
-     * @param cachedTokens asked when a run gets its slot: prompt tokens that need no reading
-     * @param whenFinished told after a run's last word
-     */
-    static Batch create(
-            EventLoop loop,
-            BatchSettings settings,
-            LongSupplier clockMillis,
-            LongSupplier extraMillis,
-            ToIntFunction<EngineRun> cachedTokens,
-            Consumer<EngineRun> whenFinished) {
-        return new Batch(loop, settings, clockMillis, extraMillis, cachedTokens, whenFinished);
+    static Batch create(EventLoop loop, BatchSettings settings, LongSupplier clockMillis, BatchHooks hooks) {
+        return new Batch(loop, settings, clockMillis, hooks);
     }
 
     boolean full() {
@@ -136,13 +111,14 @@
         long now = clockMillis.getAsLong();
         streams.forEach(run -> advance(run, now));
         beginStep();
+        hooks.stepped().run();
     }
 
     private void advance(EngineRun run, long nowMillis) {
         if (run.ended()) {
             return;
         }
-        if (run.emit(nowMillis, extraMillis.getAsLong())) {
+        if (run.emit(nowMillis, hooks.extraMillis().getAsLong())) {
             wordsEmitted++;
         }
         if (!run.lastWordOut()) {
@@ -150,13 +126,13 @@
         }
         running.remove(run);
         run.finish();
-        whenFinished.accept(run);
+        hooks.finished().accept(run);
     }
 
     private void admit() {
         while (running.size() < settings.slots() && !waiting.isEmpty()) {
             EngineRun run = waiting.remove().run();
-            run.admit(cachedTokens.applyAsInt(run));
+            run.admit(hooks.cachedTokens().applyAsInt(run));
             running.add(run);
         }
     }
--- a/standin/src/main/java/org/quetzalshunt/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/engine/EngineStandin.java
@@ -7,6 +7,7 @@
 import java.util.EnumSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.quetzalshunt.server.http.HttpExchange;
 import org.quetzalshunt.standin.control.Fault;
@@ -26,10 +27,12 @@
             FaultKind.REFUSE,
             FaultKind.POISON);
     private static final String COMPLETIONS = "/v1/chat/completions";
+    private static final long EXIT_DELAY_MILLIS = 20;
     private static final LongSupplier CLOCK_MILLIS = System::currentTimeMillis;
 
+    private final EventLoop loop;
     private final EngineSettings settings;
-    private final FaultSwitches faults = FaultSwitches.create(SUPPORTED, CLOCK_MILLIS);
+    private final FaultSwitches faults = FaultSwitches.create(SUPPORTED, CLOCK_MILLIS, this::faultSet);
     private final RunBook runs = RunBook.create(CLOCK_MILLIS);
     private final CacheEvents cacheEvents;
     private final PrefixCache cache;
@@ -42,13 +45,17 @@
     private StandinServer server;
 
     private EngineStandin(EventLoop loop, EngineSettings settings) {
+        this.loop = loop;
         this.settings = settings;
         this.cacheEvents = CacheEvents.create(settings.cache(), CLOCK_MILLIS);
         this.cache = PrefixCache.create(settings.cache().capacityTokens(), cacheEvents);
         this.cacheCalls = CacheCalls.create(loop, settings.cache(), cache);
         this.orders = OrderDesk.create(loop, settings);
         this.batch = Batch.create(
-                loop, settings.batch(), CLOCK_MILLIS, this::slowMillis, this::cachedTokens, this::finished);
+                loop,
+                settings.batch(),
+                CLOCK_MILLIS,
+                new BatchHooks(this::slowMillis, this::cachedTokens, this::finished, this::noteLoad));
         this.chat = ChatCalls.create(loop, settings, faults, runs, batch, orders);
         this.load = LoadReports.create(settings.loadLagMillis(), CLOCK_MILLIS, this::describe);
         this.load.note(0);
@@ -91,24 +98,17 @@
     }
 
     private void handle(HttpExchange exchange) {
+        boolean work = exchange.path().equals(COMPLETIONS);
         if (faults.on(FaultKind.CRASH)) {
-            loseEverything();
             exchange.abort();
-            return;
-        }
-        if (faults.hit(FaultKind.EXIT).isPresent()) {
+        } else if (faults.hit(FaultKind.EXIT, work).isPresent()) {
             halt.run();
-            return;
-        }
-        if (faults.hit(FaultKind.HANG).isPresent()) {
-            return;
-        }
-        if (faults.hit(FaultKind.REFUSE).isPresent()) {
+        } else if (faults.hit(FaultKind.REFUSE, work).isPresent()) {
             StandinServer.error(exchange, 503, "refused");
-            return;
+        } else if (faults.hit(FaultKind.HANG, work).isEmpty()) {
+            route(exchange);
+            noteLoad();
         }
-        route(exchange);
-        load.note(batch.wordsEmitted());
     }
 
     private void route(HttpExchange exchange) {
@@ -161,6 +161,16 @@
         }
     }
 
+    /** A crash takes what runs at once; an exit without a count comes as soon as its order is answered. */
+    private void faultSet(Fault fault) {
+        if (fault.kind() == FaultKind.CRASH) {
+            loseEverything();
+        }
+        if (fault.kind() == FaultKind.EXIT && fault.count() == 0) {
+            loop.schedule(halt, EXIT_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void loseEverything() {
         batch.breakOffAll();
         chat.forgetAll();
@@ -184,6 +194,9 @@
                 Prefix.of(run.request().messages()).withAnswer(run.answer().text());
         run.request().cacheKey().ifPresentOrElse(key -> cache.store(key, whole, true), () -> cache.storeUnnamed(whole));
         chat.finished(run);
+    }
+
+    private void noteLoad() {
         load.note(batch.wordsEmitted());
     }
 
