--- /dev/null
+++ b/app/src/main/java/org/quetzalshunt/app/bench/play/Call.java
@@ -0,0 +1,36 @@
+package org.quetzalshunt.app.bench.play;
+
+/** One request of a program, from its first offer until its answer or the end of its caller's patience. */
+final class Call {
+    final ProgramRun program;
+    final String cacheKey;
+    final int turn;
+    final long promptTokens;
+    final long newPromptTokens;
+    final long outputTokens;
+    final long firstOfferedMillis;
+    long deadlineMillis;
+    int attempts;
+    String avoidEndpoint = "";
+
+    Call(
+            ProgramRun program,
+            String cacheKey,
+            int turn,
+            long promptTokens,
+            long newPromptTokens,
+            long outputTokens,
+            long firstOfferedMillis) {
+        this.program = program;
+        this.cacheKey = cacheKey;
+        this.turn = turn;
+        this.promptTokens = promptTokens;
+        this.newPromptTokens = newPromptTokens;
+        this.outputTokens = outputTokens;
+        this.firstOfferedMillis = firstOfferedMillis;
+    }
+
+    AccountLoad account() {
+        return program.script.account();
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/quetzalshunt/app/bench/play/DecisionCost.java
@@ -0,0 +1,107 @@
+package org.quetzalshunt.app.bench.play;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.quetzalshunt.core.decision.Dispatch;
+import org.quetzalshunt.core.decision.EndpointState;
+import org.quetzalshunt.core.decision.Finish;
+import org.quetzalshunt.core.decision.Scheduler;
+import org.quetzalshunt.core.decision.SchedulerSettings;
+import org.quetzalshunt.core.decision.WorkItem;
+
+/**
+ * Time of one decision, from offer to dispatch and end, with so many endpoints and programs. The median over rounds,
+ * since a collection of garbage or another process hits single rounds.
+ */
+public final class DecisionCost {
+    private static final int ROUNDS = 60;
+    private static final int WARM_UP_ROUNDS = 30;
+    private static final int DECISIONS_PER_ROUND = 2_000;
+    private static final int SLOTS = 48;
+    private static final int ACCOUNTS = 8;
+    private static final long PROMPT_TOKENS = 2_000;
+    private static final long OUTPUT_TOKENS = 150;
+
+    private final Scheduler scheduler;
+    private final int programs;
+    private final SplittableRandom random;
+    private final List<Dispatch> running = new ArrayList<>();
+    private long nowMillis;
+    private long nextId = 1;
+
+    private DecisionCost(int endpoints, int programs, long seed) {
+        this.scheduler = Scheduler.create(SchedulerSettings.of("arusha-a", 1, seed));
+        this.programs = programs;
+        this.random = new SplittableRandom(seed);
+        for (int endpoint = 0; endpoint < endpoints; endpoint++) {
+            String name = "engine-" + endpoint;
+            scheduler.endpointReported(
+                    0,
+                    new EndpointState(name, "tutor", EngineFleet.dataCentre(endpoint), SLOTS, 0, 0, 0, 0, false, true));
+        }
+    }
+
+    /** Median nanoseconds of one decision. */
+    public static double nanos(int endpoints, int programs, long seed) {
+        return new DecisionCost(endpoints, programs, seed).median();
+    }
+
+    private double median() {
+        // Half of the programs run and half pause, so that the tables have their full size.
+        decide(programs, programs / 2);
+        double[] nanos = new double[ROUNDS];
+        for (int round = 0; round < WARM_UP_ROUNDS + ROUNDS; round++) {
+            long start = System.nanoTime();
+            decide(DECISIONS_PER_ROUND, programs / 2);
+            long taken = System.nanoTime() - start;
+            if (round >= WARM_UP_ROUNDS) {
+                nanos[round - WARM_UP_ROUNDS] = (double) taken / DECISIONS_PER_ROUND;
+            }
+        }
+        Arrays.sort(nanos);
+        return nanos[ROUNDS / 2];
+    }
+
+    private void decide(int decisions, int kept) {
+        for (int decision = 0; decision < decisions; decision++) {
+            nowMillis += decision % 10 == 0 ? 1 : 0;
+            scheduler.offer(nowMillis, item(), 0);
+            scheduler.expire(nowMillis);
+            running.addAll(scheduler.tick(nowMillis));
+            while (running.size() > kept) {
+                finishOne();
+            }
+        }
+    }
+
+    private WorkItem item() {
+        long id = nextId++;
+        int program = random.nextInt(programs);
+        String name = "program-" + program;
+        return new WorkItem(
+                id,
+                "tutor",
+                "account-" + program % ACCOUNTS,
+                1,
+                name,
+                name,
+                1,
+                PROMPT_TOKENS,
+                OUTPUT_TOKENS,
+                nowMillis,
+                nowMillis + 60_000,
+                0,
+                "");
+    }
+
+    private void finishOne() {
+        int place = random.nextInt(running.size());
+        Dispatch ended = running.get(place);
+        running.set(place, running.get(running.size() - 1));
+        running.remove(running.size() - 1);
+        scheduler.finished(
+                nowMillis, ended.item().id(), Finish.ok(PROMPT_TOKENS, PROMPT_TOKENS - 100, OUTPUT_TOKENS, 50, 3_050));
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/quetzalshunt/app/bench/play/EngineRequest.java
@@ -0,0 +1,36 @@
+package org.quetzalshunt.app.bench.play;
+
+/** One request inside a fake engine. */
+final class EngineRequest {
+    final long id;
+    final String cacheKey;
+    final int priority;
+    final long promptTokens;
+    final long outputTokens;
+    final long dispatchedMillis;
+    long cachedTokens;
+    double promptUnitsLeft;
+    double outputDone;
+    long firstTokenMillis;
+
+    EngineRequest(long id, String cacheKey, int priority, long promptTokens, long outputTokens, long dispatchedMillis) {
+        this.id = id;
+        this.cacheKey = cacheKey;
+        this.priority = priority;
+        this.promptTokens = promptTokens;
+        this.outputTokens = outputTokens;
+        this.dispatchedMillis = dispatchedMillis;
+    }
+
+    boolean decoding() {
+        return promptUnitsLeft <= 0;
+    }
+
+    boolean done() {
+        return outputDone >= outputTokens;
+    }
+
+    long delivered() {
+        return Math.min(outputTokens, (long) outputDone);
+    }
+}
--- a/core/src/main/java/org/quetzalshunt/core/decision/Scheduler.java
+++ b/core/src/main/java/org/quetzalshunt/core/decision/Scheduler.java
@@ -1,33 +1,38 @@
 package org.quetzalshunt.core.decision;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
+import org.agrona.collections.Long2ObjectHashMap;
+import org.agrona.collections.Object2ObjectHashMap;
+import org.quetzalshunt.core.decision.endpoint.EndpointEntry;
+import org.quetzalshunt.core.decision.retry.RetryDelay;
 import org.quetzalshunt.core.result.Refusal;
-import org.quetzalshunt.core.result.ResultCode;
 
-/** Facade: everything that decides under load for one entry. Not thread-safe; one thread owns it. */
+/**
+ * Facade: everything that decides under load for one entry. Not thread-safe; one thread owns it.
+ *
+ * <p>Requests come in by {@link #offer}, start by {@link #tick}, leave unserved by {@link #expire} or {@link
+ * #withdraw}, and end by {@link #finished}.
+ */
 public final class Scheduler {
-    private static final int DEFAULT_SLOTS = 16;
-    private static final long RETRY_AFTER_MILLIS = 1_000;
+    /** How often rows of programs that were lost sight of are looked for; the sweep is a scan over all programs. */
+    private static final long SWEEP_MILLIS = 60_000;
 
     private final SchedulerSettings settings;
-    private final Map<String, EndpointState> endpoints = new LinkedHashMap<>();
-    private final Map<String, Integer> inFlight = new HashMap<>();
-    private final Map<String, Deque<WorkItem>> queues = new LinkedHashMap<>();
-    private final Map<Long, Dispatch> running = new HashMap<>();
-    private final Map<String, String> caches = new HashMap<>();
-    private final Map<String, Long> attained = new HashMap<>();
-    private int queuedCount;
+    private final SplittableRandom random;
+    private final CachePlaces caches = new CachePlaces();
+    private final Map<String, ServiceLoad> services = new Object2ObjectHashMap<>();
+    private final List<ServiceLoad> serviceList = new ArrayList<>();
+    private final Map<String, String> serviceOfEndpoint = new Object2ObjectHashMap<>();
+    private final Long2ObjectHashMap<RunningItem> running = new Long2ObjectHashMap<>();
+    private long sweptMillis;
 
     private Scheduler(SchedulerSettings settings) {
         this.settings = settings;
+        this.random = new SplittableRandom(settings.seed());
     }
 
     /** Starts with no endpoints and nothing queued. */
@@ -37,13 +42,31 @@
 
     /** Takes in what an endpoint said; the first report of a name adds the endpoint. */
     public void endpointReported(long nowMillis, EndpointState state) {
-        endpoints.put(state.name(), state);
+        String before = serviceOfEndpoint.put(state.name(), state.service());
+        if (before != null && !before.equals(state.service())) {
+            service(before).endpoints().remove(state.name());
+        }
+        service(state.service()).endpoints().reported(nowMillis, state);
     }
 
     /** Forgets an endpoint; requests that run there still end through {@link #finished}. */
     public void endpointRemoved(String endpoint) {
-        endpoints.remove(endpoint);
-        caches.values().removeIf(endpoint::equals);
+        String service = serviceOfEndpoint.remove(endpoint);
+        if (service == null) {
+            return;
+        }
+        service(service).endpoints().remove(endpoint);
+        caches.forgetEndpoint(endpoint);
+    }
+
+    private ServiceLoad service(String name) {
+        return services.computeIfAbsent(name, this::addService);
+    }
+
+    private ServiceLoad addService(String name) {
+        ServiceLoad service = ServiceLoad.create(settings, caches, random.split());
+        serviceList.add(service);
+        return service;
     }
 
     /**
@@ -53,25 +76,14 @@
      * @return empty when the request now waits; otherwise why it was refused, always "not run"
      */
     public Optional<Refusal> offer(long nowMillis, WorkItem item, int queueLimit) {
-        Deque<WorkItem> queue = queues.computeIfAbsent(item.service(), name -> new ArrayDeque<>());
-        long queuedOfAccount = queue.stream()
-                .filter(waiting -> waiting.clientAccount().equals(item.clientAccount()))
-                .count();
         int limit = queueLimit > 0 ? queueLimit : settings.queueLimitPerAccount();
-        if (queuedOfAccount >= limit) {
-            return Optional.of(Refusal.notRunRetryAfter(
-                    ResultCode.QUEUE_FULL, "the client account has " + limit + " waiting", RETRY_AFTER_MILLIS));
-        }
-        queue.add(item);
-        queuedCount++;
-        return Optional.empty();
+        return service(item.service()).offer(nowMillis, item, limit);
     }
 
     /** Takes back a request whose caller went away; false when it does not wait here. */
     public boolean withdraw(long id) {
-        for (Deque<WorkItem> queue : queues.values()) {
-            if (queue.removeIf(item -> item.id() == id)) {
-                queuedCount--;
+        for (ServiceLoad service : serviceList) {
+            if (service.withdraw(id)) {
                 return true;
             }
         }
@@ -80,121 +92,85 @@
 
     /** Decides what starts now. */
     public List<Dispatch> tick(long nowMillis) {
-        if (queuedCount == 0) {
-            return List.of();
-        }
-        List<Dispatch> dispatches = new ArrayList<>();
-        for (Deque<WorkItem> queue : queues.values()) {
-            dispatchFrom(queue, dispatches);
-        }
-        return dispatches;
-    }
-
-    private void dispatchFrom(Deque<WorkItem> queue, List<Dispatch> dispatches) {
-        while (!queue.isEmpty()) {
-            Optional<EndpointState> endpoint = choose(queue.peek());
-            if (endpoint.isEmpty()) {
-                return;
+        sweep(nowMillis);
+        List<Dispatch> dispatches = null;
+        for (ServiceLoad service : serviceList) {
+            service.endpoints().passTime(nowMillis);
+            if (service.queue().queued() == 0) {
+                continue;
             }
-            WorkItem item = queue.remove();
-            queuedCount--;
-            String name = endpoint.get().name();
-            Dispatch dispatch = new Dispatch(item, name, 0);
-            inFlight.merge(name, 1, Integer::sum);
-            running.put(item.id(), dispatch);
-            dispatches.add(dispatch);
+            dispatches = dispatches == null ? new ArrayList<>() : dispatches;
+            service.dispatch(nowMillis, dispatches, running);
         }
+        return dispatches == null ? List.of() : dispatches;
     }
 
-    private Optional<EndpointState> choose(WorkItem item) {
-        EndpointState best = null;
-        for (EndpointState state : endpoints.values()) {
-            if (takes(state, item) && (best == null || load(state) < load(best))) {
-                best = state;
-            }
+    private void sweep(long nowMillis) {
+        if (nowMillis - sweptMillis < SWEEP_MILLIS) {
+            return;
         }
-        return Optional.ofNullable(best);
-    }
-
-    private boolean takes(EndpointState state, WorkItem item) {
-        if (state.leaving() || !state.healthy() || !state.service().equals(item.service())) {
-            return false;
+        sweptMillis = nowMillis;
+        caches.sweep(nowMillis);
+        for (ServiceLoad service : serviceList) {
+            service.programs().sweep(nowMillis);
         }
-        return load(state) < slots(state);
-    }
-
-    private int load(EndpointState state) {
-        return inFlight.getOrDefault(state.name(), 0);
-    }
-
-    private static int slots(EndpointState state) {
-        return state.slots() > 0 ? state.slots() : DEFAULT_SLOTS;
     }
 
     /** Takes out requests whose deadline passed, or can no longer be met, while they waited. */
     public List<Expired> expire(long nowMillis) {
-        if (queuedCount == 0) {
-            return List.of();
-        }
         List<Expired> expired = new ArrayList<>();
-        for (Deque<WorkItem> queue : queues.values()) {
-            expireFrom(queue, nowMillis, expired);
+        for (ServiceLoad service : serviceList) {
+            service.expire(nowMillis, expired);
         }
         return expired;
     }
 
-    private void expireFrom(Deque<WorkItem> queue, long nowMillis, List<Expired> expired) {
-        Iterator<WorkItem> items = queue.iterator();
-        while (items.hasNext()) {
-            WorkItem item = items.next();
-            if (item.deadlineMillis() <= nowMillis) {
-                items.remove();
-                queuedCount--;
-                expired.add(new Expired(
-                        item, Refusal.notRun(ResultCode.DEADLINE_PASSED, ResultCode.DEADLINE_PASSED.meaning())));
-            }
-        }
-    }
-
     /** Corrects the expected work of a running request by what it delivered so far. */
     public void progressed(long nowMillis, long id, long outputTokens) {
-        if (!running.containsKey(id)) {
-            return;
+        RunningItem row = running.get(id);
+        if (row != null) {
+            service(row.item().service()).progressed(nowMillis, row, outputTokens);
         }
     }
 
     /** Ends an attempt; an id that does not run here is ignored, since ends can come twice. */
     public void finished(long nowMillis, long id, Finish finish) {
-        Dispatch dispatch = running.remove(id);
-        if (dispatch == null) {
-            return;
-        }
-        inFlight.computeIfPresent(dispatch.endpoint(), (name, count) -> count > 1 ? count - 1 : null);
-        WorkItem item = dispatch.item();
-        attained.merge(item.clientAccount(), finish.promptTokens() + finish.outputTokens(), Long::sum);
-        if (finish.kind() == FinishKind.OK && !item.cacheKey().isEmpty()) {
-            caches.put(item.cacheKey(), dispatch.endpoint());
+        RunningItem row = running.remove(id);
+        if (row != null) {
+            service(row.item().service()).finished(nowMillis, row, finish);
         }
     }
 
     /** Forgets where a program's prefix is, because the program ended or its cache was freed. */
     public void cacheForgotten(String cacheKey) {
-        caches.remove(cacheKey);
+        caches.forget(cacheKey);
+        for (ServiceLoad service : serviceList) {
+            service.programs().forget(cacheKey);
+        }
     }
 
     /** The endpoint that ran the program's last turn and may still hold its prefix. */
     public Optional<String> cachedAt(String cacheKey) {
-        return Optional.ofNullable(caches.get(cacheKey));
+        return caches.find(cacheKey).map(CachePlaces.Place::endpoint);
     }
 
     /** Takes one retry from the service's budget; false when the budget is spent. */
     public boolean mayRetry(long nowMillis, String service) {
-        return true;
+        return service(service).retries().take(nowMillis);
+    }
+
+    /** How long to wait before the next attempt of a request that failed so often; jittered from the seed. */
+    public long retryDelayMillis(int attemptsBefore) {
+        return RetryDelay.millis(attemptsBefore, random);
     }
 
     /** Requests that wait here. */
     public int queued() {
-        return queuedCount;
+        int queued = 0;
+        for (ServiceLoad service : serviceList) {
+            queued += service.queue().queued();
+        }
+        return queued;
     }
 
     /** Requests that run for this entry. */
@@ -204,13 +180,24 @@
 
     /** The client accounts, for status and metrics. */
     public List<AccountView> accounts() {
-        return List.of();
+        List<AccountView> views = new ArrayList<>();
+        services.forEach((name, service) -> views.addAll(service.accountViews(name)));
+        return views;
     }
 
     /** The endpoints, for status and metrics. */
     public List<EndpointView> endpoints() {
-        return endpoints.values().stream()
-                .map(state -> new EndpointView(state.name(), state.service(), slots(state), load(state), false))
-                .toList();
+        List<EndpointView> views = new ArrayList<>();
+        for (ServiceLoad service : serviceList) {
+            for (EndpointEntry entry : service.endpoints().all()) {
+                views.add(new EndpointView(
+                        entry.name(),
+                        entry.state().service(),
+                        (int) entry.limit(),
+                        entry.inFlight(),
+                        entry.failures().ejected()));
+            }
+        }
+        return views;
     }
 }
