Fleet limits over the wire: Thrift fields, codecs, generations with incarnations

Cause: the configuration's record of a generation named members without incarnations and without the former members, by which an entry could not tell a restarted VM's lost part from one that is held. Conclusion: an entry can wire the limits without further encoding.

--- a/core/src/main/java/org/quetzalshunt/core/configuration/ConfigurationChange.java
+++ b/core/src/main/java/org/quetzalshunt/core/configuration/ConfigurationChange.java
@@ -1,8 +1,8 @@
 package org.quetzalshunt.core.configuration;
 
-import java.util.List;
 import java.util.Optional;
 import org.quetzalshunt.core.document.ServiceDocument;
+import org.quetzalshunt.core.limit.LimitGenerationRecord;
 
 /** A record of the configuration stream, read. */
 public sealed interface ConfigurationChange {
@@ -47,15 +47,10 @@
     /**
      * The set of VMs that share the client accounts' rates.
      *
-     * @param basedOnGeneration generation that it follows, {@link #NO_VERSION} for the first
-     * @param coordinator VM that proposes it
-     * @param incarnation life of that VM
-     * @param members VMs that have a part
+     * @param generation who has a part, and which generation it follows
      * @param notedMillis when, by the proposer's clock
      */
-    record LimitGenerationChange(
-            long basedOnGeneration, String coordinator, long incarnation, List<String> members, long notedMillis)
-            implements ConfigurationChange {}
+    record LimitGenerationChange(LimitGenerationRecord generation, long notedMillis) implements ConfigurationChange {}
 
     /**
      * A part of the state below an offset, for readers that start after retention.
--- a/core/src/main/java/org/quetzalshunt/core/configuration/ConfigurationState.java
+++ b/core/src/main/java/org/quetzalshunt/core/configuration/ConfigurationState.java
@@ -98,8 +98,8 @@
     }
 
     private boolean applyGeneration(AcceptedRecord record, LimitGenerationChange change) {
-        long current = generation == null ? ConfigurationChange.NO_VERSION : generation.generation();
-        if (change.basedOnGeneration() != current) {
+        long current = generation == null ? ConfigurationChange.NO_VERSION : generation.offset();
+        if (change.generation().basedOnGeneration() != current) {
             return false;
         }
         setGeneration(record, change);
@@ -108,12 +108,7 @@
 
     private void setGeneration(AcceptedRecord record, LimitGenerationChange change) {
         generationRecord = record;
-        generation = new LimitGenerationState(
-                record.offset(),
-                change.coordinator(),
-                change.incarnation(),
-                List.copyOf(change.members()),
-                change.notedMillis());
+        generation = new LimitGenerationState(record.offset(), change.generation(), change.notedMillis());
     }
 
     private record Audit(AcceptedRecord record, AuditEntry entry) {}
--- a/core/src/main/java/org/quetzalshunt/core/configuration/LimitGenerationState.java
+++ b/core/src/main/java/org/quetzalshunt/core/configuration/LimitGenerationState.java
@@ -1,15 +1,12 @@
 package org.quetzalshunt.core.configuration;
 
-import java.util.List;
+import org.quetzalshunt.core.limit.LimitGenerationRecord;
 
 /**
  * The generation of rate sharing in force.
  *
- * @param generation offset of its record
- * @param coordinator VM that proposed it
- * @param incarnation life of that VM
- * @param members VMs that have a part
+ * @param offset offset of its record, the generation's number
+ * @param generation who has a part
  * @param notedMillis when, by the proposer's clock
  */
-public record LimitGenerationState(
-        long generation, String coordinator, long incarnation, List<String> members, long notedMillis) {}
+public record LimitGenerationState(long offset, LimitGenerationRecord generation, long notedMillis) {}
--- a/core/src/main/java/org/quetzalshunt/core/limit/FleetLimits.java
+++ b/core/src/main/java/org/quetzalshunt/core/limit/FleetLimits.java
@@ -1,7 +1,5 @@
 package org.quetzalshunt.core.limit;
 
-import static org.quetzalshunt.core.limit.LimitMessage.ALL_PARTS;
-
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -17,7 +15,6 @@
 import org.quetzalshunt.core.limit.LimitMessage.Transfer;
 import org.quetzalshunt.core.limit.LimitMessage.TransferAcknowledgement;
 import org.quetzalshunt.core.membership.Member;
-import org.quetzalshunt.core.membership.Rendezvous;
 import org.quetzalshunt.core.vm.VmId;
 
 /**
@@ -29,15 +26,6 @@
  * otherwise.
  */
 public final class FleetLimits {
-    /** An account without traffic for this time gives its part back to its home, where the next entry looks first. */
-    private static final long IDLE_MILLIS = 5_000;
-
-    /** Idle accounts are looked for this often. */
-    private static final long IDLE_SWEEP_MILLIS = 1_000;
-
-    /** An entry that holds this much is the only one with traffic, and keeps it. */
-    private static final long NEARLY_ALL_PARTS = ALL_PARTS * 15 / 16;
-
     /** Told to callers of an account that this entry does not know yet. */
     private static final long UNKNOWN_ACCOUNT_RETRY_MILLIS = 1_000;
 
@@ -45,7 +33,6 @@
     private final LimitSettings settings;
     private final LimitPort port;
     private final BucketTable table = new BucketTable();
-    private final TransferLedger ledger = new TransferLedger();
     /** Rows with waiting requests, or with parts that may have to go back to their home. */
     private final Set<Bucket> active = new HashSet<>();
 
@@ -53,11 +40,9 @@
     private final CarryOver carryOver;
     private final GenerationProposer proposer;
     private final TokenFetcher fetcher;
+    private final PartMover mover;
     private Generation generation = Generation.none();
     private long nextHandle = 1;
-    private long nextIdleSweepMillis = Long.MIN_VALUE;
-    private long brokenPromises;
-    private boolean leaving;
 
     private FleetLimits(VmId self, LimitSettings settings, LimitPort port) {
         this.self = self;
@@ -67,6 +52,7 @@
         this.carryOver = new CarryOver(self, settings);
         this.proposer = new GenerationProposer(self, settings);
         this.fetcher = new TokenFetcher(self, this::send);
+        this.mover = new PartMover(self, lease, fetcher, this::send);
     }
 
     /** Limits of an entry that has just started: it holds nothing until a generation names it. */
@@ -169,7 +155,7 @@
         } else if (message instanceof Transfer transfer) {
             onTransfer(nowMillis, from, transfer);
         } else if (message instanceof TransferAcknowledgement acknowledgement) {
-            ledger.acknowledged(from, acknowledgement.transfer());
+            mover.onAcknowledgement(from, acknowledgement.transfer());
         } else if (message instanceof CarryReport report) {
             onReport(nowMillis, from, report);
         } else if (message instanceof CarryAcknowledgement) {
@@ -191,48 +177,16 @@
         Bucket bucket = bucket(nowMillis, request.key());
         bucket.accrue(nowMillis);
         serve(nowMillis, bucket);
-        long given = 0;
-        if (lease.holds(nowMillis)) {
-            Sharing.Gift gift = request.passedOn()
-                    ? Sharing.ofHolder(nowMillis, bucket, request)
-                    : Sharing.ofHome(nowMillis, bucket, request);
-            give(nowMillis, bucket, request.asker(), gift);
-            given = gift.microTokens();
-        }
-        if (!request.passedOn()) {
-            fetcher.passOn(nowMillis, bucket, request, given);
-            bucket.holders.note(nowMillis, request.asker(), request.demandMilliTokens());
-        }
-    }
-
-    private void give(long nowMillis, Bucket bucket, VmId to, Sharing.Gift gift) {
-        if (gift.parts() == 0) {
-            return;
-        }
-        bucket.moved = true;
-        bucket.remove(nowMillis, gift.parts(), gift.microTokens());
-        send(to, ledger.send(nowMillis, to, generation.offset, bucket.key, gift.parts(), gift.microTokens()));
+        mover.onRequest(nowMillis, bucket, request);
     }
 
     private void onTransfer(long nowMillis, VmId from, Transfer transfer) {
-        send(from, new TransferAcknowledgement(transfer.generation(), transfer.transfer()));
-        if (!ledger.receive(from, transfer)) {
-            return;
-        }
         Bucket bucket = bucket(nowMillis, transfer.key());
-        bucket.moved = true;
-        add(nowMillis, bucket, transfer.parts(), transfer.microTokens());
+        mover.onTransfer(nowMillis, from, bucket, transfer);
         active.add(bucket);
         serve(nowMillis, bucket);
     }
 
-    private void add(long nowMillis, Bucket bucket, long parts, long microTokens) {
-        if (bucket.parts() + parts > ALL_PARTS) {
-            brokenPromises++;
-        }
-        bucket.add(nowMillis, parts, microTokens);
-    }
-
     private void onReport(long nowMillis, VmId from, CarryReport report) {
         send(from, new CarryAcknowledgement(report.generation()));
         carryOver.onReport(nowMillis, from, report);
@@ -272,7 +226,7 @@
                 holdings.add(new Holding(bucket.key, bucket.parts()));
             }
         }
-        ledger.clear();
+        mover.onGeneration(next);
         generation = next;
         lease.onGeneration(next.members);
         fetcher.onGeneration(next);
@@ -313,22 +267,22 @@
         if (generation.contains(self)) {
             lease.tick(nowMillis, generation.offset, this::send);
             carryOver.tick(nowMillis, this::send);
-            ledger.repeat(nowMillis, this::send);
+            mover.repeat(nowMillis);
             if (carryOver.anyDue(nowMillis)) {
                 table.rows().forEach(bucket -> grantUnheld(nowMillis, bucket));
             }
         }
-        if (!leaving) {
+        if (!mover.isLeaving()) {
             proposer.tick(nowMillis, port::appendGeneration);
         }
         serveAll(nowMillis);
-        sweepIdle(nowMillis);
+        mover.sweepIdle(nowMillis, table.rows());
     }
 
     private void grantUnheld(long nowMillis, Bucket bucket) {
         long unheld = carryOver.claimUnheld(nowMillis, bucket.key);
         if (unheld > 0) {
-            add(nowMillis, bucket, unheld, 0);
+            mover.add(nowMillis, bucket, unheld, 0);
             if (generation.record.first()) {
                 bucket.fill();
             }
@@ -352,50 +306,15 @@
         }
     }
 
-    private void sweepIdle(long nowMillis) {
-        if (!leaving && nowMillis < nextIdleSweepMillis) {
-            return;
-        }
-        nextIdleSweepMillis = nowMillis + IDLE_SWEEP_MILLIS;
-        if (!generation.contains(self) || !lease.holds(nowMillis)) {
-            return;
-        }
-        for (Bucket bucket : table.rows()) {
-            boolean idle = leaving || nowMillis - bucket.lastTakeMillis >= IDLE_MILLIS;
-            if (idle && bucket.parts() > 0 && bucket.waiting.isEmpty()) {
-                bucket.accrue(nowMillis);
-                Sharing.Gift all = new Sharing.Gift(bucket.parts(), bucket.level());
-                heir(bucket.key).ifPresent(vm -> give(nowMillis, bucket, vm, all));
-            }
-        }
-    }
-
-    /** Who keeps what is not used here: the account's home; for a leaving home, any live member. */
-    private Optional<VmId> heir(AccountKey key) {
-        Optional<VmId> home = generation.home(key);
-        if (isHome(key) && !leaving) {
-            return Optional.empty();
-        }
-        if (!isHome(key) && home.filter(fetcher::isAlive).isPresent()) {
-            return home;
-        }
-        List<VmId> live = generation.record.members().stream()
-                .filter(vm -> !vm.equals(self) && fetcher.isAlive(vm))
-                .toList();
-        return Rendezvous.winner(key.hashText(), live.stream().map(VmId::name).toList())
-                .flatMap(name ->
-                        live.stream().filter(vm -> vm.name().equals(name)).findFirst());
-    }
-
     /** Starts a planned stop: every part goes to live peers, now and whenever one still arrives. */
     public void leaving(long nowMillis) {
-        leaving = true;
+        mover.leave();
         tick(nowMillis);
     }
 
     /** Whether a leaving entry has handed over everything and had it acknowledged. */
     public boolean handedOver() {
-        return ledger.pending() == 0
+        return mover.pendingTransfers() == 0
                 && table.rows().stream().allMatch(bucket -> bucket.parts() == 0 && bucket.waiting.isEmpty());
     }
 
@@ -410,35 +329,14 @@
         for (Bucket bucket : List.copyOf(active)) {
             serve(nowMillis, bucket);
             fetcher.fetch(nowMillis, bucket);
-            bringBack(nowMillis, bucket);
+            mover.bringBack(nowMillis, bucket);
             boolean quiet = bucket.waiting.isEmpty();
-            if (quiet && (bucket.parts() == 0 || isHome(bucket.key))) {
+            if (quiet && (bucket.parts() == 0 || mover.isHome(bucket.key))) {
                 active.remove(bucket);
             }
         }
     }
 
-    /** Brings back to the home what is of no use here, so that another entry finds it there. */
-    private void bringBack(long nowMillis, Bucket bucket) {
-        if (bucket.parts() == 0 || bucket.parts() >= NEARLY_ALL_PARTS) {
-            return;
-        }
-        bucket.accrue(nowMillis);
-        // A piece without room for one token runs full and never serves the requests that wait for it.
-        boolean hopeless = bucket.isFull() && !bucket.hasToken();
-        if (!bucket.waiting.isEmpty() && !hopeless) {
-            return;
-        }
-        Sharing.Gift surplus = Sharing.surplus(nowMillis, bucket);
-        if (surplus.parts() > 0 && mayUse(nowMillis)) {
-            heir(bucket.key).ifPresent(vm -> give(nowMillis, bucket, vm, surplus));
-        }
-    }
-
-    private boolean isHome(AccountKey key) {
-        return generation.home(key).filter(self::equals).isPresent();
-    }
-
     private void serve(long nowMillis, Bucket bucket) {
         if (bucket.waiting.isEmpty()) {
             return;
@@ -486,13 +384,13 @@
 
     /** How often a check of this class found a promise broken; anything but 0 is a fault of the program. */
     public long brokenPromises() {
-        return brokenPromises;
+        return mover.brokenPromises();
     }
 
     /** What this entry holds, a row an account. */
     public List<LimitStatus> status(long nowMillis) {
         return table.rows().stream()
-                .map(bucket -> LimitStatuses.of(nowMillis, bucket, ledger.pendingParts(bucket.key)))
+                .map(bucket -> LimitStatuses.of(nowMillis, bucket, mover.pendingParts(bucket.key)))
                 .toList();
     }
 }
--- a/wire/src/main/java/org/quetzalshunt/wire/record/ConfigurationRecordCodec.java
+++ b/wire/src/main/java/org/quetzalshunt/wire/record/ConfigurationRecordCodec.java
@@ -1,6 +1,5 @@
 package org.quetzalshunt.wire.record;
 
-import java.util.List;
 import java.util.Optional;
 import org.quetzalshunt.core.configuration.ConfigurationChange;
 import org.quetzalshunt.core.configuration.ConfigurationChange.AuditEntry;
@@ -14,7 +13,6 @@
 import org.quetzalshunt.wire.generated.ConfigurationCheckpoint;
 import org.quetzalshunt.wire.generated.ConfigurationRecord;
 import org.quetzalshunt.wire.generated.DocumentPut;
-import org.quetzalshunt.wire.generated.LimitGeneration;
 import org.quetzalshunt.wire.generated.Opaque;
 import org.quetzalshunt.wire.message.MessageCodec;
 
@@ -28,7 +26,6 @@
 
     private static final int MAXIMUM_NAME_LENGTH = 256;
     private static final int MAXIMUM_DETAIL_LENGTH = 4_096;
-    private static final int MAXIMUM_MEMBERS = 10_000;
 
     private ConfigurationRecordCodec() {}
 
@@ -46,7 +43,7 @@
         return switch (record.getSetField()) {
             case DOCUMENT_PUT -> fromDocumentPut(record.getDocumentPut());
             case AUDIT_NOTE -> fromAuditNote(record.getAuditNote());
-            case LIMIT_GENERATION -> fromLimitGeneration(record.getLimitGeneration());
+            case LIMIT_GENERATION -> LimitGenerationCodec.read(record.getLimitGeneration());
             case CHECKPOINT -> fromCheckpoint(record.getCheckpoint());
             case OPAQUE -> fromOpaque(record.getOpaque());
         };
@@ -61,12 +58,7 @@
                     entry.author(), entry.notedMillis(), entry.resultCode(), entry.service(), entry.detail()));
         }
         if (change instanceof LimitGenerationChange generation) {
-            return ConfigurationRecord.limitGeneration(new LimitGeneration(
-                    generation.basedOnGeneration(),
-                    generation.coordinator(),
-                    generation.incarnation(),
-                    generation.members(),
-                    generation.notedMillis()));
+            return ConfigurationRecord.limitGeneration(LimitGenerationCodec.write(generation));
         }
         if (change instanceof CheckpointChange checkpoint) {
             return ConfigurationRecord.checkpoint(toCheckpoint(checkpoint));
@@ -132,22 +124,6 @@
                 note.getDetail()));
     }
 
-    private static Optional<ConfigurationChange> fromLimitGeneration(LimitGeneration generation) {
-        List<String> members = generation.getMembers();
-        if (!areNames(generation.getCoordinator()) || members == null || members.size() > MAXIMUM_MEMBERS) {
-            return Optional.empty();
-        }
-        if (!areNames(members.toArray(new String[0]))) {
-            return Optional.empty();
-        }
-        return Optional.of(new LimitGenerationChange(
-                generation.getBasedOnGeneration(),
-                generation.getCoordinator(),
-                generation.getIncarnation(),
-                List.copyOf(members),
-                generation.getNotedMillis()));
-    }
-
     private static Optional<ConfigurationChange> fromCheckpoint(ConfigurationCheckpoint checkpoint) {
         if (checkpoint.getState() == null) {
             return Optional.empty();
@@ -164,7 +140,8 @@
         return Optional.of(new OpaqueChange(opaque.getKind(), opaque.getPayload()));
     }
 
-    private static boolean areNames(String... names) {
+    /** Whether all are there and short enough to be names. */
+    static boolean areNames(String... names) {
         for (String name : names) {
             if (name == null || name.length() > MAXIMUM_NAME_LENGTH) {
                 return false;
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -145,6 +145,17 @@
   14: optional i64 configurationNext
 }
 
+/** One VM's word about itself, passed on by another. */
+struct HeartbeatWord {
+  1: string vm
+  2: i64 incarnation
+  3: i64 beat
+  4: i64 configurationNext
+  5: i64 configurationAgeMillis
+  6: bool leaving
+  7: list<i32> ownedShards
+}
+
 struct Heartbeat {
   1: string vm
   2: i64 incarnation
@@ -154,6 +165,8 @@
   6: list<i32> ownedShards
   7: i64 sentMillis
   8: optional i64 echoedSentMillis
+  9: optional i64 beat
+  10: optional list<HeartbeatWord> digest
 }
 
 struct LimitRequest {
@@ -162,6 +175,11 @@
   3: i64 transfer
   4: i64 wantedMicroTokens
   5: i64 incarnation
+  6: optional string serviceName
+  7: optional string asker
+  8: optional i64 heldParts
+  9: optional i64 demandMilliTokens
+  10: optional bool passedOn
 }
 
 struct LimitTransfer {
@@ -172,6 +190,8 @@
   5: i64 ratePartsPerMillion
   6: i64 incarnation
   7: optional i64 answeredIncarnation
+  8: optional string serviceName
+  9: optional i64 settledBelow
 }
 
 struct LimitAcknowledgement {
@@ -181,6 +201,33 @@
   4: i64 incarnation
 }
 
+struct LimitHolding {
+  1: string serviceName
+  2: string clientAccount
+  3: i64 partsPerMillion
+}
+
+/** What a member carried over into a generation, told to one home. */
+struct LimitCarryReport {
+  1: i64 generation
+  2: list<LimitHolding> holdings
+}
+
+struct LimitCarryAcknowledgement {
+  1: i64 generation
+}
+
+/** Asks for the word that no newer generation is known. */
+struct LimitLeaseRequest {
+  1: i64 generation
+  2: i64 sentMillis
+}
+
+struct LimitLeaseWord {
+  1: i64 generation
+  2: i64 sentMillis
+}
+
 /** Extension point: a message whose payload a subsystem encodes itself. */
 struct Opaque {
   1: string kind
@@ -209,6 +256,10 @@
   19: LimitTransfer limitTransfer
   20: LimitAcknowledgement limitAcknowledgement
   21: Opaque opaque
+  22: LimitCarryReport limitCarryReport
+  23: LimitCarryAcknowledgement limitCarryAcknowledgement
+  24: LimitLeaseRequest limitLeaseRequest
+  25: LimitLeaseWord limitLeaseWord
 }
 
 /* Records of the shard streams. */
@@ -355,6 +406,10 @@
   3: i64 incarnation
   4: list<string> members
   5: i64 notedMillis
+  6: optional list<i64> memberIncarnations
+  7: optional list<string> formerMembers
+  8: optional list<i64> formerIncarnations
+  9: optional bool longWait
 }
 
 struct ConfigurationCheckpoint {
--- a/wire/src/test/java/org/quetzalshunt/wire/record/ConfigurationRecordCodecTest.java
+++ b/wire/src/test/java/org/quetzalshunt/wire/record/ConfigurationRecordCodecTest.java
@@ -15,6 +15,8 @@
 import org.quetzalshunt.core.configuration.ConfigurationChange.CheckpointChange;
 import org.quetzalshunt.core.configuration.ConfigurationChange.DocumentChange;
 import org.quetzalshunt.core.configuration.ConfigurationChange.LimitGenerationChange;
+import org.quetzalshunt.core.limit.LimitGenerationRecord;
+import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.wire.document.DocumentReader;
 import org.quetzalshunt.wire.generated.ConfigurationRecord;
 import org.quetzalshunt.wire.generated.DocumentPut;
@@ -40,7 +42,14 @@
                 put("tutor", TEXT),
                 new DocumentChange("tutor", 3, "mawe", "asha", 5, "change", Optional.empty(), ""),
                 new AuditEntry("asha", 7, 6000, "tutor", "conflict"),
-                new LimitGenerationChange(-1, "vm1", 9, List.of("vm1", "vm2"), 11));
+                new LimitGenerationChange(
+                        new LimitGenerationRecord(
+                                -1,
+                                VmId.of("vm1", 9),
+                                List.of(VmId.of("vm1", 9), VmId.of("vm2", 8)),
+                                List.of(VmId.of("vm2", 7)),
+                                true),
+                        11));
     }
 
     @ParameterizedTest
