--- a/core/src/main/java/org/quetzalshunt/core/attempt/EventStreamParser.java
+++ b/core/src/main/java/org/quetzalshunt/core/attempt/EventStreamParser.java
@@ -49,7 +49,9 @@
                 append(bytes, start, index);
                 start = index + 1;
                 skipLineFeed = current == '\r';
-                endLine();
+                if (!tooLong) {
+                    endLine();
+                }
             }
         }
         append(bytes, start, bytes.length);
