Sidecar: orders to engines over HTTP, former incarnations cut off, faults over real sockets

Cause: rollouts had no way to the engine; an entry's former process could still give orders; failures were tested in the core only. Change: EngineOrders carries orders and weight store questions, SidecarProcess.desiredModels is the hook for the configuration; a link of a former incarnation is closed and stays closed; stop and kill on an ended process are no error (RejectedExecutionException before). Fault tests run a real sidecar on loopback with scripted endpoints.

--- a/server/src/main/java/org/quetzalshunt/server/sidecar/EndpointHealth.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/EndpointHealth.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.sidecar;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.quetzalshunt.core.document.ServiceKind;
 
 /**
@@ -16,6 +17,7 @@
 
     private final boolean engine;
     private final SidecarTimes times;
+    private final Consumer<EndpointLoad> whenAnswered;
     private EndpointLoad load = EndpointLoad.UNKNOWN;
     private int failures;
     private boolean answered;
@@ -23,7 +25,8 @@
     private long nextPollMillis;
     private long restsUntilMillis;
 
-    EndpointHealth(ServiceKind kind, SidecarTimes times) {
+    EndpointHealth(ServiceKind kind, SidecarTimes times, Consumer<EndpointLoad> whenAnswered) {
+        this.whenAnswered = whenAnswered;
         this.engine = kind == ServiceKind.ENGINE;
         this.times = times;
     }
@@ -68,5 +71,6 @@
         answered = true;
         failures = 0;
         load = answer.get();
+        whenAnswered.accept(load);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/EndpointLoad.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/EndpointLoad.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
+import org.quetzalshunt.core.attempt.ModelVersion;
 
 /**
  * What an endpoint says of its load.
@@ -13,7 +14,7 @@
  * @param cachedTokens tokens in the prefix cache
  * @param cacheCapacityTokens tokens that fit there
  * @param tokensPerSecond speed of decoding, all requests together
- * @param models loaded models, each as {@code name@version}
+ * @param models loaded models
  */
 record EndpointLoad(
         int running,
@@ -22,7 +23,7 @@
         long cachedTokens,
         long cacheCapacityTokens,
         long tokensPerSecond,
-        List<String> models) {
+        List<ModelVersion> models) {
     static final EndpointLoad UNKNOWN = new EndpointLoad(0, 0, 0, 0, 0, 0, List.of());
 
     static EndpointLoad read(JsonNode load) {
@@ -36,11 +37,12 @@
                 models(load.path("models")));
     }
 
-    private static List<String> models(JsonNode models) {
-        List<String> names = new ArrayList<>();
+    private static List<ModelVersion> models(JsonNode models) {
+        List<ModelVersion> loaded = new ArrayList<>();
         for (JsonNode model : models) {
-            names.add(model.path("model").asText() + "@" + model.path("version").asText());
+            loaded.add(new ModelVersion(
+                    model.path("model").asText(), model.path("version").asText()));
         }
-        return List.copyOf(names);
+        return List.copyOf(loaded);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/EngineClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/EngineClient.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -48,8 +46,7 @@
 
     /** Frees a program's entry; the receiver hears whether the engine did. */
     void freeCache(String program, Consumer<Boolean> receiver) {
-        String path = "/engine/cache/"
-                + URLEncoder.encode(program, StandardCharsets.UTF_8).replace("+", "%20");
+        String path = "/engine/cache/" + PathSegments.encode(program);
         send(
                 "DELETE",
                 path,
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/EngineOrders.java
@@ -0,0 +1,170 @@
+package org.quetzalshunt.server.sidecar;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.quetzalshunt.core.attempt.ModelRollout;
+import org.quetzalshunt.core.attempt.ModelVersion;
+import org.quetzalshunt.core.attempt.OrderAnswer;
+import org.quetzalshunt.core.attempt.RolloutOutput;
+import org.quetzalshunt.core.attempt.RolloutStatus;
+import org.quetzalshunt.core.attempt.RolloutSteps;
+import org.quetzalshunt.core.attempt.WeightsAnswer;
+import org.quetzalshunt.server.http.HttpClient;
+import org.quetzalshunt.wire.json.Json;
+
+/** Carries the orders of a rollout to the engine, and its questions to the weight store. */
+final class EngineOrders {
+    private static final byte[] NO_BODY = {};
+    private static final String ORDERS_PATH = "/engine/orders";
+    private static final int STATUS_CONFLICT = 409;
+    private static final int STATUS_NOT_FOUND = 404;
+    private static final int STATUS_TOO_MANY_REQUESTS = 429;
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    /** The weight store answers when it has fetched a version, which takes tens of seconds for a large one. */
+    private static final long WEIGHTS_TIMEOUT_MILLIS = 120_000;
+
+    private final SidecarSettings settings;
+    private final LongSupplier clock;
+    private final HttpClient client;
+    private final ModelRollout rollout;
+
+    private EngineOrders(EventLoopGroup group, SidecarSettings settings, LongSupplier clock) {
+        this.settings = settings;
+        this.clock = clock;
+        this.client = HttpClient.create(group);
+        this.rollout = ModelRollout.create(this::perform, clock.getAsLong());
+    }
+
+    static EngineOrders create(EventLoopGroup group, SidecarSettings settings, LongSupplier clock) {
+        return new EngineOrders(group, settings, clock);
+    }
+
+    void desire(long version, List<String> names, boolean engineChecksFencing) {
+        List<ModelVersion> models = new ArrayList<>();
+        names.forEach(name -> ModelVersion.parse(name).ifPresent(models::add));
+        long stepMillis = RolloutSteps.delayMillis(
+                settings.id().name(), version, settings.times().rolloutWindowMillis());
+        rollout.desire(version, models, engineChecksFencing, stepMillis, clock.getAsLong());
+    }
+
+    void onLoad(EndpointLoad load) {
+        rollout.onLoaded(load.models(), clock.getAsLong());
+    }
+
+    void tick() {
+        rollout.tick(clock.getAsLong());
+    }
+
+    RolloutStatus status() {
+        return rollout.status();
+    }
+
+    void close() {
+        client.close();
+    }
+
+    private void perform(RolloutOutput output) {
+        if (output instanceof RolloutOutput.FetchWeights fetch) {
+            fetchWeights(fetch.model());
+        } else if (output instanceof RolloutOutput.GiveOrder given) {
+            byte[] body = Json.bytes(body(given));
+            send(settings.endpoint(), "POST", ORDERS_PATH, body, orderTimeout(), answer -> onOrder(taken(answer)));
+        } else if (output instanceof RolloutOutput.AskOrder ask) {
+            String path = ORDERS_PATH + "/" + PathSegments.encode(ask.order());
+            send(settings.endpoint(), "GET", path, NO_BODY, orderTimeout(), answer -> onOrder(standing(answer)));
+        }
+    }
+
+    private void fetchWeights(ModelVersion model) {
+        Optional<InetSocketAddress> platform = settings.platform();
+        if (platform.isEmpty()) {
+            rollout.onWeights(new WeightsAnswer.Ready(), clock.getAsLong());
+            return;
+        }
+        String path = "/weights/" + PathSegments.encode(model.model()) + "/" + PathSegments.encode(model.version());
+        send(
+                platform.get(),
+                "GET",
+                path,
+                NO_BODY,
+                WEIGHTS_TIMEOUT_MILLIS,
+                answer -> rollout.onWeights(weights(answer), clock.getAsLong()));
+    }
+
+    private void onOrder(OrderAnswer answer) {
+        rollout.onOrder(answer, clock.getAsLong());
+    }
+
+    private long orderTimeout() {
+        return settings.times().pollTimeoutMillis();
+    }
+
+    private void send(
+            InetSocketAddress address,
+            String method,
+            String path,
+            byte[] body,
+            long timeoutMillis,
+            Consumer<Optional<WholeAnswer>> receiver) {
+        Map<String, String> headers = Map.of("content-type", "application/json");
+        client.send(address, method, path, headers, body, timeoutMillis, WholeAnswer.gather(receiver));
+    }
+
+    private static ObjectNode body(RolloutOutput.GiveOrder given) {
+        return Json.object()
+                .put("order", given.load() ? "load" : "unload")
+                .put("model", given.model().model())
+                .put("version", given.model().version())
+                .put("fencingToken", given.fencingToken());
+    }
+
+    private static OrderAnswer taken(Optional<WholeAnswer> answer) {
+        if (answer.isPresent() && answer.get().status() == STATUS_CONFLICT) {
+            return new OrderAnswer.Fenced();
+        }
+        Optional<String> order = answer.flatMap(WholeAnswer::json)
+                .map(json -> json.path("order"))
+                .filter(JsonNode::isTextual)
+                .map(JsonNode::asText);
+        if (order.isPresent()) {
+            return new OrderAnswer.Accepted(order.get());
+        }
+        boolean refused = answer.isPresent() && !answer.get().isSuccess();
+        return refused ? new OrderAnswer.Failed() : new OrderAnswer.Unknown();
+    }
+
+    private static OrderAnswer standing(Optional<WholeAnswer> answer) {
+        String state = answer.flatMap(WholeAnswer::json)
+                .map(json -> json.path("state").asText())
+                .orElse("");
+        return switch (state) {
+            case "running" -> new OrderAnswer.Running();
+            case "done" -> new OrderAnswer.Done();
+            case "failed" -> new OrderAnswer.Failed();
+            default -> new OrderAnswer.Unknown();
+        };
+    }
+
+    private static WeightsAnswer weights(Optional<WholeAnswer> answer) {
+        if (answer.isEmpty()) {
+            return new WeightsAnswer.Unknown();
+        }
+        WholeAnswer given = answer.get();
+        if (given.status() == STATUS_NOT_FOUND) {
+            return new WeightsAnswer.Missing();
+        }
+        if (given.status() == STATUS_TOO_MANY_REQUESTS) {
+            return new WeightsAnswer.Later(given.retryAfterSeconds().orElse(1) * MILLIS_PER_SECOND);
+        }
+        return given.isSuccess() ? new WeightsAnswer.Ready() : new WeightsAnswer.Unknown();
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/LinkTable.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/LinkTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.agrona.collections.Long2ObjectHashMap;
+import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.server.transport.PeerLink;
 import org.quetzalshunt.wire.generated.Message;
 
@@ -13,6 +14,7 @@
 final class LinkTable {
     private final Long2ObjectHashMap<PeerLink> byNumber = new Long2ObjectHashMap<>();
     private final Map<PeerLink, Long> numbers = new HashMap<>();
+    private final Map<String, Long> incarnations = new HashMap<>();
     private long nextNumber;
 
     long add(PeerLink link) {
@@ -22,6 +24,25 @@
         return number;
     }
 
+    /**
+     * Notes the incarnation of a link that opened; false when the VM has had a higher one. Guards against the former
+     * process of an entry that was replaced, paused or behind a half-open connection: its orders are void.
+     */
+    boolean noteIncarnation(PeerLink link) {
+        VmId id = link.remote().id();
+        long highest = incarnations.merge(id.name(), id.incarnation(), Math::max);
+        return id.incarnation() == highest;
+    }
+
+    /** Links of former processes of the same VM. */
+    List<PeerLink> listFormer(PeerLink present) {
+        VmId id = present.remote().id();
+        return list().stream()
+                .filter(link -> link.remote().id().name().equals(id.name()))
+                .filter(link -> link.remote().id().incarnation() < id.incarnation())
+                .toList();
+    }
+
     Optional<Long> number(PeerLink link) {
         return Optional.ofNullable(numbers.get(link));
     }
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/Sidecar.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/Sidecar.java
@@ -7,6 +7,7 @@
 import org.quetzalshunt.core.attempt.EndpointGate;
 import org.quetzalshunt.core.attempt.GateCounts;
 import org.quetzalshunt.core.attempt.GateOutput;
+import org.quetzalshunt.core.attempt.RolloutStatus;
 import org.quetzalshunt.core.document.ServiceKind;
 import org.quetzalshunt.core.vm.VmRole;
 import org.quetzalshunt.server.transport.LinkListener;
@@ -24,6 +25,7 @@
     private final EndpointRuns runs;
     private final EngineClient engine;
     private final EndpointHealth health;
+    private final EngineOrders orders;
     private final LinkTable links = new LinkTable();
     private final ReportSender reports;
 
@@ -32,7 +34,8 @@
         this.gate = EndpointGate.create(settings.gateSettings(), this::perform, nowMillis());
         this.runs = EndpointRuns.create(group, settings, this::onEndpoint);
         this.engine = EngineClient.create(group, settings);
-        this.health = new EndpointHealth(settings.kind(), settings.times());
+        this.orders = EngineOrders.create(group, settings, Sidecar::nowMillis);
+        this.health = new EndpointHealth(settings.kind(), settings.times(), orders::onLoad);
         this.reports = new ReportSender(settings, links);
     }
 
@@ -42,11 +45,11 @@
 
     @Override
     public void onOpen(PeerLink link) {
-        if (link.remote().role() != VmRole.ENTRY) {
+        if (link.remote().role() != VmRole.ENTRY || !links.noteIncarnation(link)) {
             link.close();
             return;
         }
-        closeFormer(link);
+        links.listFormer(link).forEach(PeerLink::close);
         links.add(link);
         reports.sendTo(link, gate.counts(), health.load(), isHealthy());
     }
@@ -84,6 +87,7 @@
         long now = nowMillis();
         gate.tick(now);
         health.tick(engine, !links.isEmpty(), now);
+        orders.tick();
         reports.tick(gate.counts(), health.load(), health.isHealthy(now), now);
     }
 
@@ -101,6 +105,17 @@
         links.list().forEach(PeerLink::close);
         runs.close();
         engine.close();
+        orders.close();
+    }
+
+    void desiredModels(long version, List<String> models, boolean engineChecksFencing) {
+        if (settings.kind() == ServiceKind.ENGINE) {
+            orders.desire(version, models, engineChecksFencing);
+        }
+    }
+
+    RolloutStatus rollout() {
+        return orders.status();
     }
 
     SidecarSettings settings() {
@@ -174,20 +189,6 @@
         }
     }
 
-    /**
-     * An entry that was replaced has a higher incarnation. Guards against its former process, paused or behind a
-     * half-open connection, whose orders are void from now on.
-     */
-    private void closeFormer(PeerLink link) {
-        for (PeerLink other : links.list()) {
-            boolean sameVm =
-                    other.remote().id().name().equals(link.remote().id().name());
-            if (sameVm && other.remote().id().incarnation() < link.remote().id().incarnation()) {
-                other.close();
-            }
-        }
-    }
-
     private static long nowMillis() {
         return System.nanoTime() / NANOS_PER_MILLI;
     }
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarProcess.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.quetzalshunt.core.vm.VmRole;
@@ -78,6 +79,24 @@
         return httpServer.port();
     }
 
+    /**
+     * The service's document names models, each as {@code name@version}; what cannot be read as such is left out.
+     * The engine is brought to them. Nothing happens for a version that is not newer than the last.
+     *
+     * @param version version of the document, the fencing token of the orders
+     * @param engineChecksFencing whether the engine refuses orders with an old token; if not, the first order waits
+     *     until those of a former process are over
+     */
+    public void desiredModels(long version, List<String> models, boolean engineChecksFencing) {
+        List<String> copy = List.copyOf(models);
+        group.next().execute(() -> sidecar.desiredModels(version, copy, engineChecksFencing));
+    }
+
+    /** The same for an engine of which it is not known whether it checks fencing tokens. */
+    public void desiredModels(long version, List<String> models) {
+        desiredModels(version, models, false);
+    }
+
     /**
      * Planned stop: refuses new attempts, finishes what runs within a bounded time, and ends. A second call changes
      * nothing.
@@ -85,6 +104,9 @@
      * @return completes when the process has ended
      */
     public CompletableFuture<Void> stop() {
+        if (group.isShuttingDown()) {
+            return stopped;
+        }
         group.next().execute(() -> {
             if (sidecar.counts().leaving()) {
                 return;
@@ -98,6 +120,10 @@
 
     /** Closes everything at once, as a crash would; returns when it is closed. */
     public void kill() {
+        if (group.isShuttingDown()) {
+            group.terminationFuture().syncUninterruptibly();
+            return;
+        }
         group.next().submit(this::close).syncUninterruptibly();
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly();
         stopped.complete(null);
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarSettings.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarSettings.java
@@ -17,7 +17,7 @@
  * @param service name of the service that the endpoint belongs to
  * @param kind what the endpoint is
  * @param endpoint where the endpoint listens
- * @param platform where the platform listens, for the weight store; without it no model is loaded
+ * @param platform where the platform listens, whose weight store is asked before each load; without it, it is not
  * @param secret the deployment's shared secret
  * @param times intervals and bounds
  */
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarTimes.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarTimes.java
@@ -12,6 +12,7 @@
  * @param quickReportMillis between two reports when something does
  * @param drainMillis how long a planned stop waits for running attempts
  * @param graceMillis how long a repeatable attempt runs on with no receiver
+ * @param rolloutWindowMillis time over which the engines of a fleet take up a new version of a model that they serve
  * @param cacheLeaseMillis lease time that entries ask for; cache entries found at the start are left alone that long
  */
 public record SidecarTimes(
@@ -22,6 +23,7 @@
         long quickReportMillis,
         long drainMillis,
         long graceMillis,
+        long rolloutWindowMillis,
         long cacheLeaseMillis) {
     private static final long LOAD_POLL_MILLIS = 250;
     private static final long IDLE_POLL_MILLIS = 1_000;
@@ -32,6 +34,9 @@
     /** The default deadline of a request: whatever was taken in before the stop ends within it. */
     private static final long DRAIN_MILLIS = 60_000;
 
+    /** Short enough for a document to be taken up everywhere within seconds; the loads themselves come on top. */
+    private static final long ROLLOUT_WINDOW_MILLIS = 10_000;
+
     /** Values in force where settings are silent. */
     public static SidecarTimes defaults() {
         return new SidecarTimes(
@@ -42,6 +47,7 @@
                 QUICK_REPORT_MILLIS,
                 DRAIN_MILLIS,
                 GateSettings.DEFAULT_GRACE_MILLIS,
+                ROLLOUT_WINDOW_MILLIS,
                 GateSettings.DEFAULT_ORPHAN_CACHE_MILLIS);
     }
 
@@ -55,6 +61,7 @@
                 quickReportMillis,
                 millis,
                 graceMillis,
+                rolloutWindowMillis,
                 cacheLeaseMillis);
     }
 
@@ -68,6 +75,21 @@
                 quickReportMillis,
                 drainMillis,
                 grace,
+                rolloutWindowMillis,
                 cacheLease);
     }
+
+    /** The same with another time over which a new version of a model is taken up. */
+    public SidecarTimes withRolloutWindowMillis(long millis) {
+        return new SidecarTimes(
+                loadPollMillis,
+                idlePollMillis,
+                pollTimeoutMillis,
+                reportMillis,
+                quickReportMillis,
+                drainMillis,
+                graceMillis,
+                millis,
+                cacheLeaseMillis);
+    }
 }
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/StatusPages.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/StatusPages.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.quetzalshunt.core.attempt.GateCounts;
+import org.quetzalshunt.core.attempt.RolloutStatus;
 import org.quetzalshunt.server.http.HttpExchange;
 import org.quetzalshunt.server.transport.PeerLink;
 import org.quetzalshunt.wire.json.Json;
@@ -42,6 +43,7 @@
         dump.put("openCalls", sidecar.openCalls());
         dump.set("gate", gate(sidecar.counts()));
         dump.set("load", load(sidecar.load()));
+        dump.set("rollout", rollout(sidecar.rollout()));
         dump.set("links", links(sidecar));
         return dump;
     }
@@ -68,11 +70,23 @@
         values.put("cacheCapacityTokens", load.cacheCapacityTokens());
         values.put("tokensPerSecond", load.tokensPerSecond());
         ArrayNode models = Json.array();
-        load.models().forEach(models::add);
+        load.models().forEach(model -> models.add(model.toString()));
         values.set("models", models);
         return values;
     }
 
+    private static ObjectNode rollout(RolloutStatus status) {
+        ObjectNode values = Json.object();
+        values.put("version", status.version());
+        values.put("phase", status.phase());
+        values.put("rolledBack", status.rolledBack());
+        values.put("ordersGiven", status.ordersGiven());
+        ArrayNode target = Json.array();
+        status.target().forEach(model -> target.add(model.toString()));
+        values.set("target", target);
+        return values;
+    }
+
     private static ArrayNode links(Sidecar sidecar) {
         ArrayNode links = Json.array();
         for (PeerLink link : sidecar.links()) {
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/WholeAnswer.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/WholeAnswer.java
@@ -12,10 +12,10 @@
  * A short answer of the engine or the platform, gathered whole.
  *
  * @param status HTTP status
- * @param retryAfterSeconds value of {@code Retry-After}, as it came
+ * @param retryAfterSeconds value of {@code Retry-After} where it is a number
  * @param body body, cut at the bound
  */
-record WholeAnswer(int status, Optional<String> retryAfterSeconds, byte[] body) {
+record WholeAnswer(int status, Optional<Integer> retryAfterSeconds, byte[] body) {
     /** A list of ten thousand cache entries fits. */
     private static final int MAXIMUM_BYTES = 2 * 1024 * 1024;
 
@@ -40,7 +40,7 @@
         private final Consumer<Optional<WholeAnswer>> receiver;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
-        private Optional<String> retryAfter = Optional.empty();
+        private Optional<Integer> retryAfter = Optional.empty();
 
         private Gathering(Consumer<Optional<WholeAnswer>> receiver) {
             this.receiver = receiver;
@@ -49,7 +49,7 @@
         @Override
         public void onHead(int newStatus, HttpHeaders headers) {
             status = newStatus;
-            retryAfter = Optional.ofNullable(headers.get("retry-after"));
+            retryAfter = Optional.ofNullable(headers.getInt("retry-after"));
         }
 
         @Override
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEndpoint.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEndpoint.java
@@ -55,8 +55,19 @@
                 .toList();
     }
 
-    void kill() {
-        group.next().submit(server::close).syncUninterruptibly();
+    /** Runs on the endpoint's event loop, on which answers are written. */
+    void run(Runnable action) {
+        group.next().submit(action).syncUninterruptibly();
+    }
+
+    /** Returns when everything that was asked of the event loop before is done. */
+    void awaitLoop() {
+        run(() -> {});
+    }
+
+    /** Breaks every connection and takes no more; may be called by a script. */
+    void die() {
+        group.next().execute(server::close);
     }
 
     void close() {
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEntry.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEntry.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.core.vm.VmRole;
@@ -33,15 +34,16 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Message> messages = new CopyOnWriteArrayList<>();
     private final LinkConnector connector;
+    private final AtomicInteger closings = new AtomicInteger();
     private volatile PeerLink link;
 
-    private FakeEntry(String vm, byte[] secret) {
-        LinkIdentity self = new LinkIdentity(VmId.of(vm, 1), VmRole.ENTRY, "here");
+    private FakeEntry(VmId id, byte[] secret) {
+        LinkIdentity self = new LinkIdentity(id, VmRole.ENTRY, "here");
         this.connector = LinkConnector.create(group, LinkSettings.of(self, secret), this);
     }
 
-    static FakeEntry connect(String vm, byte[] secret, int port) {
-        FakeEntry entry = new FakeEntry(vm, secret);
+    static FakeEntry connect(VmId id, byte[] secret, int port) {
+        FakeEntry entry = new FakeEntry(id, secret);
         entry.group
                 .next()
                 .execute(() ->
@@ -58,6 +60,10 @@
         return link != null;
     }
 
+    int closings() {
+        return closings.get();
+    }
+
     void start(AttemptStart start) {
         send(Message.attemptStart(start));
     }
@@ -145,6 +151,7 @@
     @Override
     public void onClose(PeerLink closed) {
         link = null;
+        closings.incrementAndGet();
     }
 
     private static boolean isEnd(Message message, long attempt) {
