Fleet-wide rates in force on the path

Cause: the entry admitted everything; the limits had no messages on the wire and no place in the process. Change: Thrift form of the limits' messages, generations with their members' incarnations in the configuration stream, LimitHost between documents, peers and the callers' interface; an entry is ready only once it can have tokens; a starting entry listens for two seconds before it claims shards or proposes a generation. Ruled out: a shorter settling time in the proposer; entries that have not heard each other yet would still leave each other out, and the accounts then wait 13 s for the parts. Conclusion: the crash of two of three entries costs an account its parts until their leases have ended; the test's caller follows 429, as callers do.

--- a/server/src/main/java/org/quetzalshunt/server/entry/ConfigurationHost.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ConfigurationHost.java
@@ -4,7 +4,6 @@
 import org.quetzalshunt.core.configuration.Configuration;
 import org.quetzalshunt.core.configuration.ConfigurationChange;
 import org.quetzalshunt.core.configuration.Freshness;
-import org.quetzalshunt.core.log.LogFold;
 import org.quetzalshunt.core.log.LogTransport;
 import org.quetzalshunt.core.log.StreamSession;
 import org.quetzalshunt.core.log.StreamSettings;
@@ -25,38 +24,10 @@
     private final Freshness freshness = Freshness.create(FRESHNESS_MILLIS);
     private final StreamSession session;
 
-    ConfigurationHost(EntryClock clock, String writerId, long seed, LogTransport transport, LogFold alsoFoldedInto) {
+    ConfigurationHost(EntryClock clock, String writerId, long seed, LogTransport transport) {
         this.clock = clock;
         this.session = StreamSession.create(
-                STREAM, StreamSettings.tailing(COMMIT_MILLIS, seed), writerId, transport, both(alsoFoldedInto));
-    }
-
-    private LogFold both(LogFold other) {
-        return new LogFold() {
-            @Override
-            public void apply(long offset, byte[] record, int indexInBatch) {
-                configuration.apply(offset, record, indexInBatch);
-                other.apply(offset, record, indexInBatch);
-            }
-
-            @Override
-            public void gap(long firstKept) {
-                configuration.gap(firstKept);
-                other.gap(firstKept);
-            }
-
-            @Override
-            public void malformed(long offset) {
-                configuration.malformed(offset);
-                other.malformed(offset);
-            }
-
-            @Override
-            public void foldedBelow(long position) {
-                configuration.foldedBelow(position);
-                other.foldedBelow(position);
-            }
-        };
+                STREAM, StreamSettings.tailing(COMMIT_MILLIS, seed), writerId, transport, configuration);
     }
 
     Configuration configuration() {
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryLinks.java
@@ -8,6 +8,7 @@
 import org.quetzalshunt.wire.generated.EndpointReport;
 import org.quetzalshunt.wire.generated.ForwardRequest;
 import org.quetzalshunt.wire.generated.Message;
+import org.quetzalshunt.wire.message.LimitMessageCodec;
 
 /** What an entry does with each event on its links. */
 final class EntryLinks {
@@ -17,6 +18,7 @@
     private final OwnerRouter router;
     private final ShardOfRequest shardOf;
     private final EntryClock clock;
+    private final LimitHost limits;
     private final Map<PeerLink, Map<Long, ForwardSink>> sinks = new HashMap<>();
 
     /** Works out the shard of a request that another entry passed on. */
@@ -31,7 +33,9 @@
             WorkBoard board,
             OwnerRouter router,
             ShardOfRequest shardOf,
-            EntryClock clock) {
+            EntryClock clock,
+            LimitHost limits) {
+        this.limits = limits;
         this.peers = peers;
         this.attempts = attempts;
         this.board = board;
@@ -114,7 +118,7 @@
             case FORWARD_HEAD -> router.onHead(message.getForwardHead());
             case FORWARD_CHUNK -> router.onChunk(message.getForwardChunk());
             case FORWARD_END -> router.onEnd(message.getForwardEnd());
-            default -> {}
+            default -> LimitMessageCodec.read(message).ifPresent(limit -> limits.onMessage(link, limit));
         }
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
@@ -55,6 +55,8 @@
     private AdminApi admin;
     private CacheKeeper caches;
     private EntryLinks entryLinks;
+    private LimitHost limits;
+    private final Joining joining = new Joining(clock);
     private boolean stopping;
     private long stopDeadline;
 
@@ -92,7 +94,7 @@
         LogClient log = LogClient.create(client, List.of(settings.platform()), clock::now);
         EntryMeasures measures = new EntryMeasures();
         membership = Membership.create(self, selfVm, MembershipSettings.defaults());
-        configuration = new ConfigurationHost(clock, self.toString(), self.incarnation(), log, LimitFold.none());
+        configuration = new ConfigurationHost(clock, self.toString(), self.incarnation(), log);
         log.attach(configuration.session());
         attempts = new AttemptBoard(clock, self.incarnation());
         board = new WorkBoard(
@@ -115,6 +117,7 @@
                 self,
                 clock,
                 membership,
+                joining,
                 settings.shards(),
                 settings.commitIntervalMillis(),
                 log,
@@ -123,19 +126,13 @@
         shards.sessions().forEach(log::attach);
         router = new OwnerRouter(clock, self.name(), shards::ownerOf, service::handle);
         peers = new Peers(self, clock, membership, configuration);
+        limits = new LimitHost(self, clock, configuration, membership, joining, peers.entryLinks());
         entryLinks = new EntryLinks(
-                peers, attempts, board, router, request -> RequestShards.of(request, settings.shards()), clock);
+                peers, attempts, board, router, request -> RequestShards.of(request, settings.shards()), clock, limits);
         vmList = new VmListPoller(client, settings.platform(), clock, this::onVmList);
         RequestIds requestIds = new RequestIds(self.incarnation(), self.name());
         callers = new CallerApi(
-                clock,
-                configuration,
-                new OpenRateGate(),
-                router,
-                measures,
-                requestIds,
-                settings.shards(),
-                () -> stopping);
+                clock, configuration, limits, router, measures, requestIds, settings.shards(), () -> stopping);
         admin = new AdminApi(clock, configuration, requestIds, settings.operatorKeyHashes());
         measures.gauge("quetzalshunt.work.queued", () -> board.scheduler().queued());
         measures.gauge("quetzalshunt.work.running", () -> board.scheduler().running());
@@ -157,6 +154,7 @@
         configuration.tick();
         shards.tick();
         board.tick();
+        limits.tick();
         attempts.tick(clock.now());
     }
 
@@ -172,7 +170,7 @@
 
     private void onVmList(List<Vm> vms) {
         membership.onVmList(clock.now(), vms);
-        shards.vmsListed();
+        joining.vmsListed();
         connector.want(peers.wantedAddresses());
     }
 
@@ -205,7 +203,11 @@
     }
 
     private boolean isReady() {
-        return !stopping && configuration.isReady() && configuration.isFresh() && vmList.readOnce();
+        return !stopping
+                && configuration.isReady()
+                && configuration.isFresh()
+                && vmList.readOnce()
+                && limits.isServing();
     }
 
     /** Port for callers and operators. */
@@ -232,6 +234,7 @@
             stopping = true;
             stopDeadline = clock.now() + settings.stopMillis();
             shards.leave();
+            limits.leave();
         });
         return stopped;
     }
--- a/server/src/main/java/org/quetzalshunt/server/entry/ShardHost.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ShardHost.java
@@ -24,26 +24,21 @@
     /** A new owner's first heartbeat may lag its claim; claiming over a live owner would only move work about. */
     private static final long SILENT_OWNER_MILLIS = 3_000;
 
-    /**
-     * Time in which a starting entry hears of the others before it claims. Without it each entry of a fleet that starts
-     * together takes itself for the only one, and shards change hands several times in the first second.
-     */
-    private static final long JOIN_MILLIS = 2_000;
-
     /** A candidate must stay the candidate this long before a shard is handed to it, or a flapping VM moves shards. */
     private static final long STABLE_MILLIS = 5_000;
 
     private final VmId self;
     private final EntryClock clock;
     private final Membership membership;
+    private final Joining joining;
     private final List<HostedShard> shards = new ArrayList<>();
     private boolean leaving;
-    private long listedMillis;
 
     ShardHost(
             VmId self,
             EntryClock clock,
             Membership membership,
+            Joining joining,
             int count,
             long commitIntervalMillis,
             LogTransport transport,
@@ -52,6 +47,7 @@
         this.self = self;
         this.clock = clock;
         this.membership = membership;
+        this.joining = joining;
         for (int number = 0; number < count; number++) {
             shards.add(host(number, commitIntervalMillis, transport, codec, listener));
         }
@@ -113,15 +109,6 @@
                 .findFirst();
     }
 
-    /** Notes that the VM list was read, from when on other entries can be heard. */
-    void vmsListed() {
-        listedMillis = listedMillis == 0 ? clock.now() : listedMillis;
-    }
-
-    private boolean hasJoined(long now) {
-        return listedMillis > 0 && now - listedMillis >= JOIN_MILLIS;
-    }
-
     /** Starts to hand every shard over. */
     void leave() {
         leaving = true;
@@ -176,7 +163,7 @@
         hosted.misplacedSince = 0;
         int number = hosted.shard.number();
         boolean mine = !leaving
-                && hasJoined(now)
+                && joining.isOver()
                 && membership.candidate(number).filter(self.name()::equals).isPresent();
         if (!mine || hosted.deciding || liveOwner(number).isPresent()) {
             hosted.unownedSince = 0;
