Shards outlive retention: checkpoints, rebuild after a gap, and a start from nothing

Cause: an entry that took a shard over after the log had dropped its first records began with an empty state: programs, budgets and kept results were gone. Change: the owner re-publishes its shard in parts; after a gap a reader holds records until a checkpoint covers it, and claims nothing before; a stream of which nothing is kept is claimed at one exact offset. Ageing goes by the stream's own times. The other faults are mended in the fold or the shard.

--- a/core/src/main/java/org/quetzalshunt/core/configuration/Configuration.java
+++ b/core/src/main/java/org/quetzalshunt/core/configuration/Configuration.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import org.quetzalshunt.core.configuration.ConfigurationChange.AuditEntry;
 import org.quetzalshunt.core.configuration.ConfigurationChange.CheckpointChange;
+import org.quetzalshunt.core.log.CheckpointParts;
 import org.quetzalshunt.core.log.LogFold;
 
 /**
@@ -22,7 +23,7 @@
     private static final int REMEMBERED_INVALID = 100;
 
     private final RecordReader reader;
-    private final CheckpointParts checkpointParts = new CheckpointParts();
+    private final CheckpointParts checkpointParts = CheckpointParts.create();
     private final List<Runnable> listeners = new ArrayList<>();
     private final List<AcceptedRecord> sinceGap = new ArrayList<>();
     private final List<Long> invalidOffsets = new ArrayList<>();
@@ -175,7 +176,15 @@
      * @param maximumPartBytes largest part, in octets of state
      */
     public List<CheckpointChange> checkpointChanges(int maximumPartBytes) {
-        return complete ? CheckpointParts.cut(next, checkpoint(), maximumPartBytes) : List.of();
+        if (!complete) {
+            return List.of();
+        }
+        List<byte[]> parts = CheckpointParts.cut(checkpoint(), maximumPartBytes);
+        List<CheckpointChange> changes = new ArrayList<>(parts.size());
+        for (int part = 0; part < parts.size(); part++) {
+            changes.add(new CheckpointChange(next, part, parts.size(), parts.get(part)));
+        }
+        return changes;
     }
 
     /** Offset below which the newest whole checkpoint covers the stream; -1 when none was seen. */
@@ -197,7 +206,8 @@
             malformed(offset);
             return;
         }
-        Optional<byte[]> whole = checkpointParts.add(change);
+        Optional<byte[]> whole =
+                checkpointParts.add(change.coversBelow(), change.part(), change.parts(), change.state());
         if (whole.isEmpty()) {
             return;
         }
--- a/core/src/main/java/org/quetzalshunt/core/program/History.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/History.java
@@ -21,6 +21,13 @@
         bytes += message.length;
     }
 
+    /** Gives the messages of a program that has ended back; its results are kept elsewhere. */
+    void forget() {
+        messages.clear();
+        hash = EMPTY;
+        bytes = 0;
+    }
+
     byte[] hash() {
         return hash;
     }
--- a/core/src/main/java/org/quetzalshunt/core/program/Program.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/Program.java
@@ -14,6 +14,9 @@
     final String createdBy;
     final History history = new History();
     int turns;
+    /** Request whose turn was the last to end. */
+    String lastRequestId = "";
+
     long contextTokens;
     /** Spending of this program and, for a root, of its whole tree. */
     long spentTokens;
--- a/core/src/main/java/org/quetzalshunt/core/program/Shard.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/Shard.java
@@ -2,13 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.agrona.collections.Object2ObjectHashMap;
 import org.quetzalshunt.core.document.ServiceLimits;
+import org.quetzalshunt.core.log.CheckpointParts;
 import org.quetzalshunt.core.log.LogFold;
 import org.quetzalshunt.core.result.Outcome;
 import org.quetzalshunt.core.result.Refusal;
@@ -23,6 +26,7 @@
  */
 public final class Shard implements LogFold {
     private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final long NOT_OWNED = -1;
 
     private final int number;
     private final VmId self;
@@ -30,10 +34,13 @@
     private final ShardRecordCodec codec;
     private final RecordSubmitter submitter;
     private final ShardListener listener;
-    private final ShardState state = new ShardState();
+    private final ShardRebuild rebuild;
     private final Map<String, TurnQueue> queues = new Object2ObjectHashMap<>();
     private final CallTable calls = new CallTable();
-    private boolean ownedBefore;
+    private final Set<String> ending = new HashSet<>();
+    private ShardState state;
+    private long next;
+    private long ownedEpoch = NOT_OWNED;
     private long sweptMillis;
 
     private Shard(
@@ -49,6 +56,8 @@
         this.codec = codec;
         this.submitter = submitter;
         this.listener = listener;
+        this.rebuild = new ShardRebuild(settings.resultMillis());
+        this.state = new ShardState(settings.resultMillis());
     }
 
     /** Makes a shard that has folded nothing yet. */
@@ -99,6 +108,23 @@
             return;
         }
         ShardRecord record = decoded.get();
+        if (record instanceof ShardRecord.Checkpoint checkpoint) {
+            rebuild.take(offset, checkpoint).ifPresent(this::restore);
+            return;
+        }
+        if (record instanceof ShardRecord.Claim claim && claim.basedOnEpoch() == nothingKeptAt(offset)) {
+            restore(new ShardState(settings.resultMillis()));
+            applyWhole(offset, new ShardRecord.Claim(0, claim.vm(), claim.incarnation(), false));
+            return;
+        }
+        if (rebuild.isActive()) {
+            rebuild.hold(offset, record, bytes.length);
+            return;
+        }
+        applyWhole(offset, record);
+    }
+
+    private void applyWhole(long offset, ShardRecord record) {
         boolean valid = state.apply(offset, record);
         if (valid && record instanceof ShardRecord.Claim) {
             ownershipChanged();
@@ -108,15 +134,72 @@
         }
     }
 
+    private void restore(ShardState restored) {
+        rebuild.end();
+        state = restored;
+        ownershipChanged();
+    }
+
     @Override
     public void gap(long firstKept) {
-        state.reset();
+        state = new ShardState(settings.resultMillis());
+        rebuild.begin(firstKept);
+        next = firstKept;
         ownershipChanged();
     }
 
+    @Override
+    public void foldedBelow(long position) {
+        next = position;
+    }
+
+    /** Whether the state is that of a reader that saw every record; otherwise nothing may be decided on it. */
+    public boolean complete() {
+        return !rebuild.isActive();
+    }
+
+    /** Offset below which the newest whole checkpoint covers the stream; -1 when none was seen. */
+    public long checkpointCoversBelow() {
+        return rebuild.newestCoversBelow();
+    }
+
+    /**
+     * The state as records for the stream; none while it is not complete.
+     *
+     * @param maximumPartBytes largest part, in octets of state
+     */
+    public List<byte[]> checkpointRecords(int maximumPartBytes) {
+        if (!complete()) {
+            return List.of();
+        }
+        List<byte[]> parts = CheckpointParts.cut(ShardCheckpointForm.encode(state), maximumPartBytes);
+        List<byte[]> records = new ArrayList<>(parts.size());
+        for (int part = 0; part < parts.size(); part++) {
+            records.add(
+                    codec.encode(new ShardRecord.Checkpoint(state.epoch(), next, part, parts.size(), parts.get(part))));
+        }
+        return records;
+    }
+
+    /**
+     * Base of a claim on a stream of which the log keeps nothing: all that it said has expired, and so has the epoch on
+     * which a claim would be based. An owner alive re-publishes its state, so nothing kept means that none was alive for
+     * as long as the log keeps records. The claim counts only at the very offset it names, so that no record can have
+     * come between.
+     */
+    private static long nothingKeptAt(long offset) {
+        return -1 - offset;
+    }
+
     /** Claims the shard, based on the epoch folded so far; the callback hears whether the claim won. */
     public void claim(Consumer<Boolean> whenDecided) {
-        ShardRecord.Claim claim = new ShardRecord.Claim(state.epoch(), self.name(), self.incarnation(), false);
+        boolean nothingKept = rebuild.isActive() && next == rebuild.gapEnd();
+        if (rebuild.isActive() && !nothingKept) {
+            whenDecided.accept(false);
+            return;
+        }
+        long base = nothingKept ? nothingKeptAt(next) : state.epoch();
+        ShardRecord.Claim claim = new ShardRecord.Claim(base, self.name(), self.incarnation(), false);
         submitter.submit(codec.encode(claim), folded -> whenDecided.accept(isOwned()));
     }
 
@@ -187,11 +270,12 @@
 
     /** Ends a program and its sub-agents; the callback hears once it is durable. */
     public void endProgram(long nowMillis, String program, ResultCode code, Consumer<Boolean> whenDone) {
+        ending.add(program);
         ShardRecord.ProgramEnded ended = new ShardRecord.ProgramEnded(state.epoch(), program, code.number(), nowMillis);
-        submit(
-                ended,
-                folded -> whenDone.accept(
-                        state.program(program).filter(Program::isEnded).isPresent()));
+        submit(ended, folded -> {
+            ending.remove(program);
+            whenDone.accept(state.program(program).filter(Program::isEnded).isPresent());
+        });
     }
 
     /** Takes a request for a turn. The host must know the request id before, since it may start at once. */
@@ -288,10 +372,10 @@
         }
         ShardRecord.ReservationRaised raised =
                 new ShardRecord.ReservationRaised(state.epoch(), program.id, start.reservation());
-        submit(raised, folded -> raisedThenStart(program, start));
+        submit(raised, folded -> raisedThenStart(nowMillis, program, start));
     }
 
-    private void raisedThenStart(Program program, TurnStart start) {
+    private void raisedThenStart(long nowMillis, Program program, TurnStart start) {
         boolean stillRunning = isOwned()
                 && program.recordedReservation >= start.reservation()
                 && Optional.ofNullable(queues.get(program.id))
@@ -305,6 +389,8 @@
         listener.onRefused(
                 start.request().requestId(),
                 Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "the shard passed on", RETRY_AFTER_MILLIS));
+        // When the record was refused, for a full backlog say, the shard is still owned and the program must go on.
+        closeTurn(nowMillis, start);
     }
 
     /** A request outside any program is a program of one turn, recorded together with the end of that turn. */
@@ -343,7 +429,7 @@
         ShardRecord.TurnEnded ended = TurnRecords.ended(nowMillis, state.epoch(), program, start, result);
         submit(ended, folded -> {
             boolean kept = state.program(request.program())
-                    .filter(found -> found.turns >= start.turn())
+                    .filter(found -> found.lastRequestId.equals(request.requestId()))
                     .isPresent();
             whenDurable.accept(folded && kept && isOwned());
             closeTurn(nowMillis, start);
@@ -487,7 +573,7 @@
         if (isOwned()) {
             endIdlePrograms(nowMillis);
         }
-        state.forgetBefore(nowMillis - settings.resultMillis());
+        state.sweep();
     }
 
     private void expireWaiting(long nowMillis) {
@@ -507,6 +593,8 @@
     private void endIdlePrograms(long nowMillis) {
         state.programs().stream()
                 .filter(program -> !program.isEnded() && !queues.containsKey(program.id))
+                // One record each, however long the log is down: the backlog is for turns.
+                .filter(program -> !ending.contains(program.id))
                 .filter(program -> program.lastActiveMillis + settings.programIdleMillis() < nowMillis)
                 .map(program -> program.id)
                 .toList()
@@ -530,6 +618,7 @@
                         .mapToLong(program -> program.history.bytes())
                         .sum());
         gauge.accept("results", (long) state.results().size());
+        gauge.accept("overspends", state.overspends());
     }
 
     private ProgramView view(Program program) {
@@ -547,13 +636,15 @@
                 program.lastActiveMillis);
     }
 
+    /** What runs under an epoch is lost with it, also when this process is the next owner itself. */
     private void ownershipChanged() {
-        boolean owned = isOwned();
-        if (ownedBefore && !owned) {
+        long epoch = isOwned() ? state.epoch() : NOT_OWNED;
+        if (ownedEpoch != NOT_OWNED && ownedEpoch != epoch) {
             queues.clear();
             calls.clear();
+            ending.clear();
             listener.onOwnershipLost(number);
         }
-        ownedBefore = owned;
+        ownedEpoch = epoch;
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/program/ShardCheckpointForm.java
@@ -0,0 +1,126 @@
+package org.quetzalshunt.core.program;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.TreeMap;
+import org.quetzalshunt.core.log.StateReader;
+import org.quetzalshunt.core.log.StateWriter;
+import org.quetzalshunt.core.vm.VmId;
+
+/** Binary form of a {@link ShardState}: ownership, then programs, then results, each sorted by name. */
+final class ShardCheckpointForm {
+    private ShardCheckpointForm() {}
+
+    static byte[] encode(ShardState state) {
+        StateWriter writer = StateWriter.create();
+        writer.putLong(state.epoch());
+        writer.putLong(state.streamMillis());
+        writer.putBoolean(state.owner().isPresent());
+        state.owner().ifPresent(owner -> {
+            writer.putText(owner.name());
+            writer.putLong(owner.incarnation());
+        });
+        Map<String, Program> programs = new TreeMap<>();
+        state.programs().forEach(program -> programs.put(program.id, program));
+        writer.putInt(programs.size());
+        programs.values().forEach(program -> putProgram(writer, program));
+        writer.putInt(state.results().size());
+        new TreeMap<>(state.results().all())
+                .forEach((account, results) -> new TreeMap<>(results).forEach((key, result) -> {
+                    writer.putText(account);
+                    writer.putText(key);
+                    putResult(writer, result);
+                }));
+        return writer.deflated();
+    }
+
+    /** Reads a state; empty when the octets are none. */
+    static Optional<ShardState> decode(byte[] octets, long resultMillis) {
+        return StateReader.read(octets, reader -> Optional.of(read(reader, resultMillis)));
+    }
+
+    private static ShardState read(StateReader reader, long resultMillis) {
+        ShardState state = new ShardState(resultMillis);
+        long epoch = reader.getLong();
+        long streamMillis = reader.getLong();
+        Optional<VmId> owner =
+                reader.getBoolean() ? Optional.of(VmId.of(reader.getText(), reader.getLong())) : Optional.empty();
+        state.restoreOwner(epoch, owner, streamMillis);
+        int programs = reader.getInt();
+        for (int index = 0; index < programs; index++) {
+            state.restore(getProgram(reader));
+        }
+        int results = reader.getInt();
+        for (int index = 0; index < results; index++) {
+            String account = reader.getText();
+            String key = reader.getText();
+            state.results().put(account, key, getResult(reader));
+        }
+        return state;
+    }
+
+    private static void putProgram(StateWriter writer, Program program) {
+        writer.putText(program.id);
+        writer.putText(program.clientAccount);
+        writer.putBoolean(program.parent.isPresent());
+        program.parent.ifPresent(writer::putText);
+        writer.putLong(program.budgetTokens);
+        writer.putLong(program.createdMillis);
+        writer.putBoolean(program.implicitProgram);
+        writer.putText(program.createdBy);
+        writer.putInt(program.turns);
+        writer.putText(program.lastRequestId);
+        writer.putLong(program.contextTokens);
+        writer.putLong(program.spentTokens);
+        writer.putLong(program.recordedReservation);
+        writer.putLong(program.lastActiveMillis);
+        writer.putBoolean(program.isEnded());
+        program.endedCode.ifPresent(writer::putInt);
+        writer.putLong(program.endedMillis);
+        writer.putInt(program.history.size());
+        program.history.messages().forEach(writer::putBytes);
+    }
+
+    private static Program getProgram(StateReader reader) {
+        String id = reader.getText();
+        String account = reader.getText();
+        Optional<String> parent = reader.getBoolean() ? Optional.of(reader.getText()) : Optional.empty();
+        Program program = new Program(new ShardRecord.ProgramCreated(
+                0, id, account, parent, reader.getLong(), 0, reader.getLong(), reader.getBoolean(), reader.getText()));
+        program.turns = reader.getInt();
+        program.lastRequestId = reader.getText();
+        program.contextTokens = reader.getLong();
+        program.spentTokens = reader.getLong();
+        program.recordedReservation = reader.getLong();
+        program.lastActiveMillis = reader.getLong();
+        program.endedCode = reader.getBoolean() ? OptionalInt.of(reader.getInt()) : OptionalInt.empty();
+        program.endedMillis = reader.getLong();
+        int messages = reader.getInt();
+        for (int index = 0; index < messages; index++) {
+            program.history.append(reader.getBytes());
+        }
+        return program;
+    }
+
+    private static void putResult(StateWriter writer, StoredResult result) {
+        writer.putText(result.requestId());
+        writer.putBytes(result.requestDigest());
+        writer.putBoolean(result.ended());
+        writer.putInt(result.resultCode());
+        writer.putInt(result.stored().status());
+        writer.putText(result.stored().contentType());
+        writer.putBytes(result.stored().body());
+        writer.putLong(result.millis());
+    }
+
+    private static StoredResult getResult(StateReader reader) {
+        return new StoredResult(
+                reader.getText(),
+                reader.getBytes(),
+                reader.getBoolean(),
+                reader.getInt(),
+                new StoredAnswer(reader.getInt(), reader.getText(), reader.getBytes()),
+                reader.getLong());
+    }
+}
--- a/core/src/main/java/org/quetzalshunt/core/program/ShardState.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/ShardState.java
@@ -13,11 +13,18 @@
  * it, so every reader comes to the same state (certification on the log's order).
  */
 final class ShardState {
+    private final long resultMillis;
     private final Object2ObjectHashMap<String, Program> programs = new Object2ObjectHashMap<>();
     private final ResultTable results = new ResultTable();
     private long epoch;
     private Optional<VmId> owner = Optional.empty();
     private long voidRecords;
+    private long overspends;
+    private long streamMillis;
+
+    ShardState(long resultMillis) {
+        this.resultMillis = resultMillis;
+    }
 
     long epoch() {
         return epoch;
@@ -49,18 +56,24 @@
         return root == null ? program : root;
     }
 
-    /** Forgets everything; a checkpoint comes next. */
-    void reset() {
-        programs.clear();
-        results.clear();
-        epoch = 0;
-        owner = Optional.empty();
+    /**
+     * Latest time that a record names. Results and ended programs grow old by it and not by the reader's clock: a reader
+     * that forgot earlier than another would take as valid what the other takes as void.
+     */
+    long streamMillis() {
+        return streamMillis;
+    }
+
+    /** Records after which a program had spent more than its budget; a broken promise unless 0. */
+    long overspends() {
+        return overspends;
     }
 
     /** Restores ownership from a checkpoint. */
-    void restoreOwner(long checkpointEpoch, Optional<VmId> checkpointOwner) {
+    void restoreOwner(long checkpointEpoch, Optional<VmId> checkpointOwner, long checkpointMillis) {
         epoch = checkpointEpoch;
         owner = checkpointOwner;
+        streamMillis = checkpointMillis;
     }
 
     /** Puts a program of a checkpoint in its place. */
@@ -69,6 +82,7 @@
     }
 
     boolean apply(long offset, ShardRecord record) {
+        streamMillis = Math.max(streamMillis, RecordTimes.of(record));
         boolean valid = certify(offset, record);
         if (!valid) {
             voidRecords++;
@@ -105,7 +119,7 @@
     }
 
     private boolean claim(long offset, ShardRecord.Claim claim) {
-        if (claim.basedOnEpoch() != epoch) {
+        if (claim.basedOnEpoch() != epoch || (claim.release() && !isOwner(claim))) {
             return false;
         }
         boolean crashed = owner.isPresent() && !claim.release();
@@ -118,6 +132,10 @@
         return true;
     }
 
+    private boolean isOwner(ShardRecord.Claim claim) {
+        return owner.filter(VmId.of(claim.vm(), claim.incarnation())::equals).isPresent();
+    }
+
     /**
      * The former owner ended without giving the shard up, so each program's next turn may be running at an engine.
      * Its reservation counts as spent; without that a program could spend its last tokens once an owner.
@@ -138,19 +156,41 @@
         if (payer != program) {
             payer.spentTokens += tokens;
         }
+        if (tokens > 0 && payer.spentTokens > payer.budgetTokens) {
+            overspends++;
+        }
     }
 
     private boolean create(ShardRecord.ProgramCreated created) {
-        if (programs.containsKey(created.program())) {
+        Program existing = programs.get(created.program());
+        if ((existing != null && !isForgotten(existing)) || !parentLives(created)) {
             return false;
         }
         programs.put(created.program(), new Program(created));
         return true;
     }
 
+    /** A sub-agent of a program that has ended would spend the budget of a tree that nobody looks at any more. */
+    private boolean parentLives(ShardRecord.ProgramCreated created) {
+        if (created.parent().isEmpty()) {
+            return true;
+        }
+        Program parent = programs.get(created.parent().get());
+        return parent != null && !parent.isEnded() && parent.clientAccount.equals(created.clientAccount());
+    }
+
+    private boolean isForgotten(Program program) {
+        return program.isEnded() && program.endedMillis < streamMillis - resultMillis;
+    }
+
     private boolean endTurn(ShardRecord.TurnEnded ended) {
         Program program = programs.get(ended.program());
-        if (program == null || program.isEnded() || ended.turn() != program.turns + 1) {
+        if (program == null || ended.turn() != program.turns + 1) {
+            return false;
+        }
+        if (program.isEnded()) {
+            // It ended while the turn ran: no part of it any more, but its tree has spent the tokens.
+            spend(program, ended.spentTokens());
             return false;
         }
         if (!Arrays.equals(ended.previousHash(), program.history.hash())) {
@@ -161,6 +201,7 @@
             program.history.append(ended.answer());
         }
         program.turns = ended.turn();
+        program.lastRequestId = ended.requestId();
         program.contextTokens = ended.usage().contextTokens();
         spend(program, ended.spentTokens());
         program.recordedReservation = ended.nextReservationTokens();
@@ -199,7 +240,10 @@
     }
 
     private boolean intend(ShardRecord.CallIntent intent) {
-        if (results.find(intent.clientAccount(), intent.idempotencyKey()).isPresent()) {
+        boolean known = results.find(intent.clientAccount(), intent.idempotencyKey())
+                .filter(result -> result.millis() >= streamMillis - resultMillis)
+                .isPresent();
+        if (known) {
             return false;
         }
         results.put(
@@ -263,11 +307,12 @@
         program.endedCode = OptionalInt.of(ended.resultCode());
         program.endedMillis = ended.endedMillis();
         program.lastActiveMillis = ended.endedMillis();
+        program.history.forget();
     }
 
-    /** Drops programs that ended before a time, and results older than it. */
-    void forgetBefore(long millis) {
-        programs.values().removeIf(program -> program.isEnded() && program.endedMillis < millis);
-        results.forgetBefore(millis);
+    /** Drops what no rule looks at any more. */
+    void sweep() {
+        programs.values().removeIf(this::isForgotten);
+        results.forgetBefore(streamMillis - resultMillis);
     }
 }
--- a/core/src/test/java/org/quetzalshunt/core/log/FakeLog.java
+++ b/core/src/test/java/org/quetzalshunt/core/log/FakeLog.java
@@ -40,7 +40,7 @@
     }
 
     /** Shares of appends and reads that a fault hits. */
-    record FaultRates(double append, double read) {
+    private record FaultRates(double append, double read) {
         static final FaultRates NONE = new FaultRates(0, 0);
     }
 
@@ -164,8 +164,9 @@
         outage = down;
     }
 
-    public void setRates(FaultRates faultRates) {
-        rates = faultRates;
+    /** Sets the shares of appends and of reads that a fault hits. */
+    public void setFaults(double ofAppends, double ofReads) {
+        rates = new FaultRates(ofAppends, ofReads);
     }
 
     /** Hits the next append alone. */
--- a/core/src/test/java/org/quetzalshunt/core/log/StreamSessionRandomTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/log/StreamSessionRandomTest.java
@@ -36,7 +36,7 @@
         for (int node = 0; node < NODES; node++) {
             live.add(start(log, random, node, 1));
         }
-        log.setRates(new FakeLog.FaultRates(0.3, 0.1));
+        log.setFaults(0.3, 0.1);
         int[] count = {0};
         log.run(RUN_MILLIS, () -> {
             if (random.nextInt(2_000) == 0) {
@@ -56,7 +56,7 @@
             }
         });
         log.setOutage(false);
-        log.setRates(FakeLog.FaultRates.NONE);
+        log.setFaults(0, 0);
         log.run(QUIET_MILLIS, () -> live.forEach(SessionNode::tick));
         live.forEach(node -> node.session.follow(log.now()));
         log.run(QUIET_MILLIS, () -> live.forEach(SessionNode::tick));
--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/program/ShardRandomTest.java
@@ -0,0 +1,189 @@
+package org.quetzalshunt.core.program;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.quetzalshunt.core.log.FakeLog;
+
+/**
+ * Three entries pass one shard among them: they crash, stand still past a takeover and come back, while appends get lost
+ * or doubled and the log keeps 90 seconds only. Callers run turns and lorry orders and send them again. What a caller
+ * would see if it went wrong: a turn that was answered is gone or doubled, a program over its budget, a second lorry.
+ */
+final class ShardRandomTest {
+    private static final int ENTRIES = 3;
+    private static final int RUN_MILLIS = 400_000;
+    private static final long RETENTION_MILLIS = 90_000;
+    private static final long BUDGET = 60_000;
+    private static final int PROGRAMS = 4;
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Long.getLong("quetzalshunt.seeds", 8));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void nothingIsLostDoubledOrOverspent(long seed) {
+        Play play = new Play(seed);
+        play.log.run(RUN_MILLIS, play::millisecond);
+        play.settle();
+
+        Map<String, List<String>> told = new HashMap<>();
+        Map<String, Integer> lorries = new HashMap<>();
+        for (ShardNode node : play.all) {
+            node.turnsStarted.forEach(start -> {
+                if (Boolean.TRUE.equals(node.durable.get(start.request().requestId()))) {
+                    told.computeIfAbsent(start.request().program(), ignored -> new ArrayList<>())
+                            .add(start.turn() + " " + start.request().requestId());
+                }
+            });
+            node.callsStarted.forEach(call -> lorries.merge(call.idempotencyKey(), 1, Integer::sum));
+        }
+        assertThat(lorries.size()).isGreaterThan(5);
+        assertThat(lorries.values().stream().filter(runs -> runs > 1)).isEmpty();
+        assertThat(told.values().stream().mapToInt(List::size).sum()).isGreaterThan(50);
+        ShardNode reader = play.late;
+        assertThat(reader.shard.complete()).isTrue();
+        told.forEach((program, turns) -> {
+            List<String> numbers = turns.stream()
+                    .map(turn -> turn.substring(0, turn.indexOf(' ')))
+                    .toList();
+            assertThat(numbers).containsNoDuplicates();
+            ProgramView view = reader.shard.find(program, ShardNode.ACCOUNT).orElseThrow();
+            assertThat(view.turns()).isAtLeast(turns.size());
+            assertThat(view.spentTokens()).isAtMost(BUDGET);
+        });
+        assertThat(reader.session.firstKept()).isGreaterThan(20);
+        List<byte[]> ofReader = reader.shard.checkpointRecords(Integer.MAX_VALUE / 2);
+        assertThat(play.state(play.entries.get(0))).isEqualTo(play.state(reader));
+        assertThat(ofReader).hasSize(1);
+    }
+
+    /** The log, the entries that live, and every entry that ever lived. */
+    private static final class Play {
+        final FakeLog log;
+        final TableCodec codec = new TableCodec();
+        final SplittableRandom random;
+        final List<ShardNode> entries = new ArrayList<>();
+        final List<ShardNode> all = new ArrayList<>();
+        final List<Long> arrivals = new ArrayList<>();
+        final Map<ShardNode, Long> pausedUntil = new HashMap<>();
+        ShardNode late;
+        int requests;
+
+        Play(long seed) {
+            log = new FakeLog(seed);
+            random = new SplittableRandom(seed);
+            log.setFaults(0.15, 0.05);
+            for (int entry = 0; entry < ENTRIES; entry++) {
+                entries.add(start("vm" + entry));
+            }
+        }
+
+        ShardNode start(String name) {
+            ShardNode node = ShardNode.start(log, codec, name, all.size() + 1);
+            all.add(node);
+            return node;
+        }
+
+        void millisecond() {
+            expireRecords();
+            for (int index = 0; index < ENTRIES; index++) {
+                ShardNode node = entries.get(index);
+                if (pausedUntil.getOrDefault(node, 0L) > log.now()) {
+                    continue;
+                }
+                if (pausedUntil.remove(node) != null) {
+                    node.line.resume();
+                }
+                node.tick();
+                act(index, node);
+            }
+        }
+
+        private void act(int index, ShardNode node) {
+            if (random.nextInt(40_000) == 0) {
+                node.line.cut();
+                entries.set(index, start("vm" + index));
+                return;
+            }
+            if (random.nextInt(25_000) == 0) {
+                node.line.pause();
+                pausedUntil.put(node, log.now() + 200 + random.nextInt(8_000));
+                return;
+            }
+            if (random.nextInt(12_000) == 0) {
+                node.session.follow(log.now());
+            }
+            if (!node.shard.isOwned() && random.nextInt(6_000) == 0 && node.session.caughtUp()) {
+                node.shard.claim(won -> {});
+            }
+            if (node.shard.isOwned()) {
+                serve(node);
+            }
+        }
+
+        private void serve(ShardNode node) {
+            String program = "program" + random.nextInt(PROGRAMS);
+            if (random.nextInt(300) == 0
+                    && node.shard.find(program, ShardNode.ACCOUNT).isEmpty()) {
+                node.create(program, BUDGET);
+            }
+            if (random.nextInt(300) == 0) {
+                node.offer(program, "turn" + requests++);
+            }
+            if (random.nextInt(2_000) == 0) {
+                node.call("lorry" + random.nextInt(1 + requests / 20), "call" + requests++);
+            }
+            if (random.nextInt(50) == 0 && !node.turnsStarted.isEmpty()) {
+                TurnStart last = node.turnsStarted.get(node.turnsStarted.size() - 1);
+                if (!node.durable.containsKey(last.request().requestId())) {
+                    node.end(last, random.nextInt((int) last.reservation()));
+                }
+            }
+        }
+
+        private void expireRecords() {
+            while (arrivals.size() < log.next()) {
+                arrivals.add(log.now());
+            }
+            if (log.now() % 1_000 == 0) {
+                int expired = 0;
+                while (expired < arrivals.size() && arrivals.get(expired) < log.now() - RETENTION_MILLIS) {
+                    expired++;
+                }
+                log.dropBelow(expired);
+            }
+        }
+
+        void settle() {
+            log.setFaults(0, 0);
+            entries.forEach(node -> node.line.resume());
+            late = start("late");
+            for (int round = 0; round < 2; round++) {
+                entries.forEach(node -> node.session.follow(log.now()));
+                late.session.follow(log.now());
+                log.run(5_000, () -> {
+                    entries.forEach(node -> node.session.tick(log.now()));
+                    late.session.tick(log.now());
+                });
+            }
+        }
+
+        List<String> state(ShardNode node) {
+            List<ProgramView> programs = node.shard.programs();
+            List<String> views = new ArrayList<>();
+            programs.forEach(view -> views.add(view.id() + " " + view.turns() + " " + view.spentTokens() + " "
+                    + view.endedCode() + " " + view.lastActiveMillis()));
+            views.add(node.shard.owner() + " " + node.shard.epoch());
+            return views;
+        }
+    }
+}
