--- a/standin/src/main/java/org/quetzalshunt/standin/control/Run.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/control/Run.java
@@ -14,17 +14,28 @@
     private final long startedMillis;
     private RunState state = RunState.RUNNING;
 
-    private Run(String id, HttpExchange exchange, long startedMillis) {
+    private Run(String id, String idempotencyKey, String program, String method, String path, long startedMillis) {
         this.id = id;
-        this.idempotencyKey = exchange.header("Idempotency-Key").orElse("");
-        this.program = exchange.header("Quetzalshunt-Program").orElse("");
-        this.method = exchange.method();
-        this.path = exchange.path();
+        this.idempotencyKey = idempotencyKey;
+        this.program = program;
+        this.method = method;
+        this.path = path;
         this.startedMillis = startedMillis;
     }
 
     static Run of(String id, HttpExchange exchange, long startedMillis) {
-        return new Run(id, exchange, startedMillis);
+        return new Run(
+                id,
+                exchange.header("Idempotency-Key").orElse(""),
+                exchange.header("Quetzalshunt-Program").orElse(""),
+                exchange.method(),
+                exchange.path(),
+                startedMillis);
+    }
+
+    /** A run outside of any book, for parts that are tried without a server. */
+    public static Run unnamed() {
+        return new Run("", "", "", "", "", 0);
     }
 
     /** Value of {@code X-Request-Id}, or one made here. */
