--- a/app/src/main/java/org/quetzalshunt/app/Main.java
+++ b/app/src/main/java/org/quetzalshunt/app/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintWriter;
 import org.quetzalshunt.app.bench.BenchCommand;
+import org.quetzalshunt.app.demo.DemoCommand;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.server.settings.EntryCommand;
 import org.quetzalshunt.server.settings.SidecarCommand;
@@ -15,7 +16,13 @@
         mixinStandardHelpOptions = true,
         version = "quetzalshunt 0.1.0",
         description = "A scheduler for agent programs.",
-        subcommands = {EntryCommand.class, SidecarCommand.class, StandinCommand.class, BenchCommand.class})
+        subcommands = {
+            DemoCommand.class,
+            EntryCommand.class,
+            SidecarCommand.class,
+            StandinCommand.class,
+            BenchCommand.class
+        })
 public final class Main {
     private Main() {}
 
--- a/core/src/main/java/org/quetzalshunt/core/attempt/CacheLeases.java
+++ b/core/src/main/java/org/quetzalshunt/core/attempt/CacheLeases.java
@@ -28,6 +28,7 @@
     private long nextSweepMillis;
     private long nextListMillis;
     private long freed;
+    private boolean ended;
 
     CacheLeases(Consumer<GateOutput> outputs, long firstListMillis) {
         this.outputs = outputs;
@@ -35,7 +36,7 @@
     }
 
     void renew(String program, int shard, long epoch, long leaseMillis, long nowMillis) {
-        if (program.isEmpty()) {
+        if (program.isEmpty() || ended) {
             return;
         }
         CacheLease lease = byProgram.computeIfAbsent(program, CacheLease::of);
@@ -86,6 +87,16 @@
         }
     }
 
+    /**
+     * The process is leaving: every lease ends now and none is renewed. Without it an engine whose sidecar was stopped in
+     * the planned way would hold the memory of its programs until it is stopped itself, since nobody else frees it.
+     */
+    void endAll(long nowMillis) {
+        ended = true;
+        byProgram.values().forEach(lease -> lease.expiresMillis = nowMillis);
+        nextSweepMillis = nowMillis;
+    }
+
     void tick(long nowMillis, Predicate<String> isRunning) {
         if (nowMillis >= nextListMillis) {
             nextListMillis = nowMillis + LIST_MILLIS;
--- a/core/src/main/java/org/quetzalshunt/core/attempt/EndpointGate.java
+++ b/core/src/main/java/org/quetzalshunt/core/attempt/EndpointGate.java
@@ -146,6 +146,9 @@
     public void tick(long nowMillis) {
         times.tick(nowMillis);
         if (settings.kind() == ServiceKind.ENGINE) {
+            if (leaving) {
+                leases.endAll(nowMillis);
+            }
             leases.tick(nowMillis, this::isRunning);
         }
     }
--- a/core/src/main/java/org/quetzalshunt/core/program/TurnPlanner.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/TurnPlanner.java
@@ -10,10 +10,11 @@
 /** Works out whether and how a turn may run: its prompt from the history, its bound from the budget. */
 final class TurnPlanner {
     /**
-     * Octets of new messages that the usual reservation covers. A caller's turn or a tool's result is mostly smaller, so
-     * later turns cost no append before their first token; a larger one waits for one append.
+     * Octets of new messages that the usual reservation covers. A caller's turn is mostly smaller, so later turns cost
+     * no append before their first token; a larger one waits for one append. More would charge each program more when
+     * its owner crashes, since the whole reservation then counts as spent.
      */
-    private static final long NEW_MESSAGES_BYTES = 4_096;
+    private static final long NEW_MESSAGES_BYTES = 1_024;
 
     private TurnPlanner() {}
 
--- a/server/src/main/java/org/quetzalshunt/server/entry/AttemptOrders.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/AttemptOrders.java
@@ -9,8 +9,11 @@
 
 /** Builds the orders for sidecars. */
 final class AttemptOrders {
-    /** Engine memory of a program whose owner is gone is freed after this; tool pauses are mostly shorter. */
-    static final long CACHE_LEASE_MILLIS = 30_000;
+    /**
+     * Engine memory of a program whose owner is gone is freed after this. Owners renew it through tool pauses of any
+     * length, so it need only outlive a takeover, by which time the new owner has not yet found the program's place.
+     */
+    static final long CACHE_LEASE_MILLIS = 10_000;
 
     private AttemptOrders() {}
 
--- a/server/src/main/java/org/quetzalshunt/server/entry/ChatRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ChatRun.java
@@ -123,6 +123,7 @@
         answer = new ChatAnswer(request.requestId(), body.service(), arrivedMillis);
         AttemptStart order = AttemptOrders.ofTurn(owner, shard, turn, body, request, dispatch);
         ChatAttempt listener = new ChatAttempt(dispatch, owner.clock().now());
+        owner.programMoved(turn.request().program(), dispatch.endpoint());
         attempt = owner.attempts().start(dispatch.endpoint(), order, listener);
         if (attempt.isEmpty()) {
             listener.onOutcome(AttemptOutcome.failed(ResultCode.ENDPOINT_FAILED, Execution.NOT_RUN));
--- a/server/src/main/java/org/quetzalshunt/server/entry/OwnerContext.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/OwnerContext.java
@@ -47,6 +47,17 @@
         Answers.refuse(sink, refusal, request.requestId());
     }
 
+    /** A program's next turn goes to an endpoint: what another one holds for it is let go. */
+    void programMoved(String program, String endpoint) {
+        boolean moved = board.scheduler()
+                .cachedAt(program)
+                .filter(held -> !held.equals(endpoint))
+                .isPresent();
+        if (moved) {
+            programEnder.accept(program);
+        }
+    }
+
     void programEnded(String program) {
         programEnder.accept(program);
         board.scheduler().cacheForgotten(program);
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/SidecarProcess.java
@@ -20,6 +20,9 @@
     /** Time that only bounds how late a stall, a lapse or a report is; well below each of them. */
     private static final long TICK_MILLIS = 50;
 
+    /** An engine that does not answer when its memory is freed may hold a planned stop up for two seconds, no more. */
+    private static final int FREEING_TICKS = (int) (2_000 / TICK_MILLIS);
+
     /** Lets the last frames leave before the links close. */
     private static final long LINGER_MILLIS = 200;
 
@@ -30,6 +33,7 @@
     private final LinkServer linkServer;
     private final HttpServer httpServer;
     private final long drainMillis;
+    private int freeingTicks;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
     private SidecarProcess(
@@ -130,7 +134,9 @@
     }
 
     private void awaitIdle() {
-        if (sidecar.counts().running() > 0) {
+        boolean running = sidecar.counts().running() > 0;
+        boolean frees = !running && sidecar.counts().heldPrograms() > 0 && freeingTicks++ < FREEING_TICKS;
+        if (running || frees) {
             group.next().schedule(this::awaitIdle, TICK_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
