Add the load tool: open-loop programs, results as JSON and plots, comparison

Cause: nothing measured what whole programs get under load, and closed-loop tools hide a stall from the calls behind it. Latencies count from the time a step was due. Refusals that say "not run" are retried when told to. Answers can be checked against the stand-in engine. `--json`, `--html` (SVG inside), `load compare A B`; loopback only, bounded in count and time. Messages of wrong settings no longer carry their code twice.

--- a/app/src/main/java/org/quetzalshunt/app/Main.java
+++ b/app/src/main/java/org/quetzalshunt/app/Main.java
@@ -3,6 +3,7 @@
 import java.io.PrintWriter;
 import org.quetzalshunt.app.bench.BenchCommand;
 import org.quetzalshunt.app.demo.DemoCommand;
+import org.quetzalshunt.app.load.LoadCommand;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.server.settings.EntryCommand;
 import org.quetzalshunt.server.settings.SidecarCommand;
@@ -21,7 +22,8 @@
             EntryCommand.class,
             SidecarCommand.class,
             StandinCommand.class,
-            BenchCommand.class
+            BenchCommand.class,
+            LoadCommand.class
         })
 public final class Main {
     private Main() {}
--- /dev/null
+++ b/app/src/main/java/org/quetzalshunt/app/load/LoadClock.java
@@ -0,0 +1,18 @@
+package org.quetzalshunt.app.load;
+
+/** Microseconds since the run started, from a clock that never goes back. */
+final class LoadClock {
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final long startNanos = System.nanoTime();
+
+    private LoadClock() {}
+
+    static LoadClock start() {
+        return new LoadClock();
+    }
+
+    long micros() {
+        return (System.nanoTime() - startNanos) / NANOS_PER_MICRO;
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/quetzalshunt/app/load/Percentiles.java
@@ -0,0 +1,28 @@
+package org.quetzalshunt.app.load;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.HdrHistogram.Histogram;
+import org.quetzalshunt.wire.json.Json;
+
+/** Percentiles of a histogram as JSON: {@code count}, {@code mean}, {@code max} and {@code p50} to {@code p99.9}. */
+final class Percentiles {
+    static final double[] SHOWN = {10, 25, 50, 75, 90, 95, 99, 99.9};
+
+    private Percentiles() {}
+
+    static ObjectNode toJson(Histogram histogram) {
+        ObjectNode node = Json.object()
+                .put("count", histogram.getTotalCount())
+                .put("mean", Math.round(histogram.getMean()))
+                .put("max", histogram.getMaxValue());
+        for (double percentile : SHOWN) {
+            node.put(name(percentile), histogram.getValueAtPercentile(percentile));
+        }
+        return node;
+    }
+
+    static String name(double percentile) {
+        boolean whole = percentile == Math.rint(percentile);
+        return "p" + (whole ? Long.toString((long) percentile) : Double.toString(percentile));
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/quetzalshunt/app/load/WholeCall.java
@@ -0,0 +1,51 @@
+package org.quetzalshunt.app.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.function.Consumer;
+import org.quetzalshunt.server.http.HttpResponseListener;
+import org.quetzalshunt.wire.json.Json;
+
+/** Reads one answer whose body is a JSON value. */
+final class WholeCall implements HttpResponseListener {
+    private static final int FIRST_ERROR_STATUS = 400;
+
+    private final Consumer<JsonNode> onAnswer;
+    private final Consumer<CallFailure> onFailure;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+
+    private WholeCall(Consumer<JsonNode> onAnswer, Consumer<CallFailure> onFailure) {
+        this.onAnswer = onAnswer;
+        this.onFailure = onFailure;
+    }
+
+    static WholeCall create(Consumer<JsonNode> onAnswer, Consumer<CallFailure> onFailure) {
+        return new WholeCall(onAnswer, onFailure);
+    }
+
+    @Override
+    public void onHead(int newStatus, HttpHeaders headers) {
+        status = newStatus;
+    }
+
+    @Override
+    public void onChunk(byte[] data) {
+        body.writeBytes(data);
+    }
+
+    @Override
+    public void onEnd() {
+        if (status >= FIRST_ERROR_STATUS) {
+            onFailure.accept(CallFailure.read(body.toByteArray()));
+            return;
+        }
+        onAnswer.accept(Json.parse(body.toByteArray()).orElse(Json.object()));
+    }
+
+    @Override
+    public void onFailure(String reason, boolean requestMayHaveArrived) {
+        onFailure.accept(CallFailure.broken());
+    }
+}
--- a/standin/src/main/java/org/quetzalshunt/standin/SettingCheck.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/SettingCheck.java
@@ -1,10 +1,9 @@
 package org.quetzalshunt.standin;
 
-import org.quetzalshunt.core.result.ResultCode;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
 
-/** Checks of settings at the start. A wrong one ends the command with exit code 2 and names the flag. */
+/** Checks of settings at the start. A wrong one is refused by name of its flag before anything starts. */
 final class SettingCheck {
     private final CommandSpec command;
 
@@ -21,9 +20,6 @@
             return this;
         }
         throw new ParameterException(
-                command.commandLine(),
-                String.format(
-                        "%d invalid setting %s: %s; expected a number from %s on",
-                        ResultCode.INVALID_SETTING.number(), flag, value, minimum));
+                command.commandLine(), flag + " is " + value + "; expected a number from " + minimum + " on");
     }
 }
