--- a/standin/src/test/java/org/quetzalshunt/standin/platform/PlatformStandinTest.java
+++ b/standin/src/test/java/org/quetzalshunt/standin/platform/PlatformStandinTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.http.HttpResponse;
 import java.util.Base64;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -37,10 +38,8 @@
 
     @BeforeEach
     void start() {
-        PlatformSettings settings = PlatformSettings.defaults()
-                .withAppendsPerSecond(APPENDS_PER_SECOND)
-                .withRetentionMillis(RETENTION_MILLIS)
-                .withVmListLagMillis(LIST_LAG_MILLIS);
+        PlatformSettings settings =
+                new PlatformSettings(APPENDS_PER_SECOND, RETENTION_MILLIS, LIST_LAG_MILLIS, 0, 1, Set.of("tutor/lost"));
         platform = PlatformStandin.start(group, new InetSocketAddress("127.0.0.1", 0), settings, clockMillis::get);
         http = LocalHttp.to(platform.port());
     }
@@ -140,6 +139,20 @@
                 .isEqualTo("a");
     }
 
+    @ParameterizedTest
+    @CsvSource({"tutor/1, 200", "tutor, 404", "tutor/lost, 404"})
+    void weightStoreKnowsItsVersions(String version, int status) throws Exception {
+        assertThat(http.send("GET", "/weights/" + version, "").statusCode()).isEqualTo(status);
+    }
+
+    @Test
+    void weightStoreRefusesLoadsOverItsRate() throws Exception {
+        assertThat(http.send("GET", "/weights/a/1", "").statusCode()).isEqualTo(200);
+        assertThat(http.send("GET", "/weights/b/1", "").statusCode()).isEqualTo(429);
+        clockMillis.addAndGet(1_000);
+        assertThat(http.send("GET", "/weights/b/1", "").statusCode()).isEqualTo(200);
+    }
+
     private HttpResponse<String> append(String text) throws IOException, InterruptedException {
         return http.send("POST", "/log/s", text);
     }
