Let the number of entries that share the endpoints change while running

Cause: the number was fixed at the start, while entries come and go; with one assumed among several, an entry takes what its own report shows without regard to the others. Change: Scheduler.entriesChanged, for whoever follows the list of VMs. Figures: with four entries one starts at most 16 of 40 requests on an idle engine of 32 slots before the next report; with one it starts more (RulesTest). Conclusion: the entry has to call it when its list of live entries changes.

--- a/core/src/main/java/org/quetzalshunt/core/decision/Scheduler.java
+++ b/core/src/main/java/org/quetzalshunt/core/decision/Scheduler.java
@@ -29,9 +29,11 @@
     private final Map<String, String> serviceOfEndpoint = new Object2ObjectHashMap<>();
     private final Long2ObjectHashMap<RunningItem> running = new Long2ObjectHashMap<>();
     private long sweptMillis;
+    private int entries;
 
     private Scheduler(SchedulerSettings settings) {
         this.settings = settings;
+        this.entries = settings.entries();
         this.random = new SplittableRandom(settings.seed());
     }
 
@@ -59,12 +61,24 @@
         caches.forgetEndpoint(endpoint);
     }
 
+    /**
+     * Changes how many entries share the endpoints, this one included, as the list of VMs says. Answers entries that
+     * come and go: with too low a number each takes another's part of every endpoint, with too high a one room idles.
+     */
+    public void entriesChanged(int newEntries) {
+        entries = Math.max(1, newEntries);
+        for (ServiceLoad service : serviceList) {
+            service.endpoints().shareAmong(entries);
+        }
+    }
+
     private ServiceLoad service(String name) {
         return services.computeIfAbsent(name, this::addService);
     }
 
     private ServiceLoad addService(String name) {
         ServiceLoad service = ServiceLoad.create(settings, caches, random.split());
+        service.endpoints().shareAmong(entries);
         serviceList.add(service);
         return service;
     }
--- a/core/src/main/java/org/quetzalshunt/core/decision/endpoint/ServiceEndpoints.java
+++ b/core/src/main/java/org/quetzalshunt/core/decision/endpoint/ServiceEndpoints.java
@@ -29,7 +29,7 @@
     private static final long REFRESH_MILLIS = 250;
 
     private final EndpointRules rules;
-    private final int entries;
+    private int entries;
     private final SplittableRandom random;
     private final List<EndpointEntry> rows = new ArrayList<>();
     private final Map<String, EndpointEntry> byName = new Object2ObjectHashMap<>();
@@ -111,6 +111,11 @@
         return workPerMillis;
     }
 
+    /** Changes how many entries share the endpoints; rows follow within a quarter of a second. */
+    public void shareAmong(int newEntries) {
+        entries = newEntries;
+    }
+
     /** Takes in a report. */
     public void reported(long nowMillis, EndpointState state) {
         if (!seen) {
--- a/core/src/test/java/org/quetzalshunt/core/decision/RulesTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/decision/RulesTest.java
@@ -176,6 +176,26 @@
                 .containsExactly("engine-2");
     }
 
+    /**
+     * Three more entries start beside this one and read the same report of an idle engine. If each filled it, it
+     * would hold four times what it can run until the next report.
+     */
+    @ParameterizedTest
+    @EnumSource(Rule.class)
+    void entriesShareTheRoomThatAReportShows(Rule rule) {
+        Scheduler scheduler = scheduler(Policy.standard());
+        scheduler.entriesChanged(rule == Rule.IN_FORCE ? 4 : 1);
+        report(scheduler, "engine-1", 32);
+        for (int number = 0; number < 40; number++) {
+            scheduler.offer(1, item("school", "program-" + number, 1, 100), 0);
+        }
+
+        int started = scheduler.tick(1).size();
+
+        assertThat(started <= 16).isEqualTo(rule == Rule.IN_FORCE);
+        assertThat(started).isAtLeast(7);
+    }
+
     /** Same seed, same decisions, so that a failing run can be repeated. */
     @Test
     void sameSeedMakesTheSameDecisions() {
