Entries publish checkpoints of the configuration and of their shards

Cause: the folds could be rebuilt from checkpoints, but no process wrote any. Conclusion: a late starter now finds a checkpoint in a running deployment.

--- a/server/src/main/java/org/quetzalshunt/server/entry/ConfigurationHost.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ConfigurationHost.java
@@ -1,9 +1,11 @@
 package org.quetzalshunt.server.entry;
 
 import java.util.function.BiConsumer;
+import org.quetzalshunt.core.configuration.CheckpointPublisher;
 import org.quetzalshunt.core.configuration.Configuration;
 import org.quetzalshunt.core.configuration.ConfigurationChange;
 import org.quetzalshunt.core.configuration.Freshness;
+import org.quetzalshunt.core.log.CheckpointSchedule;
 import org.quetzalshunt.core.log.LogTransport;
 import org.quetzalshunt.core.log.StreamSession;
 import org.quetzalshunt.core.log.StreamSettings;
@@ -23,11 +25,18 @@
     private final Configuration configuration = Configuration.create(ConfigurationRecordCodec::decode);
     private final Freshness freshness = Freshness.create(FRESHNESS_MILLIS);
     private final StreamSession session;
+    private final CheckpointPublisher publisher;
 
     ConfigurationHost(EntryClock clock, String writerId, long seed, LogTransport transport) {
         this.clock = clock;
         this.session = StreamSession.create(
                 STREAM, StreamSettings.tailing(COMMIT_MILLIS, seed), writerId, transport, configuration);
+        this.publisher = CheckpointPublisher.create(
+                configuration,
+                session,
+                ConfigurationRecordCodec::encode,
+                CheckpointSchedule.create(LogRetention.MILLIS, seed),
+                ConfigurationRecordCodec.MAXIMUM_STATE_PART_BYTES);
     }
 
     Configuration configuration() {
@@ -44,6 +53,7 @@
 
     void tick() {
         session.tick(clock.now());
+        publisher.tick(clock.now());
         session.lastReadMillis().ifPresent(freshness::readToEnd);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/entry/ShardHost.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ShardHost.java
@@ -4,12 +4,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.quetzalshunt.core.log.CheckpointSchedule;
 import org.quetzalshunt.core.log.LogTransport;
 import org.quetzalshunt.core.log.StreamSession;
 import org.quetzalshunt.core.log.StreamSettings;
 import org.quetzalshunt.core.membership.Member;
 import org.quetzalshunt.core.membership.Membership;
 import org.quetzalshunt.core.program.Shard;
+import org.quetzalshunt.core.program.ShardCheckpointPublisher;
 import org.quetzalshunt.core.program.ShardListener;
 import org.quetzalshunt.core.program.ShardRecordCodec;
 import org.quetzalshunt.core.program.ShardSettings;
@@ -70,6 +72,10 @@
                 self.toString(),
                 transport,
                 hosted.shard);
+        hosted.publisher = ShardCheckpointPublisher.create(
+                hosted.shard,
+                hosted.session,
+                CheckpointSchedule.create(LogRetention.MILLIS, self.incarnation() + number));
         return hosted;
     }
 
@@ -124,6 +130,7 @@
         for (HostedShard hosted : shards) {
             hosted.session.tick(now);
             hosted.shard.tick(now);
+            hosted.publisher.tick(now);
             if (hosted.shard.isOwned()) {
                 tickOwned(hosted, now);
             } else {
@@ -204,6 +211,7 @@
     private static final class HostedShard {
         private Shard shard;
         private StreamSession session;
+        private ShardCheckpointPublisher publisher;
         private boolean deciding;
         private boolean draining;
         private long misplacedSince;
