bench capacity: slopes of programs, records, appends, heartbeats, documents and messages

Cause: docs/CAPACITY.md must work the large deployment out from measured slopes. Change: a command that drives the real tables and codecs at three sizes or more.

--- a/app/src/main/java/org/quetzalshunt/app/bench/BenchCommand.java
+++ b/app/src/main/java/org/quetzalshunt/app/bench/BenchCommand.java
@@ -1,5 +1,6 @@
 package org.quetzalshunt.app.bench;
 
+import org.quetzalshunt.app.bench.capacity.CapacityCommand;
 import org.quetzalshunt.app.bench.limits.LimitsCommand;
 import picocli.CommandLine.Command;
 
@@ -8,5 +9,5 @@
         name = "bench",
         mixinStandardHelpOptions = true,
         description = "Measures parts of the system without a cluster.",
-        subcommands = {DecisionsCommand.class, LimitsCommand.class})
+        subcommands = {CapacityCommand.class, DecisionsCommand.class, LimitsCommand.class})
 public final class BenchCommand {}
