--- a/app/src/main/java/org/quetzalshunt/app/Main.java
+++ b/app/src/main/java/org/quetzalshunt/app/Main.java
@@ -5,6 +5,8 @@
 import org.quetzalshunt.app.demo.DemoCommand;
 import org.quetzalshunt.app.load.LoadCommand;
 import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.server.operator.ConfigCommand;
+import org.quetzalshunt.server.operator.DumpCommand;
 import org.quetzalshunt.server.settings.EntryCommand;
 import org.quetzalshunt.server.settings.SidecarCommand;
 import org.quetzalshunt.standin.StandinCommand;
@@ -18,6 +20,8 @@
         version = "quetzalshunt 0.1.0",
         description = "A scheduler for agent programs.",
         subcommands = {
+            ConfigCommand.class,
+            DumpCommand.class,
             DemoCommand.class,
             EntryCommand.class,
             SidecarCommand.class,
--- a/app/src/main/java/org/quetzalshunt/app/deployment/Deployment.java
+++ b/app/src/main/java/org/quetzalshunt/app/deployment/Deployment.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import org.quetzalshunt.core.document.ServiceKind;
 import org.quetzalshunt.core.vm.VmId;
@@ -39,11 +40,11 @@
     private final DeploymentPlan plan;
     private final EventLoopGroup standinGroup = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final PlatformStandin platform;
-    private final Map<String, EntryProcess> entries = new LinkedHashMap<>();
-    private final Map<String, SidecarProcess> sidecars = new LinkedHashMap<>();
-    private final Map<String, EngineStandin> engines = new LinkedHashMap<>();
-    private final Map<String, ServiceStandin> services = new LinkedHashMap<>();
-    private final Map<String, InetSocketAddress> endpointAddresses = new LinkedHashMap<>();
+    private final Map<String, EntryProcess> entries = new ConcurrentSkipListMap<>();
+    private final Map<String, SidecarProcess> sidecars = new ConcurrentSkipListMap<>();
+    private final Map<String, EngineStandin> engines = new ConcurrentSkipListMap<>();
+    private final Map<String, ServiceStandin> services = new ConcurrentSkipListMap<>();
+    private final Map<String, InetSocketAddress> endpointAddresses = new ConcurrentSkipListMap<>();
     private final ApiClient client = ApiClient.create();
     private final DemoKeys keys = DemoKeys.create();
     private long incarnation = System.currentTimeMillis();
@@ -227,14 +228,14 @@
 
     /** Base URLs of the sidecars' status pages by name. */
     public Map<String, String> sidecarUrls() {
-        Map<String, String> urls = new LinkedHashMap<>();
+        Map<String, String> urls = new ConcurrentSkipListMap<>();
         sidecars.forEach((name, sidecar) -> urls.put(name, "http://" + HOST + ":" + sidecar.httpPort()));
         return urls;
     }
 
     /** Base URLs of the stand-ins by name. */
     public Map<String, String> standinUrls() {
-        Map<String, String> urls = new LinkedHashMap<>();
+        Map<String, String> urls = new ConcurrentSkipListMap<>();
         urls.put("platform", platformUrl());
         endpointAddresses.forEach((name, address) -> urls.put(name, "http://" + HOST + ":" + address.getPort()));
         return urls;
--- a/server/src/main/java/org/quetzalshunt/server/entry/AdminApi.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/AdminApi.java
@@ -32,8 +32,15 @@
     private final ConfigurationHost host;
     private final RequestIds requestIds;
     private final Map<String, String> teamsByKeyHash;
+    private final AdminStatus status;
 
-    AdminApi(EntryClock clock, ConfigurationHost host, RequestIds requestIds, Map<String, String> teamsByKeyHash) {
+    AdminApi(
+            EntryClock clock,
+            ConfigurationHost host,
+            RequestIds requestIds,
+            Map<String, String> teamsByKeyHash,
+            AdminStatus status) {
+        this.status = status;
         this.clock = clock;
         this.host = host;
         this.requestIds = requestIds;
@@ -48,6 +55,9 @@
             refuse(exchange, requestId, Refusal.notRun(ResultCode.UNKNOWN_KEY, "an operator's key is needed"));
             return;
         }
+        if (status.handle(exchange, requestId, exchange.path().substring(PREFIX.length()))) {
+            return;
+        }
         if (exchange.path().equals(SERVICES) && exchange.method().equals("GET")) {
             list(exchange, requestId);
             return;
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
@@ -29,9 +29,6 @@
 
 /** One running entry: its event loop, its servers, its tables and its ticks. */
 public final class EntryProcess {
-    /** Short enough that a queued request waits at most this long for a slot that freed, and cheap when idle. */
-    private static final long TICK_MILLIS = 20;
-
     private static final long SLOW_TICK_MILLIS = 100;
 
     private final EntrySettings settings;
@@ -57,6 +54,8 @@
     private EntryLinks entryLinks;
     private LimitHost limits;
     private final Joining joining = new Joining(clock);
+    private Ticker ticker;
+    private long slowMillis;
     private boolean stopping;
     private long stopDeadline;
 
@@ -133,21 +132,22 @@
         RequestIds requestIds = new RequestIds(self.incarnation(), self.name());
         callers = new CallerApi(
                 clock, configuration, limits, router, measures, requestIds, settings.shards(), () -> stopping);
-        admin = new AdminApi(clock, configuration, requestIds, settings.operatorKeyHashes());
+        EntryDump dump = new EntryDump(self, clock, membership, configuration, shards, limits, owner, router);
+        AdminStatus status = new AdminStatus(configuration.configuration(), membership, shards, dump);
+        admin = new AdminApi(clock, configuration, requestIds, settings.operatorKeyHashes(), status);
         measures.gauge("quetzalshunt.work.queued", () -> board.scheduler().queued());
         measures.gauge("quetzalshunt.work.running", () -> board.scheduler().running());
         measures.gauge("quetzalshunt.shards.owned", () -> shards.ownedNumbers().size());
-        group.next().scheduleWithFixedDelay(() -> guarded(this::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
-        group.next().scheduleWithFixedDelay(() -> guarded(this::slowTick), 0, SLOW_TICK_MILLIS, TimeUnit.MILLISECONDS);
+        ticker = new Ticker(group.next(), this::tick, this::isBusy);
+        ticker.start();
     }
 
-    /** A tick that throws is logged and comes again; an executor would drop it without a word. */
-    private static void guarded(Runnable tick) {
-        try {
-            tick.run();
-        } catch (RuntimeException problem) {
-            Logger.error(problem, "a tick failed");
-        }
+    private boolean isBusy() {
+        return board.scheduler().queued() + board.scheduler().running() > 0
+                || router.waitingRequests() > 0
+                || shards.hasBacklog()
+                || configuration.session().backlog() > 0
+                || limits.isWaiting();
     }
 
     private void tick() {
@@ -156,6 +156,10 @@
         board.tick();
         limits.tick();
         attempts.tick(clock.now());
+        if (clock.now() - slowMillis >= SLOW_TICK_MILLIS) {
+            slowMillis = clock.now();
+            slowTick();
+        }
     }
 
     private void slowTick() {
@@ -177,6 +181,7 @@
     private void onLink(LinkDispatcher.Event event) {
         if (entryLinks != null) {
             entryLinks.handle(event);
+            wakeForWork();
         }
     }
 
@@ -186,13 +191,21 @@
             exchange.respondText(503, "starting\n");
         } else if (CallerApi.takes(path)) {
             callers.handle(exchange);
+            wakeForWork();
         } else if (path.startsWith(AdminApi.PREFIX)) {
             admin.handle(exchange);
+            wakeForWork();
         } else {
             probe(exchange, path);
         }
     }
 
+    private void wakeForWork() {
+        if (ticker != null && isBusy()) {
+            ticker.wake();
+        }
+    }
+
     private void probe(HttpExchange exchange, String path) {
         switch (path) {
             case "/healthz" -> exchange.respondText(200, "ok\n");
@@ -254,8 +267,11 @@
 
     /** Ends at once, as a crash would: nothing is handed over and no answer is finished. */
     public void kill() {
-        http.close();
-        links.close();
-        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        // The connections belong to the event loop; closing them from another thread would miss some of them.
+        group.next().execute(() -> {
+            http.close();
+            links.close();
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        });
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/entry/LimitHost.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/LimitHost.java
@@ -34,6 +34,7 @@
     private final FleetLimits limits;
     private final Set<AccountKey> known = new HashSet<>();
     private boolean changed;
+    private int waiting;
 
     LimitHost(
             VmId self,
@@ -119,6 +120,11 @@
         return limits.isMember() && limits.holdsLease(clock.now());
     }
 
+    /** Whether requests wait for tokens of other entries. */
+    boolean isWaiting() {
+        return waiting > 0;
+    }
+
     FleetLimits limits() {
         return limits;
     }
@@ -126,13 +132,16 @@
     @Override
     public void admit(String service, String clientAccount, Runnable admitted, Consumer<Refusal> refused) {
         Take take = limits.take(clock.now(), service, clientAccount, outcome -> {
+            waiting--;
             if (outcome instanceof TakeOutcome.Refused late) {
                 refused.accept(refusal(service, late.retryAfterMillis()));
             } else {
                 admitted.run();
             }
         });
-        if (take instanceof Take.Taken) {
+        if (take instanceof Take.Waiting) {
+            waiting++;
+        } else if (take instanceof Take.Taken) {
             admitted.run();
         } else if (take instanceof Take.Refused full) {
             refused.accept(refusal(service, full.retryAfterMillis()));
--- a/server/src/main/java/org/quetzalshunt/server/entry/OwnerRouter.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/OwnerRouter.java
@@ -33,6 +33,9 @@
     /** Time for a takeover after a crash: the lease, a claim, and room for a slow log. */
     private static final long WAIT_FOR_OWNER_MILLIS = 10_000;
 
+    /** The owner answers at the deadline itself; this much later its answer is not coming. */
+    private static final long OWNER_GRACE_MILLIS = 3_000;
+
     private final EntryClock clock;
     private final IntFunction<Optional<String>> ownerOf;
     private final String self;
@@ -173,8 +176,29 @@
         state.routed.sink.abort();
     }
 
+    /**
+     * Answers what was passed on and outlived its deadline. Guards against an owner that took a request and lost it: its
+     * caller would wait for ever, with an open connection and no answer.
+     */
+    private void expireForwarded() {
+        List<Long> late = new ArrayList<>();
+        forwarded.forEachLong((exchange, state) -> {
+            if (clock.now() > state.routed.request.deadlineMillis() + OWNER_GRACE_MILLIS) {
+                late.add(exchange);
+            }
+        });
+        for (Long exchange : late) {
+            Forwarded state = forwarded.remove(exchange.longValue());
+            Answers.refuse(
+                    state.routed.sink,
+                    Refusal.after(ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN, "the owner did not answer in time"),
+                    state.routed.request.requestId());
+        }
+    }
+
     /** Tries again what waits for an owner; refuses what waited too long. */
     void tick() {
+        expireForwarded();
         if (waiting.isEmpty()) {
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/entry/ShardHost.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ShardHost.java
@@ -91,6 +91,11 @@
         return shards.stream().map(hosted -> hosted.shard).toList();
     }
 
+    /** Whether records wait to be appended. */
+    boolean hasBacklog() {
+        return shards.stream().anyMatch(hosted -> hosted.session.backlog() > 0);
+    }
+
     int count() {
         return shards.size();
     }
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/operator/DumpCommand.java
@@ -0,0 +1,32 @@
+package org.quetzalshunt.server.operator;
+
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** {@code quetzalshunt dump}: the tables of one entry as JSON. */
+@Command(
+        name = "dump",
+        mixinStandardHelpOptions = true,
+        description = "Prints the tables of the entry at --url: shards, streams, VMs, queues, limits, programs.")
+public final class DumpCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private AdminOptions admin;
+
+    /** Made by picocli. */
+    public DumpCommand() {}
+
+    @Override
+    public Integer call() {
+        return AdminOptions.print(
+                admin.client().send("GET", "dump", Optional.empty(), ""),
+                spec.commandLine().getOut(),
+                spec.commandLine().getErr());
+    }
+}
