--- /dev/null
+++ b/app/src/test/java/org/quetzalshunt/app/DocumentationTest.java
@@ -0,0 +1,43 @@
+package org.quetzalshunt.app;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.wire.document.DocumentReader;
+import org.quetzalshunt.wire.document.DocumentReading;
+
+/** The tables of the docs say what the code does. */
+final class DocumentationTest {
+    private static final Path ROOT = Path.of("..");
+
+    @ParameterizedTest
+    @EnumSource(ResultCode.class)
+    void codeIsInTheTable(ResultCode code) throws IOException {
+        String row = "| " + code.number() + " | " + code.name() + " | " + code.status() + " | " + code.meaning() + " |";
+        assertThat(Files.readString(ROOT.resolve("docs/CODES.md"))).contains(row);
+    }
+
+    @Test
+    void tableHasNoOtherCodes() throws IOException {
+        List<String> rows = Files.readAllLines(ROOT.resolve("docs/CODES.md")).stream()
+                .filter(line -> line.matches("\\| \\d+ \\|.*"))
+                .toList();
+        assertThat(rows).hasSize(ResultCode.values().length);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"kite-readers-app.yaml", "kite-readers-llm.yaml", "mawe-kavu-app.yaml", "mawe-kavu-tutor.yaml"})
+    void exampleIsValid(String name) throws IOException {
+        DocumentReading reading = DocumentReader.read(Files.readString(ROOT.resolve("examples").resolve(name)));
+        assertThat(reading).isInstanceOf(DocumentReading.Valid.class);
+    }
+}
