--- a/app/src/test/java/org/quetzalshunt/app/DocumentationTest.java
+++ b/app/src/test/java/org/quetzalshunt/app/DocumentationTest.java
@@ -37,7 +37,8 @@
     @ValueSource(
             strings = {"kite-readers-app.yaml", "kite-readers-llm.yaml", "mawe-kavu-app.yaml", "mawe-kavu-tutor.yaml"})
     void exampleIsValid(String name) throws IOException {
-        DocumentReading reading = DocumentReader.read(Files.readString(ROOT.resolve("examples").resolve(name)));
+        DocumentReading reading =
+                DocumentReader.read(Files.readString(ROOT.resolve("examples").resolve(name)));
         assertThat(reading).isInstanceOf(DocumentReading.Valid.class);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
@@ -174,6 +174,7 @@
 
     private void onVmList(List<Vm> vms) {
         membership.onVmList(clock.now(), vms);
+        board.scheduler().entriesChanged(Math.max(1, membership.liveEntries().size()));
         joining.vmsListed();
         connector.want(peers.wantedAddresses());
     }
@@ -257,7 +258,8 @@
                 && owner.runs().isEmpty()
                 && owner.callRuns().isEmpty()
                 && router.forwardedRequests() == 0
-                && router.waitingRequests() == 0;
+                && router.waitingRequests() == 0
+                && (limits.limits().handedOver() || membership.liveEntries().size() <= 1);
         if (idle || clock.now() > stopDeadline) {
             Logger.info("stopped, everything finished: {}", idle);
             kill();
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/entry/Heartbeats.java
@@ -0,0 +1,65 @@
+package org.quetzalshunt.server.entry;
+
+import java.util.List;
+import org.quetzalshunt.core.membership.HeartbeatNews;
+import org.quetzalshunt.wire.generated.Heartbeat;
+import org.quetzalshunt.wire.generated.HeartbeatWord;
+
+/** Heartbeats to and from their Thrift form: a VM's own word, with words about others that ride on it. */
+final class Heartbeats {
+    private Heartbeats() {}
+
+    static Heartbeat write(HeartbeatNews own, List<HeartbeatNews> digest, long sentMillis) {
+        Heartbeat heartbeat = new Heartbeat(
+                own.vm(),
+                own.incarnation(),
+                own.configurationNext(),
+                own.configurationAgeMillis(),
+                own.leaving(),
+                own.ownedShards(),
+                sentMillis);
+        heartbeat.setBeat(own.beat());
+        heartbeat.setDigest(digest.stream().map(Heartbeats::word).toList());
+        return heartbeat;
+    }
+
+    private static HeartbeatWord word(HeartbeatNews news) {
+        return new HeartbeatWord(
+                news.vm(),
+                news.incarnation(),
+                news.beat(),
+                news.configurationNext(),
+                news.configurationAgeMillis(),
+                news.leaving(),
+                news.ownedShards());
+    }
+
+    /** The sender's own word; name and incarnation are those that its link proved. */
+    static HeartbeatNews own(String vm, long incarnation, Heartbeat heartbeat) {
+        return new HeartbeatNews(
+                vm,
+                incarnation,
+                heartbeat.getBeat(),
+                heartbeat.getConfigurationNext(),
+                heartbeat.getConfigurationAgeMillis(),
+                heartbeat.isLeaving(),
+                heartbeat.getOwnedShards() == null ? List.of() : heartbeat.getOwnedShards());
+    }
+
+    static List<HeartbeatNews> digest(Heartbeat heartbeat) {
+        if (heartbeat.getDigest() == null) {
+            return List.of();
+        }
+        return heartbeat.getDigest().stream()
+                .filter(word -> word.getVm() != null)
+                .map(word -> new HeartbeatNews(
+                        word.getVm(),
+                        word.getIncarnation(),
+                        word.getBeat(),
+                        word.getConfigurationNext(),
+                        word.getConfigurationAgeMillis(),
+                        word.isLeaving(),
+                        word.getOwnedShards() == null ? List.of() : word.getOwnedShards()))
+                .toList();
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/entry/Peers.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/Peers.java
@@ -55,7 +55,7 @@
         if (link.remote().role() == VmRole.ENTRY) {
             entries.put(link.remote().id().name(), link);
         }
-        link.send(heartbeat(link.remote().id().name()));
+        link.send(heartbeat(link.remote().id().name(), List.of()));
     }
 
     void linkClosed(PeerLink link) {
@@ -65,16 +65,9 @@
     }
 
     void onHeartbeat(PeerLink link, Heartbeat heartbeat) {
-        List<Integer> owned = heartbeat.getOwnedShards() == null ? List.of() : heartbeat.getOwnedShards();
-        membership.onHeartbeat(
-                clock.now(),
-                HeartbeatNews.of(
-                        link.remote().id().name(),
-                        link.remote().id().incarnation(),
-                        heartbeat.getConfigurationNext(),
-                        heartbeat.getConfigurationAgeMillis(),
-                        heartbeat.isLeaving(),
-                        owned));
+        VmId sender = link.remote().id();
+        membership.onHeartbeat(clock.now(), Heartbeats.own(sender.name(), sender.incarnation(), heartbeat));
+        membership.onDigest(clock.now(), Heartbeats.digest(heartbeat));
         lastSentByPeer.put(link.remote().id().name(), heartbeat.getSentMillis());
         if (heartbeat.isSetEchoedSentMillis()) {
             configuration
@@ -100,7 +93,10 @@
                         .filter(name -> !name.equals(self.name()))
                         .toList());
         for (String target : membership.heartbeatTargets(now)) {
-            send(entries.get(target));
+            PeerLink link = entries.get(target);
+            if (link != null) {
+                link.send(heartbeat(target, membership.digest(target)));
+            }
         }
         if (now - keptAliveMillis >= KEEP_ALIVE_MILLIS) {
             keptAliveMillis = now;
@@ -110,21 +106,11 @@
     }
 
     private void send(PeerLink link) {
-        if (link != null) {
-            link.send(heartbeat(link.remote().id().name()));
-        }
+        link.send(heartbeat(link.remote().id().name(), List.of()));
     }
 
-    private Message heartbeat(String target) {
-        HeartbeatNews own = membership.ownNews();
-        Heartbeat heartbeat = new Heartbeat(
-                self.name(),
-                self.incarnation(),
-                own.configurationNext(),
-                own.configurationAgeMillis(),
-                own.leaving(),
-                own.ownedShards(),
-                clock.now());
+    private Message heartbeat(String target, List<HeartbeatNews> digest) {
+        Heartbeat heartbeat = Heartbeats.write(membership.ownNews(), digest, clock.now());
         Long echoed = lastSentByPeer.get(target);
         if (echoed != null) {
             heartbeat.setEchoedSentMillis(echoed);
