A caller hears the final answer at its deadline, also in an outage of the log

Cause: a call whose intent the log did not take, or a turn whose record it did not keep, waited for the log's return; its caller had an open connection and no answer. A call was removed from its table only as the same object; now by its request id.

--- a/core/src/main/java/org/quetzalshunt/core/program/CallTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/CallTable.java
@@ -17,7 +17,9 @@
     }
 
     void remove(CallRequest call) {
-        calls.remove(key(call), call);
+        if (contains(call)) {
+            calls.remove(key(call));
+        }
     }
 
     boolean contains(CallRequest call) {
--- a/core/src/main/java/org/quetzalshunt/core/program/Shard.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/Shard.java
@@ -36,7 +36,7 @@
     private final ShardListener listener;
     private final ShardRebuild rebuild;
     private final Map<String, TurnQueue> queues = new Object2ObjectHashMap<>();
-    private final CallTable calls = new CallTable();
+    private final CallSystem calls;
     private final Set<String> ending = new HashSet<>();
     private ShardState state;
     private long next;
@@ -58,6 +58,7 @@
         this.listener = listener;
         this.rebuild = new ShardRebuild(settings.resultMillis());
         this.state = new ShardState(settings.resultMillis());
+        this.calls = new CallSystem(state, this::submit, listener);
     }
 
     /** Makes a shard that has folded nothing yet. */
@@ -496,65 +497,18 @@
 
     /** Takes a call that must run at most once; it starts when its intent is folded as valid. */
     public Admission offerCall(long nowMillis, CallRequest call) {
-        Optional<Admission> running = calls.find(call);
-        if (running.isPresent()) {
-            return running.get();
-        }
-        Optional<StoredResult> result = state.results().find(call.clientAccount(), call.idempotencyKey());
-        if (result.isPresent()) {
-            return Calls.knownResult(result.get(), call.digest());
-        }
-        calls.add(call);
-        ShardRecord.CallIntent intent = new ShardRecord.CallIntent(
-                state.epoch(),
-                call.clientAccount(),
-                call.idempotencyKey(),
-                call.service(),
-                call.requestId(),
-                call.digest(),
-                nowMillis);
-        submit(intent, folded -> intentFolded(call));
-        return new Admission.Accepted();
+        return calls.offer(nowMillis, call);
     }
 
-    private void intentFolded(CallRequest call) {
-        if (!calls.contains(call)) {
-            return;
-        }
-        boolean valid = isOwned()
-                && state.results()
-                        .find(call.clientAccount(), call.idempotencyKey())
-                        .filter(intent -> intent.requestId().equals(call.requestId()) && !intent.ended())
-                        .isPresent();
-        if (valid) {
-            listener.onCallStart(call);
-            return;
-        }
-        calls.remove(call);
-        listener.onRefused(
-                call.requestId(),
-                Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "the call's intent was not kept", RETRY_AFTER_MILLIS));
+    /** Gives up a call that has not started; it certainly does not run, and a re-send may. */
+    public void withdrawCall(CallRequest call) {
+        calls.withdraw(call);
     }
 
     /** Records the outcome of a call; the callback hears whether it is kept for re-sends. */
     public void endCall(
             long nowMillis, CallRequest call, ResultCode code, StoredAnswer answer, Consumer<Boolean> whenDurable) {
-        ShardRecord.CallEnded ended = new ShardRecord.CallEnded(
-                state.epoch(),
-                call.clientAccount(),
-                call.idempotencyKey(),
-                call.requestId(),
-                code.number(),
-                answer,
-                nowMillis);
-        submit(ended, folded -> {
-            calls.remove(call);
-            whenDurable.accept(folded
-                    && state.results()
-                            .find(call.clientAccount(), call.idempotencyKey())
-                            .filter(StoredResult::ended)
-                            .isPresent());
-        });
+        calls.end(nowMillis, call, code, answer, whenDurable);
     }
 
     /**
--- a/core/src/test/java/org/quetzalshunt/core/program/ShardNode.java
+++ b/core/src/test/java/org/quetzalshunt/core/program/ShardNode.java
@@ -117,7 +117,7 @@
         return shard.offerCall(log.now(), callRequest(key, requestId));
     }
 
-    private static CallRequest callRequest(String key, String requestId) {
+    static CallRequest callRequest(String key, String requestId) {
         return new CallRequest(requestId, ACCOUNT, key, "learner-app", octets("POST /orders"));
     }
 
--- a/core/src/test/java/org/quetzalshunt/core/program/ShardTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/program/ShardTest.java
@@ -113,6 +113,26 @@
         assertThat(two.callsStarted).hasSize(1);
     }
 
+    /**
+     * The log is down when a cooperative orders its lorry. At its deadline the caller hears "not run"; later the log is
+     * back and holds the intent after all. The lorry must not be sent then, and the same order may be placed again.
+     */
+    @Test
+    void aCallWithdrawnBeforeItsIntentNeverRunsAndMayBeSentAgain() {
+        one.takeOver(this::ticks);
+        log.setOutage(true);
+        one.call("lorry", "first");
+        log.run(500, this::ticks);
+        one.shard.withdrawCall(ShardNode.callRequest("lorry", "first"));
+        log.setOutage(false);
+        log.run(10_000, this::ticks);
+        assertThat(one.callsStarted).isEmpty();
+        Admission again = one.call("lorry", "second");
+        log.run(200, this::ticks);
+        assertThat(again).isInstanceOf(Admission.Accepted.class);
+        assertThat(one.callsStarted).hasSize(1);
+    }
+
     /**
      * A program began yesterday; the log keeps an hour. Its owner dies and an entry that started today takes over. It
      * has never seen the first turns: it must have them from the checkpoint, with the answers for re-sends.
--- a/server/src/main/java/org/quetzalshunt/server/entry/CallRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/CallRun.java
@@ -38,6 +38,7 @@
     private boolean mayHaveRun;
     private int attempts;
     private String avoidEndpoint = "";
+    private boolean started;
     private boolean done;
 
     CallRun(
@@ -60,8 +61,23 @@
         this.arrivedMillis = owner.clock().now();
     }
 
+    /**
+     * Answers a call whose intent the log has not taken by its deadline. It is given up first, so "not run" is true, and
+     * the caller need not wait for the log to come back.
+     */
+    void expire(long nowMillis) {
+        boolean waitsForIntent = call.isPresent() && !started && !done;
+        if (!waitsForIntent || nowMillis < request.deadlineMillis()) {
+            return;
+        }
+        done = true;
+        shard.withdrawCall(call.get());
+        tell(Refusal.notRunRetryAfter(ResultCode.LOG_UNAVAILABLE, "the call's intent could not be kept", 1_000));
+    }
+
     /** Queues the call for an endpoint; for one with an intent, after the intent is folded. */
     void start() {
+        started = true;
         Optional<Refusal> refusal =
                 owner.board().offer((id, board) -> new CallWork(item(id)), limits.queuePerAccount());
         refusal.ifPresent(this::fail);
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
@@ -53,6 +53,7 @@
     private CacheKeeper caches;
     private EntryLinks entryLinks;
     private LimitHost limits;
+    private OwnerService service;
     private final Joining joining = new Joining(clock);
     private Ticker ticker;
     private long slowMillis;
@@ -111,7 +112,7 @@
                 program -> caches.programEnded(shards, program),
                 (request, sink) ->
                         router.route(RequestShards.of(request, settings.shards()), request.passedOn(), sink));
-        OwnerService service = new OwnerService(owner, number -> shards.shard(number));
+        service = new OwnerService(owner, number -> shards.shard(number));
         shards = new ShardHost(
                 self,
                 clock,
@@ -166,6 +167,7 @@
         vmList.tick();
         peers.tick(attempts.links(), shards.ownedNumbers(), stopping);
         router.tick();
+        service.tick();
         caches.tick(shards);
         if (stopping) {
             tickStopping();
--- a/server/src/main/java/org/quetzalshunt/server/entry/OwnerService.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/OwnerService.java
@@ -32,15 +32,18 @@
 
     private final OwnerContext owner;
     private final IntFunction<Shard> shards;
+    private final OpenAnswers open;
 
     OwnerService(OwnerContext owner, IntFunction<Shard> shards) {
         this.owner = owner;
         this.shards = shards;
+        this.open = new OpenAnswers(owner.clock());
     }
 
     /** Handles a request whose shard this entry owns. */
     void handle(int shardNumber, OwnerRequest request, ResponseSink sink) {
         Shard shard = shards.apply(shardNumber);
+        open.add(request, sink);
         if (!shard.isOwned()) {
             refuse(sink, request, Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "ask again", RETRY_AFTER_MILLIS));
             return;
@@ -56,6 +59,13 @@
         call(shard, request, sink);
     }
 
+    /** Answers what is past its deadline and still open. */
+    void tick() {
+        long now = owner.clock().now();
+        owner.callRuns().values().stream().toList().forEach(run -> run.expire(now));
+        open.tick();
+    }
+
     private void chat(Shard shard, OwnerRequest request, ResponseSink sink) {
         Outcome<ChatBody> read = ChatBody.read(request.body());
         if (read instanceof Outcome.Failure<ChatBody> failure) {
