Turns and calls are systems of their own, and calls see the state that a checkpoint restored

Cause: the system of calls, split out before, kept the shard's first state object. An entry that took a shard from a checkpoint replaced that object, looked a call's intent up in the old one, and never started a call. Found by reading. Ruled out: the same fault in turns, which asked the shard. Change: both systems ask for the state anew.

--- a/core/src/main/java/org/quetzalshunt/core/program/CallSystem.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/CallSystem.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 
@@ -13,12 +14,13 @@
 final class CallSystem {
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
-    private final ShardState state;
+    private final Supplier<ShardState> state;
     private final BiConsumer<ShardRecord, Consumer<Boolean>> submitter;
     private final ShardListener listener;
     private final CallTable calls = new CallTable();
 
-    CallSystem(ShardState state, BiConsumer<ShardRecord, Consumer<Boolean>> submitter, ShardListener listener) {
+    CallSystem(
+            Supplier<ShardState> state, BiConsumer<ShardRecord, Consumer<Boolean>> submitter, ShardListener listener) {
         this.state = state;
         this.submitter = submitter;
         this.listener = listener;
@@ -37,13 +39,13 @@
         if (running.isPresent()) {
             return running.get();
         }
-        Optional<StoredResult> result = state.results().find(call.clientAccount(), call.idempotencyKey());
+        Optional<StoredResult> result = state.get().results().find(call.clientAccount(), call.idempotencyKey());
         if (result.isPresent()) {
             return Calls.knownResult(result.get(), call.digest());
         }
         calls.add(call);
         ShardRecord.CallIntent intent = new ShardRecord.CallIntent(
-                state.epoch(),
+                state.get().epoch(),
                 call.clientAccount(),
                 call.idempotencyKey(),
                 call.service(),
@@ -55,7 +57,8 @@
     }
 
     private void intentFolded(long offeredMillis, CallRequest call) {
-        boolean valid = state.results()
+        boolean valid = state.get()
+                .results()
                 .find(call.clientAccount(), call.idempotencyKey())
                 .filter(intent -> intent.requestId().equals(call.requestId()) && !intent.ended())
                 .isPresent();
@@ -86,7 +89,7 @@
 
     void end(long nowMillis, CallRequest call, ResultCode code, StoredAnswer answer, Consumer<Boolean> whenDurable) {
         ShardRecord.CallEnded ended = new ShardRecord.CallEnded(
-                state.epoch(),
+                state.get().epoch(),
                 call.clientAccount(),
                 call.idempotencyKey(),
                 call.requestId(),
@@ -96,7 +99,8 @@
         submitter.accept(ended, folded -> {
             calls.remove(call);
             whenDurable.accept(folded
-                    && state.results()
+                    && state.get()
+                            .results()
                             .find(call.clientAccount(), call.idempotencyKey())
                             .filter(StoredResult::ended)
                             .isPresent());
--- a/core/src/main/java/org/quetzalshunt/core/program/Shard.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/Shard.java
@@ -4,12 +4,10 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import org.agrona.collections.Object2ObjectHashMap;
 import org.quetzalshunt.core.document.ServiceLimits;
 import org.quetzalshunt.core.log.CheckpointParts;
 import org.quetzalshunt.core.log.LogFold;
@@ -35,7 +33,7 @@
     private final RecordSubmitter submitter;
     private final ShardListener listener;
     private final ShardRebuild rebuild;
-    private final Map<String, TurnQueue> queues = new Object2ObjectHashMap<>();
+    private final TurnSystem turns;
     private final CallSystem calls;
     private final Set<String> ending = new HashSet<>();
     private ShardState state;
@@ -58,7 +56,8 @@
         this.listener = listener;
         this.rebuild = new ShardRebuild(settings.resultMillis());
         this.state = new ShardState(settings.resultMillis());
-        this.calls = new CallSystem(state, this::submit, listener);
+        this.turns = new TurnSystem(() -> state, this::submit, this::isOwned, listener);
+        this.calls = new CallSystem(() -> state, this::submit, listener);
     }
 
     /** Makes a shard that has folded nothing yet. */
@@ -212,7 +211,7 @@
 
     /** Whether turns or calls wait or run here. */
     public boolean isBusy() {
-        return !calls.isEmpty() || queues.values().stream().anyMatch(queue -> !queue.isIdle());
+        return !calls.isEmpty() || !turns.isEmpty();
     }
 
     /** Makes a program; the callback hears once it is durable. A re-send of the same request finds it made. */
@@ -281,218 +280,30 @@
 
     /** Takes a request for a turn. The host must know the request id before, since it may start at once. */
     public Admission offerTurn(long nowMillis, TurnRequest request) {
-        Optional<Admission> known = knownTurn(request);
-        if (known.isPresent()) {
-            return known.get();
-        }
-        Optional<Refusal> refusal = turnRefusal(request);
-        if (refusal.isPresent()) {
-            return new Admission.Refused(refusal.get());
-        }
-        queue(request.program()).waiting().add(request);
-        startNext(nowMillis, request.program());
-        return new Admission.Accepted();
-    }
-
-    private Optional<Admission> knownTurn(TurnRequest request) {
-        if (request.idempotencyKey().isEmpty()) {
-            return Optional.empty();
-        }
-        String key = request.idempotencyKey().get();
-        Optional<StoredResult> result = state.results().find(request.clientAccount(), key);
-        if (result.isPresent()) {
-            return Optional.of(Calls.knownResult(result.get(), request.digest()));
-        }
-        TurnQueue queue = queues.get(request.program());
-        return Optional.ofNullable(queue)
-                .flatMap(found -> found.find(key))
-                .filter(other -> other.clientAccount().equals(request.clientAccount()))
-                .map(other -> Calls.sameRequest(other.requestId(), other.digest(), request.digest()));
-    }
-
-    private Optional<Refusal> turnRefusal(TurnRequest request) {
-        Optional<Program> program = state.program(request.program());
-        if (request.implicitProgram()) {
-            return Optional.empty();
-        }
-        if (program.isEmpty() || !program.get().clientAccount.equals(request.clientAccount())) {
-            return Optional.of(Refusal.notRun(ResultCode.UNKNOWN_PROGRAM, request.program()));
-        }
-        int ended = program.get().turns;
-        if (request.turn().isPresent()
-                && (request.turn().getAsInt() <= ended
-                        || request.turn().getAsInt() > ended + TurnQueue.MAXIMUM_WAITING)) {
-            return Optional.of(Refusal.notRun(ResultCode.TURN_OUT_OF_ORDER, "the next turn is " + (ended + 1)));
-        }
-        TurnQueue queue = queue(request.program());
-        if (queue.waiting().size() >= TurnQueue.MAXIMUM_WAITING) {
-            return Optional.of(Refusal.notRunRetryAfter(
-                    ResultCode.QUEUE_FULL, "too many turns of the program wait", RETRY_AFTER_MILLIS));
-        }
-        return Optional.empty();
-    }
-
-    private TurnQueue queue(String program) {
-        return queues.computeIfAbsent(program, ignored -> new TurnQueue());
-    }
-
-    private boolean isRunning(TurnStart start) {
-        return Optional.ofNullable(queues.get(start.request().program()))
-                .flatMap(TurnQueue::running)
-                .filter(running -> isSame(running, start))
-                .isPresent();
-    }
-
-    private static boolean isSame(TurnStart one, TurnStart other) {
-        return one.request().requestId().equals(other.request().requestId());
-    }
-
-    /** Starts the program's next turn when none runs. */
-    private void startNext(long nowMillis, String id) {
-        TurnQueue queue = queue(id);
-        while (queue.running().isEmpty()) {
-            int nextTurn = state.program(id).map(program -> program.turns + 1).orElse(1);
-            Optional<TurnRequest> next = queue.takeNext(nextTurn);
-            if (next.isEmpty()) {
-                break;
-            }
-            start(nowMillis, queue, next.get());
-        }
-        if (queue.isIdle()) {
-            queues.remove(id);
-        }
-    }
-
-    private void start(long nowMillis, TurnQueue queue, TurnRequest request) {
-        Program program = state.program(request.program()).orElseGet(() -> implicitProgram(nowMillis, request));
-        Program payer = state.payer(program);
-        Outcome<TurnStart> planned = TurnPlanner.plan(program, payer, request);
-        if (planned instanceof Outcome.Failure<TurnStart> failure) {
-            listener.onRefused(request.requestId(), failure.refusal());
-            return;
-        }
-        TurnStart start = planned.toOptional().orElseThrow();
-        queue.run(start);
-        reserve(program, payer, start.reservation());
-        if (request.implicitProgram() || start.reservation() <= program.recordedReservation) {
-            listener.onTurnStart(start);
-            return;
-        }
-        ShardRecord.ReservationRaised raised =
-                new ShardRecord.ReservationRaised(state.epoch(), program.id, start.reservation());
-        submit(raised, folded -> raisedThenStart(nowMillis, program, start));
-    }
-
-    private void raisedThenStart(long nowMillis, Program program, TurnStart start) {
-        boolean stillRunning = isOwned() && program.recordedReservation >= start.reservation() && isRunning(start);
-        if (stillRunning) {
-            listener.onTurnStart(start);
-            return;
-        }
-        listener.onRefused(
-                start.request().requestId(),
-                Refusal.notRunRetryAfter(ResultCode.NOT_OWNER, "the shard passed on", RETRY_AFTER_MILLIS));
-        // When the record was refused, for a full backlog say, the shard is still owned and the program must go on.
-        closeTurn(nowMillis, start);
-    }
-
-    /** A request outside any program is a program of one turn, recorded together with the end of that turn. */
-    private Program implicitProgram(long nowMillis, TurnRequest request) {
-        return new Program(implicitRecord(nowMillis, request));
-    }
-
-    private ShardRecord.ProgramCreated implicitRecord(long nowMillis, TurnRequest request) {
-        return new ShardRecord.ProgramCreated(
-                state.epoch(),
-                request.program(),
-                request.clientAccount(),
-                Optional.empty(),
-                request.limits().programBudgetTokens(),
-                0,
-                nowMillis,
-                true,
-                request.requestId());
-    }
-
-    private void reserve(Program program, Program payer, long tokens) {
-        program.liveReservations += tokens;
-        if (payer != program) {
-            payer.liveReservations += tokens;
-        }
+        return turns.offer(nowMillis, request);
     }
 
     /** Records the end of a turn; the callback hears whether it became part of the program. */
     public void endTurn(long nowMillis, TurnStart start, TurnResult result, Consumer<Boolean> whenDurable) {
-        // A turn of an epoch of before may come to its end when this process owns the shard again. The takeover has
-        // charged its reservation, so that what it spent would count twice and pass the budget.
-        if (!isRunning(start)) {
-            whenDurable.accept(false);
-            return;
-        }
-        TurnRequest request = start.request();
-        Optional<Program> known = state.program(request.program());
-        if (request.implicitProgram() && known.isEmpty()) {
-            submit(implicitRecord(nowMillis, request), folded -> {});
-        }
-        Program program = known.orElseGet(() -> implicitProgram(nowMillis, request));
-        ShardRecord.TurnEnded ended = TurnRecords.ended(nowMillis, state.epoch(), program, start, result);
-        submit(ended, folded -> {
-            boolean kept = state.program(request.program())
-                    .filter(found -> found.lastRequestId.equals(request.requestId()))
-                    .isPresent();
-            whenDurable.accept(folded && kept && isOwned());
-            closeTurn(nowMillis, start);
-        });
-        if (request.implicitProgram()) {
-            ShardRecord.ProgramEnded end =
-                    new ShardRecord.ProgramEnded(state.epoch(), request.program(), ResultCode.OK.number(), nowMillis);
-            submit(end, folded -> {});
-        }
+        turns.end(nowMillis, start, result, whenDurable);
     }
 
     /**
      * Charges an attempt that ran and gave nothing. The callback hears, once the charge is durable, whether the budget
-     * covers one more attempt of the turn; without it an engine that fails would let a program spend twice.
+     * covers one more attempt of the turn.
      */
     public void chargeLostAttempt(TurnStart start, Consumer<Boolean> whenCharged) {
-        if (start.request().implicitProgram() || !isRunning(start)) {
-            whenCharged.accept(start.request().implicitProgram());
-            return;
-        }
-        ShardRecord.BudgetCharged charged =
-                new ShardRecord.BudgetCharged(state.epoch(), start.request().program(), start.reservation());
-        submit(charged, folded -> whenCharged.accept(folded && isOwned() && withinBudget(start)));
-    }
-
-    private boolean withinBudget(TurnStart start) {
-        return state.program(start.request().program())
-                .map(state::payer)
-                .filter(payer -> payer.budgetTokens - payer.spentTokens - payer.liveReservations >= 0)
-                .isPresent();
+        turns.chargeLostAttempt(start, whenCharged);
     }
 
     /** Ends a turn that gave nothing and costs nothing more than was charged before. */
     public void failTurn(long nowMillis, TurnStart start) {
-        closeTurn(nowMillis, start);
-    }
-
-    private void closeTurn(long nowMillis, TurnStart start) {
-        String id = start.request().program();
-        if (!isRunning(start)) {
-            return;
-        }
-        queues.get(id).runEnded();
-        if (!start.request().implicitProgram()) {
-            state.program(id).ifPresent(program -> reserve(program, state.payer(program), -start.reservation()));
-        }
-        startNext(nowMillis, id);
+        turns.close(nowMillis, start);
     }
 
     /** Gives up a turn that still waits; false when it runs or is not known. */
     public boolean withdrawTurn(String program, String requestId) {
-        TurnQueue queue = queues.get(program);
-        return queue != null
-                && queue.waiting().removeIf(request -> request.requestId().equals(requestId));
+        return turns.withdraw(program, requestId);
     }
 
     /** Takes a call that must run at most once; it starts when its intent is folded as valid. */
@@ -529,30 +340,16 @@
             return;
         }
         sweptMillis = nowMillis;
-        expireWaiting(nowMillis);
+        turns.expire(nowMillis);
         if (isOwned()) {
             endIdlePrograms(nowMillis);
         }
         state.sweep();
     }
 
-    private void expireWaiting(long nowMillis) {
-        List<TurnRequest> expired = new ArrayList<>();
-        queues.values().forEach(queue -> queue.waiting().removeIf(request -> {
-            boolean late = request.deadlineMillis() <= nowMillis;
-            if (late) {
-                expired.add(request);
-            }
-            return late;
-        }));
-        queues.values().removeIf(TurnQueue::isIdle);
-        expired.forEach(request -> listener.onRefused(
-                request.requestId(), Refusal.notRun(ResultCode.DEADLINE_PASSED, "it waited for an earlier turn")));
-    }
-
     private void endIdlePrograms(long nowMillis) {
         state.programs().stream()
-                .filter(program -> !program.isEnded() && !queues.containsKey(program.id))
+                .filter(program -> !program.isEnded() && turns.find(program.id).isEmpty())
                 // One record each, however long the log is down: the backlog is for turns.
                 .filter(program -> !ending.contains(program.id))
                 .filter(program -> program.lastActiveMillis + settings.programIdleMillis() < nowMillis)
@@ -582,7 +379,7 @@
     }
 
     private ProgramView view(Program program) {
-        Optional<TurnQueue> queue = Optional.ofNullable(queues.get(program.id));
+        Optional<TurnQueue> queue = turns.find(program.id);
         return new ProgramView(
                 program.id,
                 program.clientAccount,
@@ -600,7 +397,7 @@
     private void ownershipChanged() {
         long epoch = isOwned() ? state.epoch() : NOT_OWNED;
         if (ownedEpoch != NOT_OWNED && ownedEpoch != epoch) {
-            queues.clear();
+            turns.clear();
             calls.clear();
             ending.clear();
             listener.onOwnershipLost(number);
--- a/core/src/test/java/org/quetzalshunt/core/program/ShardTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/program/ShardTest.java
@@ -133,6 +133,28 @@
         assertThat(one.callsStarted).hasSize(1);
     }
 
+    /**
+     * Retention passed over a shard's records and a new entry took it from the checkpoint. A parent renews, then sends
+     * the renewal again: the first must run, and the second must hear of it. A call that looked at the state of before
+     * the checkpoint would never start.
+     */
+    @Test
+    void aCallRunsOnceAtAnOwnerThatStartedFromACheckpoint() {
+        one.takeOver(this::ticks);
+        one.create(PROGRAM, 10_000);
+        log.run(40, this::ticks);
+        long before = log.next();
+        log.run(16_000, this::ticks);
+        one.line.cut();
+        log.dropBelow(before);
+        ShardNode late = ShardNode.start(log, codec, "late");
+        late.takeOver(late::tick);
+        late.call("renewal", "first");
+        log.run(100, late::tick);
+        assertThat(late.callsStarted).hasSize(1);
+        assertThat(late.call("renewal", "again")).isInstanceOf(Admission.Attach.class);
+    }
+
     /**
      * A program began yesterday; the log keeps an hour. Its owner dies and an entry that started today takes over. It
      * has never seen the first turns: it must have them from the checkpoint, with the answers for re-sends.
--- a/server/src/main/java/org/quetzalshunt/server/settings/SidecarCommand.java
+++ b/server/src/main/java/org/quetzalshunt/server/settings/SidecarCommand.java
@@ -8,6 +8,7 @@
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.server.sidecar.SidecarProcess;
 import org.quetzalshunt.server.sidecar.SidecarSettings;
+import org.quetzalshunt.server.sidecar.SidecarTimes;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -21,6 +22,9 @@
         sortOptions = false,
         description = "Runs beside one endpoint and gives it its work, once each.")
 public final class SidecarCommand implements Callable<Integer> {
+    /** Within the time of a planned stop, kept for telling what was cut at the end of the drain. */
+    private static final long LAST_FRAMES_MILLIS = 1_000;
+
     @Spec
     private CommandSpec spec;
 
@@ -76,7 +80,9 @@
         if (!checks.problems().isEmpty()) {
             return SettingsReport.tell(spec, checks.problems());
         }
-        SidecarProcess sidecar = SidecarProcess.start(settings);
+        long drainMillis = Math.max(0, process.stopMillis - LAST_FRAMES_MILLIS);
+        SidecarProcess sidecar =
+                SidecarProcess.start(settings.withTimes(SidecarTimes.defaults().withDrainMillis(drainMillis)));
         return Lifecycle.run(sidecar.httpPort(), sidecar.linkPort(), process.stopMillis, sidecar::stop);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/transport/LinkPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/transport/LinkPipeline.java
@@ -20,6 +20,9 @@
 final class LinkPipeline extends ChannelInitializer<SocketChannel> {
     private static final int LENGTH_BYTES = 4;
 
+    /** Frames written in one turn of the event loop leave in one write; more of them than this do not wait for it. */
+    private static final int FLUSHES_TOGETHER = 256;
+
     private final LinkSettings settings;
     private final LinkListener listener;
     private final boolean connector;
@@ -34,7 +37,7 @@
     protected void initChannel(SocketChannel channel) {
         channel.pipeline()
                 .addLast(new ReadTimeoutHandler(settings.silenceMillis(), TimeUnit.MILLISECONDS))
-                .addLast(new FlushConsolidationHandler())
+                .addLast(new FlushConsolidationHandler(FLUSHES_TOGETHER, true))
                 .addLast(new LengthFieldBasedFrameDecoder(MessageCodec.MAXIMUM_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                 .addLast(new FrameCodec())
                 .addLast(new LinkHandler(settings, listener, connector));
