An outage of the log refuses nobody while the fate of an append is open

Cause: an entry counted as not ready (5002) while its session wanted a read, which an append without an answer asks for; in an outage of the log with an operator's change on its way every caller was refused. Ruled out: freshness, which held by the peers' words. Change: ready means that the stream was read to its end once and nothing was missed; freshness says whether that is recent enough.

--- a/app/src/test/java/org/quetzalshunt/app/deployment/WholePathTest.java
+++ b/app/src/test/java/org/quetzalshunt/app/deployment/WholePathTest.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.standin.engine.BatchSettings;
@@ -137,6 +138,34 @@
         }
     }
 
+    /**
+     * The log service is down for some seconds in the middle of a lesson, just when an operator withdraws a key. The
+     * class's questions are taken and answered; the end of an answer waits until its record is kept. An entry that counts
+     * as not ready while it does not know what became of its append would refuse them all.
+     */
+    @Test
+    void anOutageOfTheLogRefusesNobody() {
+        try (Deployment deployment = Deployment.start(quick().withVms(2, 1, 0))) {
+            String url = deployment.entryUrls().get(0);
+            ArrayNode messages = user("before the outage");
+            assertThat(post(deployment, url, "/v1/chat/completions", Map.of(), chat(messages, false))
+                            .status())
+                    .isEqualTo(200);
+            String platform = deployment.standinUrls().get("platform");
+            byte[] outage = Json.bytes(
+                    Json.object().put("kind", "outage").put("count", 0).put("millis", 5_000));
+            client.send("POST", platform + "/standin/faults", Map.of(), outage);
+            CompletableFuture<Void> withdrawn = CompletableFuture.runAsync(() -> deployment.withdrawKey("karatu"));
+            ApiClient.pause(3_000);
+            for (String entry : deployment.entryUrls()) {
+                ApiClient.Answer answer =
+                        post(deployment, entry, "/v1/chat/completions", Map.of(), chat(user("during it"), false));
+                assertWithMessage(answer.text()).that(answer.status()).isEqualTo(200);
+            }
+            withdrawn.join();
+        }
+    }
+
     @Test
     void ordinaryClientStreamsWithKeyAlone() {
         try (Deployment deployment = Deployment.start(quick().withVms(1, 1, 0))) {
--- a/server/src/main/java/org/quetzalshunt/server/entry/ConfigurationHost.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ConfigurationHost.java
@@ -57,9 +57,12 @@
         session.lastReadMillis().ifPresent(freshness::readToEnd);
     }
 
-    /** Whether this process may decide on keys and documents now. */
+    /**
+     * Whether this process has read the stream to its end once and missed nothing since. Whether that is recent enough
+     * is freshness' to say: an append whose fate is unknown in an outage of the log is no reason to refuse callers.
+     */
     boolean isReady() {
-        return configuration.complete() && session.lastReadMillis().isPresent() && session.caughtUp();
+        return configuration.complete() && session.lastReadMillis().isPresent();
     }
 
     boolean isFresh() {
