--- a/app/src/main/java/org/quetzalshunt/app/Main.java
+++ b/app/src/main/java/org/quetzalshunt/app/Main.java
@@ -5,6 +5,7 @@
 import org.quetzalshunt.app.demo.DemoCommand;
 import org.quetzalshunt.app.load.LoadCommand;
 import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.platform.GatewayCommand;
 import org.quetzalshunt.server.operator.ConfigCommand;
 import org.quetzalshunt.server.operator.DumpCommand;
 import org.quetzalshunt.server.settings.EntryCommand;
@@ -25,6 +26,7 @@
             DemoCommand.class,
             EntryCommand.class,
             SidecarCommand.class,
+            GatewayCommand.class,
             StandinCommand.class,
             BenchCommand.class,
             LoadCommand.class
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Endpoints as they register themselves, and the choice among them. */
+package org.quetzalshunt.core.endpoint;
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/route/AccountTerms.java
@@ -0,0 +1,16 @@
+package org.quetzalshunt.core.route;
+
+/**
+ * What a client account may do.
+ *
+ * @param name its name
+ * @param priority goes before the route's priority; 0 is the most urgent, negative when the account has none
+ * @param ratePerSecond requests a second over the whole fleet; 0 for no limit
+ * @param burst requests that may come at once after a rest, over the whole fleet
+ */
+public record AccountTerms(String name, int priority, double ratePerSecond, double burst) {
+    /** Whether requests are counted against a rate. */
+    public boolean limited() {
+        return ratePerSecond > 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/route/RouteTable.java
@@ -0,0 +1,45 @@
+package org.quetzalshunt.core.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds the route of a request: among the routes of its host, the one with the longest prefix of its path. */
+public final class RouteTable {
+    private final Map<String, List<Route>> byHost;
+    private final int size;
+
+    private RouteTable(Map<String, List<Route>> byHost, int size) {
+        this.byHost = byHost;
+        this.size = size;
+    }
+
+    /** Makes a table of some routes. */
+    public static RouteTable of(List<Route> routes) {
+        Map<String, List<Route>> byHost = new HashMap<>();
+        routes.forEach(route -> byHost.computeIfAbsent(route.host(), ignored -> new ArrayList<>())
+                .add(route));
+        byHost.values()
+                .forEach(list -> list.sort(Comparator.comparingInt(
+                        (Route route) -> -route.pathPrefix().length())));
+        return new RouteTable(byHost, routes.size());
+    }
+
+    /** The route of a request; empty when there is none. */
+    public Optional<Route> find(String host, String path) {
+        for (Route route : byHost.getOrDefault(host, List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Number of routes. */
+    public int size() {
+        return size;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareBucket.java
@@ -0,0 +1,64 @@
+package org.quetzalshunt.core.share;
+
+/**
+ * A token bucket whose rate and room are a part of an account's. Starts empty, so that a restart earns no burst; a part
+ * that grows brings no tokens, one that shrinks loses what no longer fits.
+ */
+public final class ShareBucket {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private double level;
+    private double ratePerSecond;
+    private double capacity;
+    private long filledMillis;
+
+    private ShareBucket(long nowMillis) {
+        this.filledMillis = nowMillis;
+    }
+
+    /** An empty bucket. */
+    public static ShareBucket create(long nowMillis) {
+        return new ShareBucket(nowMillis);
+    }
+
+    /** Puts another rate and room in force. */
+    public void limit(long nowMillis, double newRatePerSecond, double newCapacity) {
+        fill(nowMillis);
+        ratePerSecond = newRatePerSecond;
+        capacity = newCapacity;
+        level = Math.min(level, capacity);
+    }
+
+    /** Takes a token, if there is one. */
+    public boolean take(long nowMillis) {
+        fill(nowMillis);
+        if (level < 1) {
+            return false;
+        }
+        level -= 1;
+        return true;
+    }
+
+    /** Gives back a token whose request never ran. */
+    public void giveBack() {
+        level = Math.min(capacity, level + 1);
+    }
+
+    /** Time until there is a token, in milliseconds; {@code most} when none will come sooner. */
+    public long waitMillis(long nowMillis, long most) {
+        fill(nowMillis);
+        if (level >= 1) {
+            return 0;
+        }
+        if (ratePerSecond <= 0) {
+            return most;
+        }
+        return Math.min(most, (long) Math.ceil((1 - level) / ratePerSecond * MILLIS_PER_SECOND));
+    }
+
+    private void fill(long nowMillis) {
+        long elapsed = Math.max(0, nowMillis - filledMillis);
+        filledMillis = nowMillis;
+        level = Math.min(capacity, level + ratePerSecond * elapsed / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
@@ -0,0 +1,172 @@
+package org.quetzalshunt.core.share;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Parts of every account's rate and burst, dealt by demand. A VM holds only what its record in the shared map says, and
+ * raises it only by an append that expects the map as it was read, so that the parts of one account never add up to
+ * more than the whole.
+ *
+ * <p>A holding is a lease: its VM uses it until {@link #LEASE_MILLIS} after it sent the record, others count on it for
+ * {@link #OBSERVED_MILLIS} after they first saw the record. Each side measures on its own monotonic clock, and a record
+ * is seen after it was sent, so the holder always stops first. Guards against a VM that is cut off or frozen and goes
+ * on spending what another has taken over; shows as an account that gets more than its rate.
+ *
+ * <p>Load pattern: an account whose callers move between VMs, and one that sends several times its rate. The first
+ * needs parts that follow demand within a second or two, the second must not starve VMs where it is quiet: every live VM
+ * keeps a floor.
+ */
+public final class ShareLedger {
+    /** The whole of an account's rate. */
+    public static final int ALL_PARTS = 10_000;
+
+    /** A VM that cannot reach the map refuses keyed requests after five seconds anyway; a little more loses nothing. */
+    public static final long LEASE_MILLIS = 6_000;
+
+    /** The lease, and a second for the drift of two clocks and a record that landed late. */
+    public static final long OBSERVED_MILLIS = 7_500;
+
+    /** A third of the lease: one renewal may fail. */
+    private static final long RENEW_MILLIS = 2_000;
+
+    /** Demand that each live VM is taken to have at least, as a part of the rate dealt evenly. */
+    private static final double FLOOR = 0.35;
+
+    /** A change below this part of a holding is not worth an append. */
+    private static final double WORTH_CHANGING = 0.2;
+
+    private final String self;
+    private final long incarnation;
+    private final Map<String, Holder> others = new HashMap<>();
+    private Map<String, AccountShare> held = Map.of();
+    private long sequence;
+    private long sentMillis = Long.MIN_VALUE / 2;
+
+    private ShareLedger(String self, long incarnation) {
+        this.self = self;
+        this.incarnation = incarnation;
+    }
+
+    /** Makes a ledger that holds nothing. */
+    public static ShareLedger create(String self, long incarnation) {
+        return new ShareLedger(self, incarnation);
+    }
+
+    /** A record of the map was seen; records of this VM's former life are void, since that process is gone. */
+    public void seen(long nowMillis, String vm, ShareRecord record) {
+        if (vm.equals(self)) {
+            return;
+        }
+        Holder holder = others.get(vm);
+        if (holder != null
+                && holder.record.incarnation() == record.incarnation()
+                && holder.record.sequence() == record.sequence()) {
+            return;
+        }
+        others.put(vm, new Holder(record, nowMillis));
+    }
+
+    /** A VM's record was removed, in a planned stop. */
+    public void removed(String vm) {
+        others.remove(vm);
+    }
+
+    /** Other VMs whose leases may still be in use. */
+    public int liveOthers(long nowMillis) {
+        return (int) others.values().stream()
+                .filter(holder -> holder.live(nowMillis))
+                .count();
+    }
+
+    /**
+     * The record to append now, if there is reason to.
+     *
+     * @param demand requests a second of each account at this VM
+     */
+    public Optional<ShareRecord> propose(long nowMillis, Collection<String> accounts, Map<String, Double> demand) {
+        others.values().removeIf(holder -> !holder.live(nowMillis));
+        Map<String, AccountShare> base = leased(nowMillis) ? held : Map.of();
+        Map<String, AccountShare> wanted = new HashMap<>();
+        boolean changed = nowMillis - sentMillis >= RENEW_MILLIS;
+        for (String account : accounts) {
+            double seenDemand = demand.getOrDefault(account, 0.0);
+            int before = base.getOrDefault(account, AccountShare.NONE).parts();
+            int parts = partsFor(account, seenDemand);
+            boolean significant = Math.abs(parts - before) > WORTH_CHANGING * Math.max(before, 1);
+            changed |= significant;
+            wanted.put(account, new AccountShare(significant ? parts : Math.min(before, room(account)), seenDemand));
+        }
+        if (!changed) {
+            return Optional.empty();
+        }
+        return Optional.of(new ShareRecord(incarnation, sequence + 1, Map.copyOf(wanted)));
+    }
+
+    private int partsFor(String account, double ownDemand) {
+        int live = others.size() + 1;
+        double totalDemand = ownDemand;
+        for (Holder holder : others.values()) {
+            totalDemand += holder.share(account).demand();
+        }
+        double even = 1.0 / live;
+        double byDemand = totalDemand <= 0 ? even : ownDemand / totalDemand;
+        double target = FLOOR * even + (1 - FLOOR) * byDemand;
+        return Math.min((int) (target * ALL_PARTS), room(account));
+    }
+
+    private int room(String account) {
+        int taken = 0;
+        for (Holder holder : others.values()) {
+            taken += holder.share(account).parts();
+        }
+        return Math.max(0, ALL_PARTS - taken);
+    }
+
+    /** A proposal is about to be sent: what it gives up is not used from now on. */
+    public void sending(long nowMillis, ShareRecord record) {
+        Map<String, AccountShare> lower = new HashMap<>();
+        if (leased(nowMillis)) {
+            record.shares().forEach((account, share) -> {
+                int before = held.getOrDefault(account, AccountShare.NONE).parts();
+                lower.put(account, new AccountShare(Math.min(before, share.parts()), share.demand()));
+            });
+        }
+        held = Map.copyOf(lower);
+        sequence = record.sequence();
+    }
+
+    /** A proposal is kept in the map: it holds from when it was sent. */
+    public void kept(long sentAtMillis, ShareRecord record) {
+        held = record.shares();
+        sentMillis = sentAtMillis;
+    }
+
+    /** Lapses at once, after a pause of this process of unknown length. */
+    public void lapse() {
+        held = Map.of();
+        sentMillis = Long.MIN_VALUE / 2;
+    }
+
+    /** Parts of an account that this VM may use now. */
+    public int parts(long nowMillis, String account) {
+        return leased(nowMillis) ? held.getOrDefault(account, AccountShare.NONE).parts() : 0;
+    }
+
+    /** Whether this VM's lease holds. */
+    public boolean leased(long nowMillis) {
+        return nowMillis - sentMillis < LEASE_MILLIS;
+    }
+
+    private record Holder(ShareRecord record, long seenMillis) {
+        boolean live(long nowMillis) {
+            return nowMillis - seenMillis < OBSERVED_MILLIS;
+        }
+
+        AccountShare share(String account) {
+            return record.shares().getOrDefault(account, AccountShare.NONE);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareRecord.java
@@ -0,0 +1,12 @@
+package org.quetzalshunt.core.share;
+
+import java.util.Map;
+
+/**
+ * What a VM keeps in the shared map about its parts.
+ *
+ * @param incarnation life of the VM's process
+ * @param sequence counts the records of that life
+ * @param shares parts by account
+ */
+public record ShareRecord(long incarnation, long sequence, Map<String, AccountShare> shares) {}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
@@ -0,0 +1,213 @@
+package org.quetzalshunt.server.gateway;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.quetzalshunt.core.budget.ProgramAllotment;
+import org.quetzalshunt.core.store.AppendAnswer;
+import org.quetzalshunt.core.store.MapEntry;
+import org.quetzalshunt.core.store.MapShard;
+import org.quetzalshunt.core.store.RangeAnswer;
+import org.quetzalshunt.core.store.SharedMap;
+import org.quetzalshunt.wire.record.StoredRecords;
+
+/**
+ * Grants turns their tokens. Turns that the VM's allotment covers are granted at once; others raise the allotment by an
+ * append that expects the shard as it was read. Appends of one shard run one after the other, so that this VM never
+ * conflicts with itself.
+ */
+final class BudgetKeeper {
+    /** Whether a turn may run. */
+    sealed interface Verdict {
+        /** It may, and its tokens are set aside. */
+        record Granted() implements Verdict {}
+
+        /** The budget is spent. */
+        record Spent(long allotted, long others) implements Verdict {}
+
+        /** The shared map cannot be asked. */
+        record Unavailable(String reason) implements Verdict {}
+    }
+
+    /** A turn that waits for its grant. */
+    private record Pending(String program, long budget, long mostTokens, long keepMillis, Consumer<Verdict> listener) {}
+
+    private static final class Row {
+        final ProgramAllotment allotment = ProgramAllotment.unknown();
+        /** The shard's epoch in which the row was read; in a later one others may have appended. */
+        long readEpoch = -1;
+    }
+
+    private static final class Shard {
+        final Deque<Pending> waiting = new ArrayDeque<>();
+        boolean busy;
+        long end;
+        long epoch;
+    }
+
+    /** Conflicts and lost answers in a row before the caller hears that the map cannot be asked. */
+    private static final int MOST_TRIES = 6;
+
+    /** A map that cannot be read is asked twice, not six times: the caller can come back. */
+    private static final int TRIES_OF_A_FAILED_READ = 3;
+
+    /** Programs remembered; far more than run within one retention at one VM. */
+    private static final int MOST_PROGRAMS = 20_000;
+
+    /** Allotments that expired by this much are void at every VM, whatever its clock says. */
+    private static final long EXPIRY_MARGIN_MILLIS = 15_000;
+
+    private static final char SEPARATOR = '/';
+
+    private final SharedMap map;
+    private final NodeClock clock;
+    private final String holder;
+    private final Map<MapShard, Shard> shards = new HashMap<>();
+    private final LinkedHashMap<String, Row> rows = new LinkedHashMap<>(256, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Row> eldest) {
+            return size() > MOST_PROGRAMS;
+        }
+    };
+
+    BudgetKeeper(SharedMap map, NodeClock clock, GatewaySettings settings) {
+        this.map = map;
+        this.clock = clock;
+        this.holder = settings.vm() + ":" + Long.toString(settings.incarnation(), Character.MAX_RADIX);
+    }
+
+    /** Whether this VM has granted turns of the program before. */
+    boolean knows(String program) {
+        Row row = rows.get(program);
+        return row != null && row.allotment.known();
+    }
+
+    /**
+     * Sets tokens aside for a turn.
+     *
+     * @param keepMillis how long the program's history is kept after its last turn
+     */
+    void reserve(String program, long budget, long mostTokens, long keepMillis, Consumer<Verdict> listener) {
+        Row row = rows.computeIfAbsent(program, ignored -> new Row());
+        if (row.allotment.covers(mostTokens)) {
+            row.allotment.started(mostTokens);
+            listener.accept(new Verdict.Granted());
+            return;
+        }
+        MapShard key = Shards.ofProgram(program);
+        Shard shard = shards.computeIfAbsent(key, ignored -> new Shard());
+        shard.waiting.addLast(new Pending(program, budget, mostTokens, keepMillis, listener));
+        if (!shard.busy) {
+            next(key, shard);
+        }
+    }
+
+    /** A turn ended; what it did not hand out is free again. */
+    void release(String program, long mostTokens, long handedOut) {
+        Row row = rows.get(program);
+        if (row != null) {
+            row.allotment.ended(mostTokens, handedOut);
+        }
+    }
+
+    private void next(MapShard key, Shard shard) {
+        Pending pending = shard.waiting.pollFirst();
+        if (pending == null) {
+            shard.busy = false;
+            return;
+        }
+        shard.busy = true;
+        step(key, shard, pending, MOST_TRIES);
+    }
+
+    private void finish(MapShard key, Shard shard, Pending pending, Verdict verdict) {
+        pending.listener().accept(verdict);
+        next(key, shard);
+    }
+
+    private void step(MapShard key, Shard shard, Pending pending, int tries) {
+        Row row = rows.computeIfAbsent(pending.program(), ignored -> new Row());
+        if (row.allotment.covers(pending.mostTokens())) {
+            row.allotment.started(pending.mostTokens());
+            finish(key, shard, pending, new Verdict.Granted());
+            return;
+        }
+        if (tries <= 0) {
+            finish(key, shard, pending, new Verdict.Unavailable("no grant after " + MOST_TRIES + " tries"));
+            return;
+        }
+        if (row.readEpoch != shard.epoch) {
+            read(key, shard, pending, row, tries);
+            return;
+        }
+        OptionalLong wanted = row.allotment.wanted(pending.budget(), pending.mostTokens());
+        if (wanted.isEmpty()) {
+            finish(key, shard, pending, new Verdict.Spent(row.allotment.allotted(), row.allotment.others()));
+            return;
+        }
+        raise(key, shard, pending, row, wanted.getAsLong(), tries);
+    }
+
+    private void read(MapShard key, Shard shard, Pending pending, Row row, int tries) {
+        String prefix = pending.program() + SEPARATOR;
+        map.range(key, prefix, answer -> {
+            if (!(answer instanceof RangeAnswer.Page page)) {
+                step(key, shard, pending, tries - TRIES_OF_A_FAILED_READ);
+                return;
+            }
+            if (page.end() != shard.end) {
+                // Others appended since the shard was last read: what other rows know of it is out of date.
+                shard.end = page.end();
+                shard.epoch++;
+            }
+            readRow(row, prefix, page.entries());
+            row.readEpoch = shard.epoch;
+            step(key, shard, pending, tries);
+        });
+    }
+
+    private void readRow(Row row, String prefix, List<MapEntry> entries) {
+        long others = 0;
+        long own = 0;
+        long expiredBefore = clock.wall() - EXPIRY_MARGIN_MILLIS;
+        for (MapEntry entry : entries) {
+            if (!entry.key().startsWith(prefix)) {
+                break;
+            }
+            Optional<StoredRecords.Allotment> found = entry.value().flatMap(StoredRecords::allotment);
+            if (found.filter(allotment -> allotment.expiresMillis() >= expiredBefore)
+                    .isEmpty()) {
+                continue;
+            }
+            if (entry.key().equals(prefix + holder)) {
+                own = found.get().tokens();
+            } else {
+                others += found.get().tokens();
+            }
+        }
+        row.allotment.read(others, own);
+    }
+
+    private void raise(MapShard key, Shard shard, Pending pending, Row row, long tokens, int tries) {
+        StoredRecords.Allotment allotment = new StoredRecords.Allotment(tokens, clock.wall() + pending.keepMillis());
+        MapEntry entry = MapEntry.of(pending.program() + SEPARATOR + holder, StoredRecords.encode(allotment));
+        map.append(key, List.of(entry), OptionalLong.of(shard.end), answer -> {
+            if (answer instanceof AppendAnswer.Appended appended) {
+                shard.end = appended.end();
+                row.allotment.granted(tokens);
+                step(key, shard, pending, tries);
+                return;
+            }
+            shard.epoch++;
+            step(key, shard, pending, tries - 1);
+        });
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
@@ -0,0 +1,30 @@
+package org.quetzalshunt.server.gateway;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What a caller's request says, in this system's words.
+ *
+ * @param id the caller's id of this one attempt
+ * @param host host that the route is chosen by
+ * @param path path without the query
+ * @param key key of a client account; never logged
+ * @param deadlineMillis how long the caller waits, from now
+ * @param program program that the request belongs to
+ * @param previousTurn id of the turn that this one goes on from
+ * @param tokenBudget tokens that all turns of the program may generate
+ * @param promptTokens tokens of the whole prompt
+ * @param mostTokens tokens that this turn may generate
+ */
+public record CallerRequest(
+        String id,
+        String host,
+        String path,
+        Optional<String> key,
+        OptionalLong deadlineMillis,
+        Optional<String> program,
+        Optional<String> previousTurn,
+        OptionalLong tokenBudget,
+        OptionalLong promptTokens,
+        OptionalLong mostTokens) {}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
@@ -0,0 +1,153 @@
+package org.quetzalshunt.server.gateway;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.quetzalshunt.core.route.TrafficConfiguration;
+import org.quetzalshunt.core.store.ChangesAnswer;
+import org.quetzalshunt.core.store.MapEntry;
+import org.quetzalshunt.core.store.MapName;
+import org.quetzalshunt.core.store.MapShard;
+import org.quetzalshunt.core.store.RangeAnswer;
+import org.quetzalshunt.core.store.SharedMap;
+
+/**
+ * Follows the configuration by long polls, and knows since when it is proven current: from the moment at which the call
+ * that reached the end of the shard was sent, since an answer says nothing of what came after it was made. Only higher
+ * versions are taken, so that nothing late can take a VM back.
+ */
+final class ConfigurationFollower {
+    private static final MapShard SHARD = MapShard.only(MapName.CONFIGURATION);
+
+    /**
+     * A poll ends after this time without news. It bounds the age of the proof: with one poll a second, a VM in touch is
+     * never more than about 1.1 s behind, and four polls in a row may fail before keys lapse at five seconds.
+     */
+    private static final long POLL_MILLIS = 1_000;
+
+    private final EventExecutor executor;
+    private final SharedMap map;
+    private final Dialect dialect;
+    private final NodeClock clock;
+    private final DecisionLog log;
+    private final Consumer<TrafficConfiguration> onChange;
+    private final Backoff backoff;
+    private TrafficConfiguration current;
+    private long provenMillis = Long.MIN_VALUE / 2;
+    private long next = -1;
+    private boolean lost;
+
+    ConfigurationFollower(
+            EventExecutor executor,
+            SharedMap map,
+            Dialect dialect,
+            NodeClock clock,
+            DecisionLog log,
+            Consumer<TrafficConfiguration> onChange) {
+        this.executor = executor;
+        this.map = map;
+        this.dialect = dialect;
+        this.clock = clock;
+        this.log = log;
+        this.onChange = onChange;
+        this.backoff = new Backoff(System.nanoTime());
+    }
+
+    /** The configuration in force. */
+    Optional<TrafficConfiguration> current() {
+        return Optional.ofNullable(current);
+    }
+
+    /** Age of the proof that nothing newer exists, in milliseconds. */
+    long ageMillis() {
+        return clock.now() - provenMillis;
+    }
+
+    /** The proof no longer counts, after a pause of unknown length. */
+    void lapse() {
+        provenMillis = Long.MIN_VALUE / 2;
+    }
+
+    void start() {
+        if (next < 0) {
+            readWhole();
+        } else {
+            poll();
+        }
+    }
+
+    private void readWhole() {
+        long sentMillis = clock.now();
+        map.range(SHARD, "", answer -> {
+            if (answer instanceof RangeAnswer.Page page) {
+                take(page.entries());
+                next = page.end();
+                proven(sentMillis);
+                poll();
+                return;
+            }
+            retry(((RangeAnswer.Unavailable) answer).reason());
+        });
+    }
+
+    private void poll() {
+        long sentMillis = clock.now();
+        map.changes(SHARD, next, POLL_MILLIS, answer -> {
+            if (answer instanceof ChangesAnswer.Changes changes) {
+                take(changes.entries());
+                next = changes.next();
+                if (changes.next() >= changes.end()) {
+                    proven(sentMillis);
+                }
+                poll();
+                return;
+            }
+            if (answer instanceof ChangesAnswer.Gone) {
+                next = -1;
+                readWhole();
+                return;
+            }
+            retry(((ChangesAnswer.Unavailable) answer).reason());
+        });
+    }
+
+    private void proven(long sentMillis) {
+        backoff.succeeded();
+        provenMillis = Math.max(provenMillis, sentMillis);
+        if (lost) {
+            lost = false;
+            log.line(log.event("dependency-regained").put("dependency", "configuration"));
+        }
+    }
+
+    private void retry(String reason) {
+        if (!lost) {
+            lost = true;
+            log.line(log.event("dependency-lost")
+                    .put("dependency", "configuration")
+                    .put("reason", reason));
+        }
+        executor.schedule(this::start, backoff.failedMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void take(List<MapEntry> entries) {
+        for (MapEntry entry : entries) {
+            entry.value().flatMap(dialect::configuration).ifPresent(this::adopt);
+        }
+    }
+
+    private void adopt(TrafficConfiguration configuration) {
+        if (current != null && configuration.version() <= current.version()) {
+            return;
+        }
+        log.line(log.event("configuration")
+                .put("version", configuration.version())
+                .put("before", current == null ? -1 : current.version())
+                .put("routes", configuration.routes().size())
+                .put("accounts", configuration.accounts().size()));
+        current = configuration;
+        onChange.accept(configuration);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -0,0 +1,260 @@
+package org.quetzalshunt.server.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.core.endpoint.Finish;
+import org.quetzalshunt.core.endpoint.Registration;
+import org.quetzalshunt.core.endpoint.Wish;
+import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.core.route.RequestKind;
+import org.quetzalshunt.server.http.CallTimes;
+import org.quetzalshunt.server.http.HttpCall;
+import org.quetzalshunt.server.http.HttpResponseListener;
+import org.quetzalshunt.server.http.OutboundRequest;
+
+/**
+ * Takes one request to an endpoint that runs it. An endpoint that says "not run", or that could not be reached at all,
+ * is followed by the next; everything else is told to the listener, who knows whether the request may run again.
+ */
+final class EndpointCall {
+    /** Hears one answer: a head with its data and end, or that it broke off, or that nothing ran. */
+    interface Listener {
+        void onHead(AnswerHead head, int status, HttpHeaders headers);
+
+        void onData(byte[] data);
+
+        void onEnd();
+
+        /** The request may have run, and no whole answer will come. */
+        void onBroken(String reason);
+
+        /** The request ran nowhere. */
+        void onRefused(Refusal refusal);
+    }
+
+    /** With less left than this, no endpoint could answer in time; the way there and back alone takes a few. */
+    private static final long LEAST_MILLIS = 15;
+
+    /** Both ways between data centres take about a millisecond; a listening endpoint answers at once. */
+    private static final long CONNECT_MILLIS = 300;
+
+    /** Endpoints keep idle connections for several seconds; one that rested longer may be dead without a word. */
+    private static final long REUSE_MILLIS = 4_000;
+
+    /** When every endpoint is full: about the time in which one of a dozen running turns ends somewhere. */
+    private static final long FULL_PAUSE_MILLIS = 25;
+
+    /** For callers that were refused because every endpoint is full: a turn's length, so that places are free again. */
+    private static final long FULL_RETRY_MILLIS = 250;
+
+    private final Gateway gateway;
+    private final Accepted accepted;
+    private final byte[] body;
+    private final Optional<String> cachedAt;
+    private final Listener listener;
+    private final Set<String> excluded = new HashSet<>();
+    private Registration endpoint;
+    private HttpCall call;
+    private ScheduledFuture<?> pause;
+    private long sentMillis;
+    private boolean done;
+    private int sends;
+
+    EndpointCall(Gateway gateway, Accepted accepted, byte[] body, Optional<String> cachedAt, Listener listener) {
+        this.gateway = gateway;
+        this.accepted = accepted;
+        this.body = body;
+        this.cachedAt = cachedAt;
+        this.listener = listener;
+    }
+
+    /** Sends the request, again after an earlier answer was broken or given up. */
+    void start() {
+        done = false;
+        send();
+    }
+
+    /** Gives up the present attempt; its endpoint is not chosen again. The listener hears no more of it. */
+    void cancel(Finish finish) {
+        if (done) {
+            return;
+        }
+        done = true;
+        if (pause != null) {
+            pause.cancel(false);
+        }
+        if (call != null) {
+            call.cancel();
+            ended(finish);
+        }
+    }
+
+    /** Whether an endpoint may be running the request. */
+    boolean running() {
+        return !done && call != null;
+    }
+
+    /** The endpoint of the last attempt. */
+    Optional<Registration> endpoint() {
+        return Optional.ofNullable(endpoint);
+    }
+
+    /** Attempts made. */
+    int sends() {
+        return sends;
+    }
+
+    private void send() {
+        long now = gateway.clock().now();
+        long remaining = accepted.deadlineMillis() - now;
+        if (remaining < LEAST_MILLIS) {
+            refuse(Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, "no time left"));
+            return;
+        }
+        Optional<Registration> chosen = gateway.endpoints().choose(now, wish());
+        if (chosen.isEmpty()) {
+            noEndpoint(remaining);
+            return;
+        }
+        endpoint = chosen.get();
+        sentMillis = now;
+        sends++;
+        excluded.add(endpoint.id());
+        gateway.endpoints().started(endpoint.id());
+        call = gateway.http().send(request(remaining), times(remaining), this::own, new Answer());
+    }
+
+    private Wish wish() {
+        int vms = Math.max(1, gateway.rates().liveVms());
+        int most = Math.max(2, accepted.service().maximumConnections() / vms);
+        double cachedMillis = accepted.request().promptTokens().orElse(0) / PROMPT_TOKENS_PER_MILLI;
+        return new Wish(accepted.service().name(), excluded, cachedAt, cachedMillis, most);
+    }
+
+    /** Engines read about this many prompt tokens a millisecond. */
+    private static final double PROMPT_TOKENS_PER_MILLI = 168;
+
+    private void noEndpoint(long remaining) {
+        boolean none = gateway.endpoints().available(accepted.service().name()) == 0;
+        if (none || remaining < FULL_RETRY_MILLIS) {
+            refuse(Refusal.notRunRetryAfter(
+                    ResultCode.NO_ENDPOINT,
+                    none ? "no endpoint is known" : "every endpoint is full",
+                    FULL_RETRY_MILLIS));
+            return;
+        }
+        excluded.clear();
+        pause = gateway.executor().schedule(this::resume, FULL_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void resume() {
+        if (!done) {
+            send();
+        }
+    }
+
+    private void refuse(Refusal refusal) {
+        done = true;
+        listener.onRefused(refusal);
+    }
+
+    private OutboundRequest request(long remaining) {
+        HttpHeaders headers = gateway.dialect()
+                .outbound(
+                        accepted.exchange().rawHeaders(),
+                        new OutboundTerms(
+                                accepted.request().id(),
+                                endpoint.id(),
+                                remaining,
+                                accepted.account().map(account -> account.name()),
+                                accepted.priority()));
+        return new OutboundRequest(
+                address(endpoint.address()),
+                accepted.exchange().method(),
+                accepted.exchange().uri(),
+                headers,
+                body);
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private static CallTimes times(long remaining) {
+        return new CallTimes(Math.min(CONNECT_MILLIS, remaining), remaining, REUSE_MILLIS);
+    }
+
+    private boolean own(HttpHeaders headers) {
+        return gateway.dialect().answers(accepted.request().id(), headers);
+    }
+
+    private void ended(Finish finish) {
+        call = null;
+        long now = gateway.clock().now();
+        gateway.endpoints().finished(now, endpoint.id(), finish, now - sentMillis);
+        gateway.measures().attempt(finish.name().toLowerCase(java.util.Locale.ROOT));
+    }
+
+    /** What the HTTP client says of the present attempt. */
+    private final class Answer implements HttpResponseListener {
+        private AnswerHead head;
+
+        @Override
+        public void onHead(int status, HttpHeaders headers) {
+            head = gateway.dialect().head(status, headers, accepted.request().id());
+            if (head == AnswerHead.SUCCESS || head == AnswerHead.FAILURE) {
+                listener.onHead(head, status, headers);
+                return;
+            }
+            if (head == AnswerHead.INVALID) {
+                call.cancel();
+                ended(Finish.FAILED);
+                done = true;
+                listener.onBroken("no answer in the protocol, status " + status);
+            }
+        }
+
+        @Override
+        public void onChunk(byte[] data) {
+            if (head == AnswerHead.SUCCESS || head == AnswerHead.FAILURE) {
+                listener.onData(data);
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            if (head == AnswerHead.NOT_RUN_FULL || head == AnswerHead.NOT_RUN_MOVED) {
+                ended(head == AnswerHead.NOT_RUN_FULL ? Finish.FULL : Finish.FAILED);
+                send();
+                return;
+            }
+            ended(Finish.ANSWERED);
+            done = true;
+            listener.onEnd();
+        }
+
+        @Override
+        public void onFailure(String reason, boolean requestMayHaveArrived) {
+            if (head == AnswerHead.NOT_RUN_FULL || head == AnswerHead.NOT_RUN_MOVED || !requestMayHaveArrived) {
+                ended(Finish.FAILED);
+                send();
+                return;
+            }
+            ended(Finish.FAILED);
+            done = true;
+            listener.onBroken(reason);
+        }
+    }
+
+    /** Whether the request may run again after an unknown outcome, by its kind alone. */
+    static boolean repeatable(Accepted accepted) {
+        return accepted.route().kind() == RequestKind.IDEMPOTENT;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMeasures.java
@@ -0,0 +1,44 @@
+package org.quetzalshunt.server.gateway;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** What a gateway counts, in Prometheus' format. Labels are kinds of requests and numbered codes, both bounded. */
+final class GatewayMeasures {
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    /** A request got its final answer. */
+    void ended(String kind, int code, long tookMillis) {
+        Timer.builder("quetzalshunt.request")
+                .description("from arrival to the final answer, by kind of request and result code")
+                .tag("kind", kind)
+                .tag("code", Integer.toString(code))
+                .publishPercentileHistogram()
+                .minimumExpectedValue(java.time.Duration.ofMillis(1))
+                .maximumExpectedValue(java.time.Duration.ofSeconds(30))
+                .register(registry)
+                .record(tookMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** The first event of a stream left for the caller. */
+    void firstEvent(long tookMillis) {
+        registry.timer("quetzalshunt.first.event").record(tookMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** An attempt at an endpoint ended. */
+    void attempt(String outcome) {
+        registry.counter("quetzalshunt.attempts", "outcome", outcome).increment();
+    }
+
+    void gauge(String name, String description, Supplier<Number> value) {
+        Gauge.builder(name, value).description(description).register(registry);
+    }
+
+    String scrape() {
+        return registry.scrape();
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewaySettings.java
@@ -0,0 +1,23 @@
+package org.quetzalshunt.server.gateway;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Settings of a gateway.
+ *
+ * @param vm name of this VM
+ * @param incarnation life of this process, in Unix milliseconds
+ * @param dataCentre where it is
+ * @param callers address for callers
+ * @param probes address for the balancer's probes, metrics and the state dump
+ * @param keyAgeMillis age at which what is known of keys no longer counts
+ * @param stopMillis longest time of a planned stop
+ */
+public record GatewaySettings(
+        String vm,
+        long incarnation,
+        String dataCentre,
+        InetSocketAddress callers,
+        InetSocketAddress probes,
+        long keyAgeMillis,
+        long stopMillis) {}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PlainRun.java
@@ -0,0 +1,149 @@
+package org.quetzalshunt.server.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.core.endpoint.Finish;
+import org.quetzalshunt.core.result.Execution;
+import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResultCode;
+
+/**
+ * A request whose answer is read whole before its first octet goes to the caller, so that a broken one can be replaced:
+ * by another endpoint's where the request may run again, by a status that says so where it may not.
+ */
+final class PlainRun implements EndpointCall.Listener {
+    /**
+     * An endpoint that has said nothing for this many times the route's target is left for another one. The target is
+     * met by more than 95 in 100 answers, so few healthy ones are given up.
+     */
+    private static final double SILENT_TARGETS = 1.5;
+
+    private final Gateway gateway;
+    private final Accepted accepted;
+    private final EndpointCall call;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ScheduledFuture<?> deadline;
+    private ScheduledFuture<?> silence;
+    private int status;
+    private HttpHeaders headers;
+    private int runs;
+    private boolean finished;
+
+    private PlainRun(Gateway gateway, Accepted accepted) {
+        this.gateway = gateway;
+        this.accepted = accepted;
+        this.call = new EndpointCall(gateway, accepted, accepted.exchange().body(), Optional.empty(), this);
+    }
+
+    /** Starts a run; it ends by itself. */
+    static void start(Gateway gateway, Accepted accepted) {
+        PlainRun run = new PlainRun(gateway, accepted);
+        accepted.exchange().onClose(run::callerLeft);
+        long left = Math.max(1, accepted.deadlineMillis() - gateway.clock().now());
+        run.deadline = gateway.executor().schedule(run::deadlinePassed, left, TimeUnit.MILLISECONDS);
+        run.attempt();
+    }
+
+    private void attempt() {
+        runs++;
+        body.reset();
+        headers = null;
+        call.start();
+        if (!finished && mayRunAgain()) {
+            long silent = (long) (SILENT_TARGETS * accepted.route().targetLatencyMillis());
+            silence = gateway.executor().schedule(this::silent, Math.max(1, silent), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean mayRunAgain() {
+        return EndpointCall.repeatable(accepted) && runs < accepted.route().maximumAttempts();
+    }
+
+    private void silent() {
+        if (finished) {
+            return;
+        }
+        call.cancel(Finish.FAILED);
+        attempt();
+    }
+
+    @Override
+    public void onHead(AnswerHead head, int answerStatus, HttpHeaders answerHeaders) {
+        status = answerStatus;
+        headers = answerHeaders;
+    }
+
+    @Override
+    public void onData(byte[] data) {
+        body.writeBytes(data);
+    }
+
+    @Override
+    public void onEnd() {
+        stopSilence();
+        if (finish()) {
+            accepted.exchange().respond(status, gateway.dialect().inbound(headers), body.toByteArray());
+            Outcome.log(gateway, accepted, ResultCode.OK, "status " + status, Optional.of(call));
+        }
+    }
+
+    @Override
+    public void onBroken(String reason) {
+        stopSilence();
+        if (!finished && mayRunAgain()) {
+            attempt();
+            return;
+        }
+        end(Refusal.after(ResultCode.ENDPOINT_FAILED, Execution.UNKNOWN, reason));
+    }
+
+    @Override
+    public void onRefused(Refusal refusal) {
+        stopSilence();
+        // An earlier attempt may have run, and then "not run" would be untrue.
+        end(runs > 1 ? Refusal.after(ResultCode.ENDPOINT_FAILED, Execution.UNKNOWN, refusal.detail()) : refusal);
+    }
+
+    private void deadlinePassed() {
+        boolean ran = call.running() || runs > 1;
+        call.cancel(ran ? Finish.FAILED : Finish.NEUTRAL);
+        end(
+                ran
+                        ? Refusal.after(ResultCode.DEADLINE_PASSED_RUNNING, Execution.UNKNOWN, "no answer in time")
+                        : Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, "no endpoint took it in time"));
+    }
+
+    private void callerLeft() {
+        call.cancel(Finish.NEUTRAL);
+        if (finish()) {
+            Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.of(call));
+        }
+    }
+
+    private void end(Refusal refusal) {
+        if (finish()) {
+            Outcome.refuse(gateway, accepted, refusal, Optional.of(call));
+        }
+    }
+
+    private void stopSilence() {
+        if (silence != null) {
+            silence.cancel(false);
+        }
+    }
+
+    private boolean finish() {
+        if (finished) {
+            return false;
+        }
+        finished = true;
+        stopSilence();
+        if (deadline != null) {
+            deadline.cancel(false);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -0,0 +1,119 @@
+package org.quetzalshunt.server.gateway;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.core.route.AccountTerms;
+import org.quetzalshunt.core.route.RequestKind;
+import org.quetzalshunt.core.route.Route;
+import org.quetzalshunt.core.route.ServiceEntry;
+import org.quetzalshunt.core.route.TrafficConfiguration;
+import org.quetzalshunt.server.http.HttpExchange;
+
+/**
+ * Judges each request that arrived whole, in this order: is what this VM knows current, is there a route, whose key is
+ * it, has its account a token left. Nothing is said of a route or key on knowledge that may be out of date.
+ */
+final class RequestGate {
+    /** Time that a caller is taken to wait when it does not say. */
+    private static final long DEADLINE_UNSAID_MILLIS = 10_000;
+
+    /** For callers that this VM cannot serve for now: another VM probably can, at once. */
+    private static final long ELSEWHERE_MILLIS = 150;
+
+    /** For accounts without a token: parts move to where the demand is within about this time. */
+    private static final long RATE_MOST_MILLIS = 1_000;
+
+    private final Gateway gateway;
+    private final BooleanSupplier stopping;
+
+    RequestGate(Gateway gateway, BooleanSupplier stopping) {
+        this.gateway = gateway;
+        this.stopping = stopping;
+    }
+
+    /** Takes a request; its answer comes now or later. */
+    void handle(HttpExchange exchange) {
+        gateway.clock().check();
+        if (stopping.getAsBoolean()) {
+            exchange.closeAfterAnswer();
+        }
+        Optional<CallerRequest> request = gateway.dialect().request(exchange);
+        if (request.isEmpty()) {
+            refuse(exchange, "", Refusal.notRun(ResultCode.MALFORMED_REQUEST, "the request has no id"));
+            return;
+        }
+        judge(exchange, request.get());
+    }
+
+    private void judge(HttpExchange exchange, CallerRequest request) {
+        Optional<TrafficConfiguration> known = gateway.configuration().current();
+        if (known.isEmpty()) {
+            refuse(exchange, request.id(), elsewhere(ResultCode.NOT_READY, "no configuration yet"));
+            return;
+        }
+        TrafficConfiguration configuration = known.get();
+        Optional<Route> route = configuration.routes().find(request.host(), request.path());
+        boolean open = route.filter(Route::open).isPresent();
+        boolean current =
+                gateway.configuration().ageMillis() < gateway.settings().keyAgeMillis();
+        if (!current && configuration.keysRequired() && !open) {
+            refuse(exchange, request.id(), elsewhere(ResultCode.CONFIGURATION_STALE, "the configuration is too old"));
+            return;
+        }
+        if (route.isEmpty()) {
+            refuse(exchange, request.id(), Refusal.notRun(ResultCode.UNKNOWN_PATH, "no route"));
+            return;
+        }
+        Optional<AccountTerms> account = request.key().flatMap(configuration::accountOf);
+        if (configuration.keysRequired() && !open && account.isEmpty()) {
+            ResultCode code = request.key().isEmpty() ? ResultCode.MISSING_KEY : ResultCode.UNKNOWN_KEY;
+            refuse(exchange, request.id(), Refusal.notRun(code, "version " + configuration.version()));
+            return;
+        }
+        if (exchange.body().length > configuration.limits().maximumBodyBytes()) {
+            refuse(exchange, request.id(), Refusal.notRun(ResultCode.BODY_TOO_LARGE, "see the limits"));
+            return;
+        }
+        accept(exchange, request, configuration, route.get(), account);
+    }
+
+    private void accept(
+            HttpExchange exchange,
+            CallerRequest request,
+            TrafficConfiguration configuration,
+            Route route,
+            Optional<AccountTerms> account) {
+        ServiceEntry service = configuration
+                .services()
+                .get(route.serviceFor(request.program().orElse(request.id()).hashCode()));
+        if (service == null) {
+            refuse(exchange, request.id(), elsewhere(ResultCode.NO_ENDPOINT, "the service is not configured"));
+            return;
+        }
+        long now = gateway.clock().now();
+        long left = Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(DEADLINE_UNSAID_MILLIS));
+        Accepted accepted =
+                new Accepted(exchange, request, route, service, account, configuration.version(), now, now + left);
+        if (account.isPresent() && !gateway.rates().take(account.get())) {
+            long wait = gateway.rates().waitMillis(account.get(), RATE_MOST_MILLIS);
+            Refusal refusal = Refusal.notRunRetryAfter(ResultCode.RATE_EXCEEDED, "wait " + wait, wait);
+            Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+            return;
+        }
+        if (route.kind() == RequestKind.STREAM) {
+            StreamRun.start(gateway, accepted);
+        } else {
+            PlainRun.start(gateway, accepted);
+        }
+    }
+
+    private static Refusal elsewhere(ResultCode code, String detail) {
+        return Refusal.notRunRetryAfter(code, detail, ELSEWHERE_MILLIS);
+    }
+
+    private void refuse(HttpExchange exchange, String requestId, Refusal refusal) {
+        Outcome.refuse(gateway, exchange, requestId, refusal);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -0,0 +1,366 @@
+package org.quetzalshunt.server.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.core.endpoint.Finish;
+import org.quetzalshunt.core.result.Execution;
+import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.core.turn.TurnPrompt;
+import org.quetzalshunt.core.turn.TurnRecord;
+
+/**
+ * A request whose answer is a stream of events; a turn of a program, where its route keeps history.
+ *
+ * <p>A turn is sent once its history is read and its tokens are granted, except for a program's first turn: its grant is
+ * asked for while the endpoint reads the prompt, and events wait for it. Events then pass as they come. The end of the
+ * answer passes only once the turn is kept: a caller that saw the end can go on from it at any VM, whatever happens.
+ */
+final class StreamRun implements EndpointCall.Listener {
+    /** Kept beyond the retention, since callers' clocks and ours may differ. */
+    private static final long RETENTION_MARGIN_MILLIS = 10_000;
+
+    /** For callers refused because the shared map is away: outages last seconds, and another VM may reach it. */
+    private static final long MAP_RETRY_MILLIS = 300;
+
+    /** Tokens assumed of a turn that does not say how many it may generate. */
+    private static final long TOKENS_UNSAID = 512;
+
+    private final Gateway gateway;
+    private final Accepted accepted;
+    private final EventFrames frames = new EventFrames();
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
+    private final List<byte[]> held = new ArrayList<>();
+    private List<TurnRecord> chain = List.of();
+    private EndpointCall call;
+    private ScheduledFuture<?> deadline;
+    private AnswerHead head;
+    private int status;
+    private HttpHeaders headers;
+    private boolean chainKnown;
+    private boolean granted;
+    private boolean reserved;
+    private boolean answerEnded;
+    private boolean keeping;
+    private boolean finished;
+    private long events;
+
+    private StreamRun(Gateway gateway, Accepted accepted) {
+        this.gateway = gateway;
+        this.accepted = accepted;
+    }
+
+    /** Starts a run; it ends by itself. */
+    static void start(Gateway gateway, Accepted accepted) {
+        StreamRun run = new StreamRun(gateway, accepted);
+        accepted.exchange().onClose(run::callerLeft);
+        long left = Math.max(1, accepted.deadlineMillis() - gateway.clock().now());
+        run.deadline = gateway.executor().schedule(run::deadlinePassed, left, TimeUnit.MILLISECONDS);
+        run.begin();
+    }
+
+    private void begin() {
+        if (!accepted.route().stateful()) {
+            chainKnown = true;
+            granted = true;
+            dispatch();
+            return;
+        }
+        boolean first = accepted.request().previousTurn().isEmpty();
+        boolean unknown =
+                accepted.request().program().filter(gateway.budgets()::knows).isEmpty();
+        boolean ample = accepted.request().tokenBudget().orElse(Long.MAX_VALUE) >= mostTokens();
+        findChain();
+        if (first && unknown && ample) {
+            dispatch();
+        }
+        reserve();
+    }
+
+    private void findChain() {
+        Optional<String> previous = accepted.request().previousTurn();
+        if (previous.isEmpty()) {
+            chainKnown = true;
+            return;
+        }
+        gateway.history().find(previous.get(), accepted.accountName(), this::chainFound);
+    }
+
+    private void chainFound(TurnHistory.Chain answer) {
+        if (finished) {
+            return;
+        }
+        if (answer instanceof TurnHistory.Chain.Found found) {
+            chain = found.turns();
+            chainKnown = true;
+            dispatchWhenReady();
+            return;
+        }
+        if (answer instanceof TurnHistory.Chain.Missing) {
+            end(Refusal.notRun(ResultCode.UNKNOWN_PROGRAM, "no such turn"));
+            return;
+        }
+        String reason = ((TurnHistory.Chain.Unavailable) answer).reason();
+        end(Refusal.notRunRetryAfter(ResultCode.LOG_UNAVAILABLE, "history: " + reason, MAP_RETRY_MILLIS));
+    }
+
+    private long mostTokens() {
+        long said = accepted.request().mostTokens().orElse(TOKENS_UNSAID);
+        int each = accepted.tokensPerEvent();
+        return (said + each - 1) / each * each;
+    }
+
+    private void reserve() {
+        CallerRequest request = accepted.request();
+        if (finished) {
+            return;
+        }
+        if (request.tokenBudget().isEmpty() || request.program().isEmpty()) {
+            granted = true;
+            dispatchWhenReady();
+            return;
+        }
+        gateway.budgets()
+                .reserve(
+                        accepted.accountName() + " " + request.program().get(),
+                        request.tokenBudget().getAsLong(),
+                        mostTokens(),
+                        accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS,
+                        this::reserved);
+    }
+
+    private void reserved(BudgetKeeper.Verdict verdict) {
+        reserved = verdict instanceof BudgetKeeper.Verdict.Granted;
+        if (finished) {
+            release();
+            return;
+        }
+        if (reserved) {
+            granted = true;
+            dispatchWhenReady();
+            pass();
+            return;
+        }
+        Refusal refusal = refusal(verdict);
+        if (call == null) {
+            end(refusal);
+            return;
+        }
+        // The endpoint may have run it by now, and then neither "spent" nor "not run" would be true.
+        call.cancel(Finish.NEUTRAL);
+        end(Refusal.after(ResultCode.ENDPOINT_FAILED, Execution.UNKNOWN, refusal.detail()));
+    }
+
+    private static Refusal refusal(BudgetKeeper.Verdict verdict) {
+        if (verdict instanceof BudgetKeeper.Verdict.Spent spent) {
+            return Refusal.notRun(
+                    ResultCode.BUDGET_EXHAUSTED,
+                    "allotted " + spent.allotted() + " here, " + spent.others() + " elsewhere");
+        }
+        String reason = ((BudgetKeeper.Verdict.Unavailable) verdict).reason();
+        return Refusal.notRunRetryAfter(ResultCode.LOG_UNAVAILABLE, "budget: " + reason, MAP_RETRY_MILLIS);
+    }
+
+    private void dispatchWhenReady() {
+        if (chainKnown && granted && call == null && !finished) {
+            dispatch();
+        }
+    }
+
+    private void dispatch() {
+        byte[] prompt = TurnPrompt.assemble(chain, accepted.exchange().body());
+        Optional<String> cachedAt = accepted.request().previousTurn().flatMap(gateway.cachedPrompts()::endpointOf);
+        call = new EndpointCall(gateway, accepted, prompt, cachedAt, this);
+        call.start();
+    }
+
+    @Override
+    public void onHead(AnswerHead answerHead, int answerStatus, HttpHeaders answerHeaders) {
+        head = answerHead;
+        status = answerStatus;
+        headers = answerHeaders;
+    }
+
+    @Override
+    public void onData(byte[] data) {
+        if (finished) {
+            return;
+        }
+        if (head == AnswerHead.FAILURE) {
+            failureBody.writeBytes(data);
+            return;
+        }
+        for (EventFrames.Frame frame : frames.accept(data)) {
+            held.add(frame.octets());
+            output.writeBytes(frame.data());
+            output.write('\n');
+        }
+        if (frames.broken()) {
+            call.cancel(Finish.FAILED);
+            onBroken("events out of order");
+            return;
+        }
+        pass();
+    }
+
+    private void pass() {
+        if (!granted || finished || headers == null || head != AnswerHead.SUCCESS) {
+            return;
+        }
+        if (!held.isEmpty()) {
+            if (!accepted.exchange().started()) {
+                accepted.exchange().begin(status, gateway.dialect().inbound(headers));
+                gateway.measures().firstEvent(gateway.clock().now() - accepted.arrivedMillis());
+            }
+            held.forEach(accepted.exchange()::write);
+            events += held.size();
+            held.clear();
+        }
+        if (answerEnded) {
+            keepAndEnd();
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        if (finished) {
+            return;
+        }
+        if (head == AnswerHead.FAILURE) {
+            passFailure();
+            return;
+        }
+        if (frames.incomplete()) {
+            onBroken("the answer ended inside an event");
+            return;
+        }
+        answerEnded = true;
+        pass();
+    }
+
+    private void passFailure() {
+        finish();
+        accepted.exchange().respond(status, gateway.dialect().inbound(headers), failureBody.toByteArray());
+        Outcome.log(gateway, accepted, ResultCode.ENDPOINT_FAILED, "status " + status, Optional.of(call));
+    }
+
+    private void keepAndEnd() {
+        if (keeping) {
+            return;
+        }
+        keeping = true;
+        String id = accepted.request().id();
+        call.endpoint().ifPresent(endpoint -> gateway.cachedPrompts().ran(id, endpoint.id()));
+        if (!accepted.route().stateful()) {
+            kept(true);
+            return;
+        }
+        gateway.history().keep(record(id), () -> !finished, this::kept);
+    }
+
+    private TurnRecord record(String id) {
+        List<String> ancestors = new ArrayList<>();
+        if (!chain.isEmpty()) {
+            TurnRecord last = chain.get(chain.size() - 1);
+            ancestors.addAll(last.ancestors());
+            ancestors.add(last.id());
+        }
+        long expires = gateway.clock().wall() + accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS;
+        return new TurnRecord(
+                id,
+                accepted.accountName(),
+                List.copyOf(ancestors),
+                accepted.exchange().body(),
+                output.toByteArray(),
+                expires);
+    }
+
+    private void kept(boolean kept) {
+        if (finished || !kept) {
+            return;
+        }
+        finish();
+        if (!accepted.exchange().started()) {
+            accepted.exchange().begin(status, gateway.dialect().inbound(headers));
+        }
+        accepted.exchange().end();
+        Outcome.log(gateway, accepted, ResultCode.OK, events + " events", Optional.of(call));
+    }
+
+    @Override
+    public void onBroken(String reason) {
+        end(Refusal.after(ResultCode.ANSWER_CUT, Execution.UNKNOWN, reason));
+    }
+
+    @Override
+    public void onRefused(Refusal refusal) {
+        end(refusal);
+    }
+
+    private void deadlinePassed() {
+        boolean ran = (call != null && call.running()) || answerEnded;
+        if (call != null) {
+            call.cancel(ran ? Finish.FAILED : Finish.NEUTRAL);
+        }
+        end(
+                ran
+                        ? Refusal.after(ResultCode.DEADLINE_PASSED_RUNNING, Execution.UNKNOWN, late())
+                        : Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, "not sent in time"));
+    }
+
+    private String late() {
+        if (keeping) {
+            return "the turn could not be kept in time";
+        }
+        return granted ? "no whole answer in time" : "no grant of tokens in time";
+    }
+
+    private void callerLeft() {
+        if (call != null) {
+            call.cancel(Finish.NEUTRAL);
+        }
+        if (finish()) {
+            Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.ofNullable(call));
+        }
+    }
+
+    private void end(Refusal refusal) {
+        if (!finish()) {
+            return;
+        }
+        if (accepted.exchange().started()) {
+            accepted.exchange().abort();
+            Outcome.log(gateway, accepted, refusal.code(), refusal.detail(), Optional.ofNullable(call));
+            return;
+        }
+        Outcome.refuse(gateway, accepted, refusal, Optional.ofNullable(call));
+    }
+
+    private boolean finish() {
+        if (finished) {
+            return false;
+        }
+        finished = true;
+        if (deadline != null) {
+            deadline.cancel(false);
+        }
+        release();
+        return true;
+    }
+
+    private void release() {
+        if (!reserved) {
+            return;
+        }
+        reserved = false;
+        long handedOut = Math.min(mostTokens(), events * accepted.tokensPerEvent());
+        accepted.request().program().ifPresent(program -> gateway.budgets()
+                .release(accepted.accountName() + " " + program, mostTokens(), handedOut));
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
@@ -5,23 +5,32 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** One request under way. Ends exactly once. */
 public final class HttpCall {
+    /** Takes back a connection that can be used again. */
+    @FunctionalInterface
+    interface Release {
+        void accept(Channel channel, long keepMillis);
+    }
+
     private final HttpResponseListener listener;
-    private final Consumer<Channel> release;
+    private final Predicate<HttpHeaders> own;
+    private final Release release;
     private Channel channel;
     private ScheduledFuture<?> timeout;
+    private boolean sent;
     private boolean done;
 
-    private HttpCall(HttpResponseListener listener, Consumer<Channel> release) {
+    private HttpCall(HttpResponseListener listener, Predicate<HttpHeaders> own, Release release) {
         this.listener = listener;
+        this.own = own;
         this.release = release;
     }
 
-    static HttpCall create(HttpResponseListener listener, Consumer<Channel> release) {
-        return new HttpCall(listener, release);
+    static HttpCall create(HttpResponseListener listener, Predicate<HttpHeaders> own, Release release) {
+        return new HttpCall(listener, own, release);
     }
 
     /** Gives the request up: the connection is closed, and the listener hears no more. */
@@ -45,12 +54,17 @@
         channel.pipeline().get(HttpCallHandler.class).attach(this);
         timeout = channel.eventLoop().schedule(() -> timedOut(), timeoutMillis, TimeUnit.MILLISECONDS);
         channel.writeAndFlush(request).addListener(written -> {
-            if (!written.isSuccess()) {
+            sent = written.isSuccess();
+            if (!sent) {
                 fail("cannot send: " + written.cause().getMessage(), true);
             }
         });
     }
 
+    boolean isOwn(HttpHeaders headers) {
+        return own.test(headers);
+    }
+
     void head(int status, HttpHeaders headers) {
         if (!done) {
             listener.onHead(status, headers);
@@ -63,13 +77,17 @@
         }
     }
 
-    void end(boolean reusable) {
+    /**
+     * The answer is whole. A connection whose request was answered before it was all sent is closed: the server goes on
+     * reading the rest of that request, and the next one's octets would be taken for it.
+     */
+    void end(boolean reusable, long keepMillis) {
         if (done) {
             return;
         }
         finish();
-        if (reusable) {
-            release.accept(channel);
+        if (reusable && sent) {
+            release.accept(channel, keepMillis);
         } else {
             channel.close();
         }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -4,15 +4,27 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Hands what comes on a client connection to the call that uses it now. */
 final class HttpCallHandler extends SimpleChannelInboundHandler<HttpObject> {
+    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
+    private static final long MILLIS_PER_SECOND = 1_000;
+
     private HttpCall call;
     private boolean keepAlive;
+    private long keepMillis = Long.MAX_VALUE;
+    /** A response that answers another request is passing. */
+    private boolean skipping;
+    /** Such a response came: what else comes on this connection cannot be told apart for sure. */
+    private boolean confused;
 
     void attach(HttpCall newCall) {
         call = newCall;
@@ -29,15 +41,46 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            keepAlive = HttpUtil.isKeepAlive(response);
-            call.head(response.status().code(), response.headers());
+            head(response);
         }
-        if (message instanceof HttpContent content && call != null) {
+        if (message instanceof HttpContent content && !skipping && call != null) {
             call.chunk(ByteBufUtil.getBytes(content.content()));
         }
-        if (message instanceof LastHttpContent && call != null) {
-            detach().end(keepAlive);
+        if (message instanceof LastHttpContent) {
+            last();
+        }
+    }
+
+    private void head(HttpResponse response) {
+        boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean own = interim || call.isOwn(response.headers());
+        skipping = interim || !own;
+        confused |= !own;
+        if (skipping) {
+            return;
+        }
+        keepAlive = HttpUtil.isKeepAlive(response);
+        keepMillis = keepMillis(response.headers());
+        call.head(response.status().code(), response.headers());
+    }
+
+    private void last() {
+        if (skipping) {
+            skipping = false;
+            return;
+        }
+        if (call != null) {
+            detach().end(keepAlive && !confused, keepMillis);
+        }
+    }
+
+    private static long keepMillis(HttpHeaders headers) {
+        String value = headers.get("keep-alive");
+        if (value == null) {
+            return Long.MAX_VALUE;
         }
+        Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(value);
+        return matcher.find() ? Long.parseLong(matcher.group(1)) * MILLIS_PER_SECOND : Long.MAX_VALUE;
     }
 
     @Override
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
@@ -8,10 +8,14 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -19,6 +23,9 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import jdk.net.ExtendedSocketOptions;
 
 /**
  * HTTP/1.1 client with a pool of connections per address. All calls are made on its event loop.
@@ -30,8 +37,21 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
     private static final int MAXIMUM_IDLE_PER_ADDRESS = 64;
 
+    /** Pooled connections of calls that name no limit are used however long they rested. */
+    private static final long REUSE_ANY = Long.MAX_VALUE;
+
+    /**
+     * TCP keep-alive, in seconds and probes. A connection whose other end lost power or whose path went silent is
+     * noticed after three seconds instead of never; the platform asks for short probes.
+     */
+    private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
+
+    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+    private static final int KEEP_ALIVE_PROBES = 2;
+
     private final EventLoopGroup group;
-    private final Map<InetSocketAddress, Deque<Channel>> idle = new HashMap<>();
+    private final Map<InetSocketAddress, Deque<IdleConnection>> idle = new HashMap<>();
+    private long connectionsOpened;
 
     private HttpClient(EventLoopGroup group) {
         this.group = group;
@@ -51,33 +71,64 @@
             byte[] body,
             long timeoutMillis,
             HttpResponseListener listener) {
+        HttpHeaders all = new DefaultHttpHeaders();
+        headers.forEach(all::set);
+        all.set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        CallTimes times = new CallTimes(CONNECT_TIMEOUT_MILLIS, timeoutMillis, REUSE_ANY);
+        return send(new OutboundRequest(address, method, uri, all, body), times, ignored -> true, listener);
+    }
+
+    /**
+     * Sends a request; the listener hears what comes of it.
+     *
+     * @param own whether a response, by its headers, answers this request; one that does not is skipped, since a faulty
+     *     server may answer an earlier request of the connection once more
+     */
+    public HttpCall send(
+            OutboundRequest outbound, CallTimes times, Predicate<HttpHeaders> own, HttpResponseListener listener) {
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), uri, Unpooled.wrappedBuffer(body));
-        headers.forEach((name, value) -> request.headers().set(name, value));
-        request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-        request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        HttpCall call = HttpCall.create(listener, channel -> release(address, channel));
-        Channel pooled = takeIdle(address);
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(outbound.method()),
+                outbound.uri(),
+                Unpooled.wrappedBuffer(outbound.body()),
+                outbound.headers().copy(),
+                DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+        request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, outbound.body().length);
+        InetSocketAddress address = outbound.address();
+        HttpCall call = HttpCall.create(listener, own, (channel, keepMillis) -> release(address, channel, keepMillis));
+        Channel pooled = takeIdle(address, times.reuse());
         if (pooled != null) {
-            call.start(pooled, request, timeoutMillis);
+            call.start(pooled, request, times.answer());
             return call;
         }
-        connect(address, request, timeoutMillis, call);
+        connect(address, request, times, call);
         return call;
     }
 
     /** Drops every idle connection. */
     public void close() {
-        idle.values().forEach(channels -> channels.forEach(Channel::close));
+        idle.values()
+                .forEach(connections ->
+                        connections.forEach(each -> each.channel().close()));
         idle.clear();
     }
 
-    private void connect(InetSocketAddress address, DefaultFullHttpRequest request, long timeout, HttpCall call) {
+    /** Connections opened since the start. */
+    public long connectionsOpened() {
+        return connectionsOpened;
+    }
+
+    private void connect(InetSocketAddress address, DefaultFullHttpRequest request, CallTimes times, HttpCall call) {
+        connectionsOpened++;
         ChannelFuture connecting = new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) times.connect())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -91,29 +142,35 @@
                 call.fail("cannot connect: " + result.cause().getMessage(), false);
                 return;
             }
-            call.start(connecting.channel(), request, timeout);
+            call.start(connecting.channel(), request, times.answer());
         });
     }
 
-    private Channel takeIdle(InetSocketAddress address) {
-        Deque<Channel> channels = idle.get(address);
-        if (channels == null) {
+    private Channel takeIdle(InetSocketAddress address, long reuseMillis) {
+        Deque<IdleConnection> connections = idle.get(address);
+        if (connections == null) {
             return null;
         }
-        for (Channel channel = channels.pollLast(); channel != null; channel = channels.pollLast()) {
-            if (channel.isActive()) {
-                return channel;
+        long now = nowMillis();
+        for (IdleConnection each = connections.pollLast(); each != null; each = connections.pollLast()) {
+            if (each.usable(now, reuseMillis)) {
+                return each.channel();
             }
+            each.channel().close();
         }
         return null;
     }
 
-    private void release(InetSocketAddress address, Channel channel) {
-        Deque<Channel> channels = idle.computeIfAbsent(address, ignored -> new ArrayDeque<>());
-        if (!channel.isActive() || channels.size() >= MAXIMUM_IDLE_PER_ADDRESS) {
+    private void release(InetSocketAddress address, Channel channel, long keepMillis) {
+        Deque<IdleConnection> connections = idle.computeIfAbsent(address, ignored -> new ArrayDeque<>());
+        if (!channel.isActive() || connections.size() >= MAXIMUM_IDLE_PER_ADDRESS) {
             channel.close();
             return;
         }
-        channels.addLast(channel);
+        connections.addLast(new IdleConnection(channel, nowMillis(), keepMillis));
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
@@ -59,6 +59,10 @@
         run(context, request);
     }
 
+    boolean idle() {
+        return current == null && pipelined.isEmpty();
+    }
+
     private void enqueue(ChannelHandlerContext context, FullHttpRequest request) {
         if (pipelined.size() >= MAXIMUM_PIPELINED) {
             context.close();
@@ -102,6 +106,7 @@
                 ? ResultCode.HEADER_TOO_LARGE
                 : ResultCode.MALFORMED_REQUEST;
         HttpExchange exchange = current;
+        exchange.closeAfterAnswer();
         ErrorBodies.send(exchange, Refusal.notRun(code, "the request could not be decoded"), "");
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -31,7 +32,7 @@
     private final QueryStringDecoder target;
     private final HttpHeaders headers;
     private final byte[] body;
-    private final boolean keepAlive;
+    private boolean keepAlive;
     private final Runnable whenDone;
     private final List<Runnable> closeActions = new ArrayList<>();
     private boolean started;
@@ -82,6 +83,16 @@
         return headers.entries();
     }
 
+    /** All headers as they came; not to be changed. */
+    public HttpHeaders rawHeaders() {
+        return headers;
+    }
+
+    /** The connection closes once the answer is out. To be called before the answer begins. */
+    public void closeAfterAnswer() {
+        keepAlive = false;
+    }
+
     /** Body as it came. */
     public byte[] body() {
         return body;
@@ -89,12 +100,17 @@
 
     @Override
     public void respond(int status, Map<String, String> responseHeaders, byte[] data) {
+        respond(status, headersOf(responseHeaders), data);
+    }
+
+    /** Sends a whole answer with headers that may repeat; length and connection headers are set here. */
+    public void respond(int status, HttpHeaders responseHeaders, byte[] data) {
         if (finished || started) {
             return;
         }
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(data));
-        responseHeaders.forEach((name, value) -> response.headers().set(name, value));
+        response.headers().set(responseHeaders);
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, data.length);
         setConnection(response);
         started = true;
@@ -114,11 +130,16 @@
 
     @Override
     public void begin(int status, Map<String, String> responseHeaders) {
+        begin(status, headersOf(responseHeaders));
+    }
+
+    /** Sends status and headers that may repeat; framing and connection headers are set here. */
+    public void begin(int status, HttpHeaders responseHeaders) {
         if (finished || started) {
             return;
         }
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-        responseHeaders.forEach((name, value) -> response.headers().set(name, value));
+        response.headers().set(responseHeaders);
         HttpUtil.setTransferEncodingChunked(response, true);
         setConnection(response);
         started = true;
@@ -175,6 +196,12 @@
         closeActions.forEach(Runnable::run);
     }
 
+    private static HttpHeaders headersOf(Map<String, String> map) {
+        HttpHeaders converted = new DefaultHttpHeaders();
+        map.forEach(converted::set);
+        return converted;
+    }
+
     private void finish() {
         finished = true;
         whenDone.run();
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -41,8 +42,7 @@
                     protected void initChannel(SocketChannel connection) {
                         connection
                                 .pipeline()
-                                .addLast(new HttpServerCodec(
-                                        MAXIMUM_INITIAL_LINE_BYTES, limits.maximumHeaderBytes(), MAXIMUM_CHUNK_BYTES))
+                                .addLast(new HttpServerCodec(strict(limits)))
                                 .addLast(new RequestArrivalTimeout(limits.idleMillis()))
                                 .addLast(new HttpObjectAggregator(limits.maximumBodyBytes()))
                                 .addLast(new HttpConnection(limits, handler, connections));
@@ -54,6 +54,19 @@
         return new HttpServer(channel, connections);
     }
 
+    /**
+     * Rejects what two parsers could read differently: a length beside a chunked body, several lengths, bare line
+     * feeds. Guards against a second request hidden inside another's body, which would run under the outer one's key.
+     */
+    private static HttpDecoderConfig strict(HttpLimits limits) {
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAXIMUM_INITIAL_LINE_BYTES)
+                .setMaxHeaderSize(limits.maximumHeaderBytes())
+                .setMaxChunkSize(MAXIMUM_CHUNK_BYTES)
+                .setStrictLineParsing(true)
+                .setUseRfc9112TransferEncoding(true);
+    }
+
     /** Port in use, also when port 0 was asked for. */
     public int port() {
         return ((InetSocketAddress) channel.localAddress()).getPort();
@@ -69,6 +82,16 @@
         channel.close();
     }
 
+    /** Closes the connections on which no request is under way. Call on the event loop. */
+    public void closeIdle() {
+        for (Channel connection : Set.copyOf(connections)) {
+            HttpConnection handler = connection.pipeline().get(HttpConnection.class);
+            if (handler != null && handler.idle()) {
+                connection.close();
+            }
+        }
+    }
+
     /** Takes no new connections and breaks those open. */
     public void close() {
         channel.close();
--- a/server/src/main/java/org/quetzalshunt/server/log/WholeAnswer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/WholeAnswer.java
@@ -1,15 +1,16 @@
-package org.quetzalshunt.server.log;
+package org.quetzalshunt.server.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
-import org.quetzalshunt.server.http.HttpResponseListener;
 
 /** Gathers an answer of bounded size and hands it on once. */
-final class WholeAnswer implements HttpResponseListener {
+public final class WholeAnswer implements HttpResponseListener {
     /** Hears the one end of a call. */
-    interface Receiver {
+    public interface Receiver {
+        /** The whole answer. */
         void onAnswer(int status, byte[] body);
 
+        /** No whole answer; see {@link HttpResponseListener#onFailure}. */
         void onFailure(String reason, boolean requestMayHaveArrived);
     }
 
@@ -24,7 +25,8 @@
         this.maximumBytes = maximumBytes;
     }
 
-    static WholeAnswer to(Receiver receiver, int maximumBytes) {
+    /** Makes a listener that answers the receiver once. */
+    public static WholeAnswer to(Receiver receiver, int maximumBytes) {
         return new WholeAnswer(receiver, maximumBytes);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/log/LogClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/log/LogClient.java
@@ -11,6 +11,7 @@
 import org.quetzalshunt.core.log.ReadAnswer;
 import org.quetzalshunt.core.log.StreamSession;
 import org.quetzalshunt.server.http.HttpClient;
+import org.quetzalshunt.server.http.WholeAnswer;
 import org.tinylog.Logger;
 
 /**
--- a/server/src/main/java/org/quetzalshunt/server/settings/Lifecycle.java
+++ b/server/src/main/java/org/quetzalshunt/server/settings/Lifecycle.java
@@ -10,11 +10,11 @@
 import org.tinylog.Logger;
 
 /** Runs a process until a signal asks it to stop, then stops it in the planned way. */
-final class Lifecycle {
+public final class Lifecycle {
     private Lifecycle() {}
 
     /** Prints a line of JSON with the ports, waits for SIGTERM or SIGINT, and stops within a bounded time. */
-    static int run(int httpPort, int linkPort, long stopMillis, Supplier<CompletableFuture<Void>> stop) {
+    public static int run(int httpPort, int linkPort, long stopMillis, Supplier<CompletableFuture<Void>> stop) {
         System.out.println(
                 Json.object().put("ready", true).put("httpPort", httpPort).put("linkPort", linkPort));
         CountDownLatch stopped = new CountDownLatch(1);
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -426,3 +426,31 @@
   4: ConfigurationCheckpoint checkpoint
   5: Opaque opaque
 }
+
+/** A turn that ended whole, under its id in the shared map. */
+struct StoredTurn {
+  1: string account
+  2: list<string> ancestors
+  3: binary input
+  4: binary output
+  5: i64 expiresMillis
+}
+
+/** Tokens of a program that a VM may hand out. */
+struct StoredAllotment {
+  1: i64 tokens
+  2: i64 expiresMillis
+}
+
+struct StoredShare {
+  1: string account
+  2: i32 parts
+  3: double demand
+}
+
+/** A VM's parts of the rates. */
+struct StoredShares {
+  1: i64 incarnation
+  2: i64 sequence
+  3: list<StoredShare> shares
+}
