--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
@@ -11,7 +11,6 @@
     Registration registration;
     int inFlight;
     int othersInFlight;
-    long othersSeenMillis = Long.MIN_VALUE / 2;
     double latencyMillis;
     long suspectUntilMillis = Long.MIN_VALUE / 2;
     long fullUntilMillis = Long.MIN_VALUE / 2;
@@ -40,6 +39,5 @@
         failures = 0;
         suspectUntilMillis = Long.MIN_VALUE / 2;
         fullUntilMillis = Long.MIN_VALUE / 2;
-        othersInFlight = 0;
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
@@ -31,13 +31,11 @@
     private static final double FULL_COST_MILLIS = 500;
     private static final double SUSPECT_COST_MILLIS = 10_000;
 
-    /** Gossip older than this says nothing: the work it told of has mostly ended. */
-    private static final long GOSSIP_MILLIS = 400;
-
     private final String dataCentre;
     private final SplittableRandom random;
     private final Map<String, EndpointRow> rows = new HashMap<>();
     private final Map<String, List<EndpointRow>> byService = new HashMap<>();
+    private final Map<String, Map<String, Integer>> others = new HashMap<>();
 
     private EndpointTable(String dataCentre, long seed) {
         this.dataCentre = dataCentre;
@@ -127,7 +125,7 @@
 
     private double cost(long nowMillis, EndpointRow row, Wish wish) {
         int slots = Math.max(1, row.registration.slots());
-        int load = row.inFlight + (nowMillis - row.othersSeenMillis < GOSSIP_MILLIS ? row.othersInFlight : 0);
+        int load = row.inFlight + row.othersInFlight;
         double cost = row.latencyMillis * (1 + CROWDING * Math.min(load, slots));
         if (load >= slots) {
             cost += row.latencyMillis * (load - slots + 1) / slots;
@@ -170,12 +168,25 @@
         }
     }
 
-    /** Another VMs' word on how much runs at an endpoint for them. */
-    public void othersRun(long nowMillis, String id, int inFlight) {
+    /** Another VM said how much of its own runs where; endpoints left out have none of it. */
+    public void otherRuns(String vm, Map<String, Integer> running) {
+        forgetOther(vm);
+        others.put(vm, running);
+        running.forEach((id, count) -> addOthers(id, count));
+    }
+
+    /** Another VM is gone or silent. */
+    public void forgetOther(String vm) {
+        Map<String, Integer> former = others.remove(vm);
+        if (former != null) {
+            former.forEach((id, count) -> addOthers(id, -count));
+        }
+    }
+
+    private void addOthers(String id, int count) {
         EndpointRow row = rows.get(id);
         if (row != null) {
-            row.othersInFlight = inFlight;
-            row.othersSeenMillis = nowMillis;
+            row.othersInFlight = Math.max(0, row.othersInFlight + count);
         }
     }
 
--- a/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
@@ -1,12 +1,17 @@
 package org.quetzalshunt.core.share;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
+import org.quetzalshunt.core.membership.Rendezvous;
 
 /**
- * Parts of every account's rate and burst, dealt by demand. A VM holds only what its record in the shared map says, and
+ * Parts of every account's rate and burst. A part is dealt to all VMs, the rest to the account's two homes, which give
+ * single tokens to VMs whose own part has run out. A VM holds only what its record in the shared map says, and
  * raises it only by an append that expects the map as it was read, so that the parts of one account never add up to
  * more than the whole.
  *
@@ -15,9 +20,10 @@
  * is seen after it was sent, so the holder always stops first. Guards against a VM that is cut off or frozen and goes
  * on spending what another has taken over; shows as an account that gets more than its rate.
  *
- * <p>Load pattern: an account whose callers move between VMs, and one that sends several times its rate. The first
- * needs parts that follow demand within a second or two, the second must not starve VMs where it is quiet: every live VM
- * keeps a floor.
+ * <p>Load pattern: programs, which send a handful of calls at once through one VM and then none. Dealt evenly over eight
+ * VMs, an account at 60% of its rate had a fifth of its requests refused, since one VM's part holds no such handful;
+ * with the homes, the whole account's burst is behind each VM. Two homes, so that the loss of one leaves most of the
+ * rate usable until its lease has run out.
  */
 public final class ShareLedger {
     /** The whole of an account's rate. */
@@ -32,27 +38,32 @@
     /** A third of the lease: one renewal may fail. */
     private static final long RENEW_MILLIS = 2_000;
 
-    /** Demand that each live VM is taken to have at least, as a part of the rate dealt evenly. */
-    private static final double FLOOR = 0.35;
+    /** Dealt to all VMs evenly: most requests find a token without a message, and a VM without links serves on. */
+    private static final double DEALT = 0.4;
+
+    /** For each of the two homes. */
+    private static final double HOME = (1 - DEALT) / 2;
 
     /** A change below this part of a holding is not worth an append. */
     private static final double WORTH_CHANGING = 0.2;
 
     private final String self;
     private final long incarnation;
+    private final String linkAddress;
     private final Map<String, Holder> others = new HashMap<>();
     private Map<String, AccountShare> held = Map.of();
     private long sequence;
     private long sentMillis = Long.MIN_VALUE / 2;
 
-    private ShareLedger(String self, long incarnation) {
+    private ShareLedger(String self, long incarnation, String linkAddress) {
         this.self = self;
         this.incarnation = incarnation;
+        this.linkAddress = linkAddress;
     }
 
     /** Makes a ledger that holds nothing. */
-    public static ShareLedger create(String self, long incarnation) {
-        return new ShareLedger(self, incarnation);
+    public static ShareLedger create(String self, long incarnation, String linkAddress) {
+        return new ShareLedger(self, incarnation, linkAddress);
     }
 
     /** A record of the map was seen; records of this VM's former life are void, since that process is gone. */
@@ -74,47 +85,51 @@
         others.remove(vm);
     }
 
-    /** Other VMs whose leases may still be in use. */
-    public int liveOthers(long nowMillis) {
-        return (int) others.values().stream()
-                .filter(holder -> holder.live(nowMillis))
-                .count();
+    /** Other VMs whose leases may still be in use, with the addresses at which they are reached. */
+    public Map<String, String> liveOthers(long nowMillis) {
+        Map<String, String> addresses = new HashMap<>();
+        others.forEach((vm, holder) -> {
+            if (holder.live(nowMillis)) {
+                addresses.put(vm, holder.record.linkAddress());
+            }
+        });
+        return addresses;
+    }
+
+    /** The account's two homes among the live VMs, the first to be asked first; alike at all VMs with the same view. */
+    public List<String> homes(String account) {
+        List<String> vms = new ArrayList<>(others.keySet());
+        vms.add(self);
+        Optional<String> first = Rendezvous.winner(account, vms);
+        first.ifPresent(vms::remove);
+        Optional<String> second = Rendezvous.winner(account, vms);
+        return Stream.of(first, second).flatMap(Optional::stream).toList();
     }
 
-    /**
-     * The record to append now, if there is reason to.
-     *
-     * @param demand requests a second of each account at this VM
-     */
-    public Optional<ShareRecord> propose(long nowMillis, Collection<String> accounts, Map<String, Double> demand) {
+    /** The record to append now, if there is reason to. */
+    public Optional<ShareRecord> propose(long nowMillis, Collection<String> accounts) {
         others.values().removeIf(holder -> !holder.live(nowMillis));
         Map<String, AccountShare> base = leased(nowMillis) ? held : Map.of();
         Map<String, AccountShare> wanted = new HashMap<>();
         boolean changed = nowMillis - sentMillis >= RENEW_MILLIS;
         for (String account : accounts) {
-            double seenDemand = demand.getOrDefault(account, 0.0);
             int before = base.getOrDefault(account, AccountShare.NONE).parts();
-            int parts = partsFor(account, seenDemand);
+            int parts = Math.min(target(account), room(account));
             boolean significant = Math.abs(parts - before) > WORTH_CHANGING * Math.max(before, 1);
             changed |= significant;
-            wanted.put(account, new AccountShare(significant ? parts : Math.min(before, room(account)), seenDemand));
+            wanted.put(account, new AccountShare(significant ? parts : Math.min(before, room(account))));
         }
         if (!changed) {
             return Optional.empty();
         }
-        return Optional.of(new ShareRecord(incarnation, sequence + 1, Map.copyOf(wanted)));
+        return Optional.of(new ShareRecord(incarnation, sequence + 1, Map.copyOf(wanted), linkAddress));
     }
 
-    private int partsFor(String account, double ownDemand) {
-        int live = others.size() + 1;
-        double totalDemand = ownDemand;
-        for (Holder holder : others.values()) {
-            totalDemand += holder.share(account).demand();
-        }
-        double even = 1.0 / live;
-        double byDemand = totalDemand <= 0 ? even : ownDemand / totalDemand;
-        double target = FLOOR * even + (1 - FLOOR) * byDemand;
-        return Math.min((int) (target * ALL_PARTS), room(account));
+    private int target(String account) {
+        List<String> homes = homes(account);
+        double homePart = homes.size() == 1 ? 1 - DEALT : HOME;
+        double part = DEALT / (others.size() + 1) + (homes.contains(self) ? homePart : 0);
+        return (int) (part * ALL_PARTS);
     }
 
     private int room(String account) {
@@ -131,7 +146,7 @@
         if (leased(nowMillis)) {
             record.shares().forEach((account, share) -> {
                 int before = held.getOrDefault(account, AccountShare.NONE).parts();
-                lower.put(account, new AccountShare(Math.min(before, share.parts()), share.demand()));
+                lower.put(account, new AccountShare(Math.min(before, share.parts())));
             });
         }
         held = Map.copyOf(lower);
--- a/core/src/main/java/org/quetzalshunt/core/share/ShareRecord.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareRecord.java
@@ -8,5 +8,6 @@
  * @param incarnation life of the VM's process
  * @param sequence counts the records of that life
  * @param shares parts by account
+ * @param linkAddress where other VMs reach it, as IP number, colon, port
  */
-public record ShareRecord(long incarnation, long sequence, Map<String, AccountShare> shares) {}
+public record ShareRecord(long incarnation, long sequence, Map<String, AccountShare> shares, String linkAddress) {}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -0,0 +1,169 @@
+package org.quetzalshunt.server.gateway;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.EventExecutor;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.quetzalshunt.core.endpoint.EndpointTable;
+import org.quetzalshunt.core.vm.VmId;
+import org.quetzalshunt.core.vm.VmRole;
+import org.quetzalshunt.server.transport.LinkConnector;
+import org.quetzalshunt.server.transport.LinkIdentity;
+import org.quetzalshunt.server.transport.LinkListener;
+import org.quetzalshunt.server.transport.LinkServer;
+import org.quetzalshunt.server.transport.LinkSettings;
+import org.quetzalshunt.server.transport.PeerLink;
+import org.quetzalshunt.wire.generated.EndpointLoads;
+import org.quetzalshunt.wire.generated.Message;
+import org.quetzalshunt.wire.generated.TokenAnswer;
+import org.quetzalshunt.wire.generated.TokenRequest;
+
+/**
+ * Links to the other gateways, for two things that are of use only at once: single tokens of a rate from an account's
+ * home, and how much runs where. Nothing that lasts goes over them, and each works on without them, only less well.
+ */
+final class FleetLinks implements LinkListener {
+    /** Loads are told this often while eight VMs serve, and in proportion less often as there are more. */
+    private static final long LOADS_MILLIS = 100;
+
+    private static final int VMS_AT_FULL_PACE = 8;
+
+    /** Loads that did not change are told this often, which also keeps the link from falling silent. */
+    private static final long REPEAT_MILLIS = 500;
+
+    /** Three repeats: a link whose other end says nothing for this long is dead without a word. */
+    private static final long SILENCE_MILLIS = 1_600;
+
+    /** Ten round trips between data centres; a home that takes longer is slow or gone. */
+    private static final long TOKEN_MILLIS = 25;
+
+    private final EventLoopGroup group;
+    private final EventExecutor executor;
+    private final GatewaySettings settings;
+    private final EndpointTable endpoints;
+    private final NodeClock clock;
+    private final DecisionLog log;
+    private final Predicate<String> giveToken;
+    private final Map<String, PeerLink> links = new HashMap<>();
+    private final Map<Long, Consumer<Boolean>> waiting = new HashMap<>();
+    private LinkConnector connector;
+    private long nextId;
+    private Map<String, Integer> told = Map.of();
+    private long toldMillis;
+
+    /**
+     * Makes links that wait for the shared secret.
+     *
+     * @param giveToken takes a token of an account from this VM's part, for another VM
+     */
+    FleetLinks(
+            EventLoopGroup group,
+            GatewaySettings settings,
+            EndpointTable endpoints,
+            NodeClock clock,
+            DecisionLog log,
+            Predicate<String> giveToken) {
+        this.group = group;
+        this.executor = group.next();
+        this.settings = settings;
+        this.endpoints = endpoints;
+        this.clock = clock;
+        this.log = log;
+        this.giveToken = giveToken;
+    }
+
+    /** Opens the door once the secret that all gateways share is known. */
+    void start(byte[] secret) {
+        if (connector != null) {
+            return;
+        }
+        LinkIdentity self =
+                new LinkIdentity(VmId.of(settings.vm(), settings.incarnation()), VmRole.ENTRY, settings.dataCentre());
+        LinkSettings linkSettings = new LinkSettings(self, secret, SILENCE_MILLIS);
+        LinkServer.startLater(group, settings.links(), linkSettings, this);
+        connector = LinkConnector.create(group, linkSettings, this);
+        tellLoads();
+    }
+
+    /** The other gateways, with their addresses. Of two, the one whose name sorts first connects. */
+    void want(Map<String, InetSocketAddress> others) {
+        if (connector == null) {
+            return;
+        }
+        Set<InetSocketAddress> addresses = new HashSet<>();
+        others.forEach((vm, address) -> {
+            if (settings.vm().compareTo(vm) < 0) {
+                addresses.add(address);
+            }
+        });
+        connector.want(addresses);
+    }
+
+    /** Asks another gateway for a token; the answer is false as well when none comes in time. */
+    void askToken(String vm, String account, Consumer<Boolean> listener) {
+        PeerLink link = links.get(vm);
+        if (link == null || !link.isOpen()) {
+            listener.accept(false);
+            return;
+        }
+        long id = nextId++;
+        waiting.put(id, listener);
+        link.send(Message.tokenRequest(new TokenRequest(id, account)));
+        executor.schedule(() -> answered(id, false), TOKEN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void answered(long id, boolean granted) {
+        Consumer<Boolean> listener = waiting.remove(id);
+        if (listener != null) {
+            listener.accept(granted);
+        }
+    }
+
+    private void tellLoads() {
+        long now = clock.now();
+        Map<String, Integer> running = endpoints.running();
+        if (!running.equals(told) || now - toldMillis >= REPEAT_MILLIS) {
+            told = running;
+            toldMillis = now;
+            Message message = Message.endpointLoads(new EndpointLoads(running));
+            links.values().stream().filter(PeerLink::isWritable).forEach(link -> link.send(message));
+        }
+        long pace = LOADS_MILLIS * Math.max(1, links.size() / VMS_AT_FULL_PACE);
+        executor.schedule(this::tellLoads, pace, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void onOpen(PeerLink link) {
+        links.put(link.remote().id().name(), link);
+        log.line(log.event("link-open").put("peer", link.remote().id().toString()));
+    }
+
+    @Override
+    public void onMessage(PeerLink link, Message message) {
+        if (message.isSetTokenRequest()) {
+            TokenRequest request = message.getTokenRequest();
+            boolean granted = request.getAccount() != null && giveToken.test(request.getAccount());
+            link.send(Message.tokenAnswer(new TokenAnswer(request.getId(), granted)));
+        } else if (message.isSetTokenAnswer()) {
+            answered(message.getTokenAnswer().getId(), message.getTokenAnswer().isGranted());
+        } else if (message.isSetEndpointLoads() && message.getEndpointLoads().getRunning() != null) {
+            endpoints.otherRuns(
+                    link.remote().id().name(), message.getEndpointLoads().getRunning());
+        }
+    }
+
+    @Override
+    public void onClose(PeerLink link) {
+        String vm = link.remote().id().name();
+        if (links.remove(vm, link)) {
+            endpoints.forgetOther(vm);
+        }
+        log.line(log.event("link-closed").put("peer", link.remote().id().toString()));
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param dataCentre where it is
  * @param callers address for callers
  * @param probes address for the balancer's probes, metrics and the state dump
+ * @param links address for other gateways
  * @param keyAgeMillis age at which what is known of keys no longer counts
  * @param stopMillis longest time of a planned stop
  */
@@ -19,5 +20,6 @@
         String dataCentre,
         InetSocketAddress callers,
         InetSocketAddress probes,
+        InetSocketAddress links,
         long keyAgeMillis,
         long stopMillis) {}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
@@ -1,16 +1,18 @@
 package org.quetzalshunt.server.gateway;
 
 import io.netty.util.concurrent.EventExecutor;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.quetzalshunt.core.route.AccountTerms;
 import org.quetzalshunt.core.route.TrafficConfiguration;
-import org.quetzalshunt.core.share.DemandMeter;
 import org.quetzalshunt.core.share.ShareBucket;
 import org.quetzalshunt.core.share.ShareLedger;
 import org.quetzalshunt.core.share.ShareRecord;
@@ -23,25 +25,33 @@
 import org.quetzalshunt.core.store.SharedMap;
 import org.quetzalshunt.wire.record.StoredRecords;
 
-/** Holds this VM's parts of the accounts' rates: keeps its record in the shared map and spends what it says. */
+/**
+ * Holds this VM's parts of the accounts' rates: keeps its record in the shared map and spends what it says. The records
+ * also tell who else serves and where, and the secret of the links between them.
+ */
 final class RateKeeper {
     private static final MapShard SHARD = MapShard.only(MapName.FLEET);
+    private static final String SECRET_KEY = "secret";
+    private static final String VM_PREFIX = "vm/";
+    private static final int SECRET_BYTES = 32;
 
-    /** How soon parts follow demand; one read a second costs a VM little and a hot account is followed in two. */
+    /** How soon a VM that came or went is noticed; one read a second costs little. */
     private static final long INTERVAL_MILLIS = 1_000;
 
     /** Conflicts in a row before the next interval is waited for. */
-    private static final int MOST_TRIES = 4;
+    private static final int MOST_TRIES = 6;
 
     private final EventExecutor executor;
     private final SharedMap map;
     private final NodeClock clock;
     private final DecisionLog log;
-    private final String vm;
+    private final String key;
+    private final String self;
     private final Supplier<Optional<TrafficConfiguration>> configuration;
     private final ShareLedger ledger;
     private final Map<String, ShareBucket> buckets = new HashMap<>();
-    private final Map<String, DemandMeter> meters = new HashMap<>();
+    private FleetLinks links;
+    private boolean secretSeen;
     private long next = -1;
     private int tries;
     private boolean stopping;
@@ -57,32 +67,44 @@
         this.map = map;
         this.clock = clock;
         this.log = log;
-        this.vm = settings.vm();
+        this.self = settings.vm();
+        this.key = VM_PREFIX + settings.vm();
         this.configuration = configuration;
-        this.ledger = ShareLedger.create(settings.vm(), settings.incarnation());
+        InetSocketAddress address = settings.links();
+        this.ledger = ShareLedger.create(
+                settings.vm(), settings.incarnation(), address.getHostString() + ":" + address.getPort());
     }
 
-    /** Takes a token of an account's rate; false when this VM's part has none now. */
-    boolean take(AccountTerms account) {
-        if (!account.limited()) {
-            return true;
+    /** Takes a token of an account's rate: from this VM's part, or from one of the account's homes. */
+    void take(AccountTerms account, Consumer<Boolean> listener) {
+        if (!account.limited() || takeHere(account.name())) {
+            listener.accept(true);
+            return;
         }
-        long now = clock.now();
-        meters.computeIfAbsent(account.name(), ignored -> DemandMeter.create(now))
-                .count(now);
-        return ledger.leased(now) && bucket(account.name()).take(now);
+        List<String> homes = ledger.homes(account.name()).stream()
+                .filter(vm -> !vm.equals(self))
+                .toList();
+        ask(account.name(), homes, 0, listener);
     }
 
-    /** Gives back a token whose request never ran. */
-    void giveBack(AccountTerms account) {
-        if (account.limited()) {
-            bucket(account.name()).giveBack();
+    private void ask(String account, List<String> homes, int index, Consumer<Boolean> listener) {
+        if (index == homes.size()) {
+            listener.accept(false);
+            return;
         }
+        links.askToken(homes.get(index), account, granted -> {
+            if (granted) {
+                listener.accept(true);
+            } else {
+                ask(account, homes, index + 1, listener);
+            }
+        });
     }
 
-    /** Time until this VM's part has a token, in milliseconds; {@code most} when none will come sooner. */
-    long waitMillis(AccountTerms account, long most) {
-        return bucket(account.name()).waitMillis(clock.now(), most);
+    /** Takes a token from this VM's part, for itself or for another VM. */
+    boolean takeHere(String account) {
+        long now = clock.now();
+        return !stopping && ledger.leased(now) && bucket(account).take(now);
     }
 
     /** Whether this VM holds its parts by a lease that is in force. */
@@ -92,7 +114,7 @@
 
     /** VMs that serve, this one included. */
     int liveVms() {
-        return ledger.liveOthers(clock.now()) + 1;
+        return ledger.liveOthers(clock.now()).size() + 1;
     }
 
     /** The lease no longer counts, after a pause of unknown length. */
@@ -113,11 +135,16 @@
     void stop() {
         stopping = true;
         ledger.lapse();
-        limitBuckets();
-        map.append(SHARD, List.of(MapEntry.removal(vm)), OptionalLong.of(Math.max(0, next)), answer -> {});
+        map.append(SHARD, List.of(MapEntry.removal(key)), OptionalLong.of(Math.max(0, next)), answer -> {});
     }
 
-    void start() {
+    /** Begins to read and to keep this VM's record. */
+    void start(FleetLinks fleetLinks) {
+        links = fleetLinks;
+        round();
+    }
+
+    private void round() {
         if (stopping) {
             return;
         }
@@ -127,7 +154,20 @@
 
     private void again() {
         limitBuckets();
-        executor.schedule(this::start, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        wantLinks();
+        executor.schedule(this::round, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void wantLinks() {
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
+        ledger.liveOthers(clock.now()).forEach((vm, address) -> {
+            int colon = address.lastIndexOf(':');
+            if (colon > 0) {
+                int port = Integer.parseInt(address.substring(colon + 1));
+                addresses.put(vm, new InetSocketAddress(address.substring(0, colon), port));
+            }
+        });
+        links.want(addresses);
     }
 
     private void read() {
@@ -164,11 +204,22 @@
     }
 
     private void see(MapEntry entry) {
+        if (entry.key().equals(SECRET_KEY)) {
+            entry.value().ifPresent(secret -> {
+                secretSeen = true;
+                links.start(secret);
+            });
+            return;
+        }
+        if (!entry.key().startsWith(VM_PREFIX)) {
+            return;
+        }
+        String vm = entry.key().substring(VM_PREFIX.length());
         if (entry.value().isEmpty()) {
-            ledger.removed(entry.key());
+            ledger.removed(vm);
             return;
         }
-        StoredRecords.shares(entry.value().get()).ifPresent(record -> ledger.seen(clock.now(), entry.key(), record));
+        StoredRecords.shares(entry.value().get()).ifPresent(record -> ledger.seen(clock.now(), vm, record));
     }
 
     private void propose() {
@@ -178,10 +229,8 @@
             return;
         }
         long now = clock.now();
-        Map<String, Double> demand = new HashMap<>();
-        meters.forEach((account, meter) -> demand.put(account, meter.perSecond(now)));
         Optional<ShareRecord> proposal =
-                ledger.propose(now, current.get().accounts().keySet(), demand);
+                ledger.propose(now, current.get().accounts().keySet());
         if (proposal.isEmpty()) {
             again();
             return;
@@ -192,10 +241,12 @@
     private void send(long sentMillis, ShareRecord record) {
         ledger.sending(sentMillis, record);
         limitBuckets();
-        MapEntry entry = MapEntry.of(vm, StoredRecords.encode(record));
-        map.append(SHARD, List.of(entry), OptionalLong.of(next), answer -> {
-            if (answer instanceof AppendAnswer.Appended appended) {
-                next = appended.end();
+        List<MapEntry> entries = secretSeen
+                ? List.of(MapEntry.of(key, StoredRecords.encode(record)))
+                : List.of(MapEntry.of(key, StoredRecords.encode(record)), MapEntry.of(SECRET_KEY, newSecret()));
+        map.append(SHARD, entries, OptionalLong.of(next), answer -> {
+            if (answer instanceof AppendAnswer.Appended) {
+                // Own records are read again in the next round, and with them a secret that this VM made.
                 ledger.kept(sentMillis, record);
                 again();
                 return;
@@ -212,6 +263,13 @@
         });
     }
 
+    /** The first gateway of all makes the secret; the append's condition leaves only one that does. */
+    private static byte[] newSecret() {
+        byte[] secret = new byte[SECRET_BYTES];
+        new SecureRandom().nextBytes(secret);
+        return secret;
+    }
+
     private void limitBuckets() {
         long now = clock.now();
         configuration.get().ifPresent(current -> current.accounts().values().forEach(account -> {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -22,7 +22,10 @@
     /** For callers that this VM cannot serve for now: another VM probably can, at once. */
     private static final long ELSEWHERE_MILLIS = 150;
 
-    /** For accounts without a token: parts move to where the demand is within about this time. */
+    /** For accounts without a token, in milliseconds: the time in which the fleet earns five, within bounds. */
+    private static final long RATE_LEAST_MILLIS = 100;
+
+    private static final double RATE_TOKENS = 5_000;
     private static final long RATE_MOST_MILLIS = 1_000;
 
     private final Gateway gateway;
@@ -96,19 +99,37 @@
         long left = Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(DEADLINE_UNSAID_MILLIS));
         Accepted accepted =
                 new Accepted(exchange, request, route, service, account, configuration.version(), now, now + left);
-        if (account.isPresent() && !gateway.rates().take(account.get())) {
-            long wait = gateway.rates().waitMillis(account.get(), RATE_MOST_MILLIS);
-            Refusal refusal = Refusal.notRunRetryAfter(ResultCode.RATE_EXCEEDED, "wait " + wait, wait);
-            Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+        if (account.isEmpty()) {
+            run(accepted);
             return;
         }
-        if (route.kind() == RequestKind.STREAM) {
+        gateway.rates().take(account.get(), granted -> {
+            if (granted) {
+                run(accepted);
+            } else {
+                overRate(accepted, account.get());
+            }
+        });
+    }
+
+    private void run(Accepted accepted) {
+        if (accepted.exchange().finished()) {
+            Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.empty());
+            return;
+        }
+        if (accepted.route().kind() == RequestKind.STREAM) {
             StreamRun.start(gateway, accepted);
         } else {
             PlainRun.start(gateway, accepted);
         }
     }
 
+    private void overRate(Accepted accepted, AccountTerms account) {
+        long wait = Math.min(RATE_MOST_MILLIS, RATE_LEAST_MILLIS + (long) (RATE_TOKENS / account.ratePerSecond()));
+        Refusal refusal = Refusal.notRunRetryAfter(ResultCode.RATE_EXCEEDED, "rate " + account.ratePerSecond(), wait);
+        Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+    }
+
     private static Refusal elsewhere(ResultCode code, String detail) {
         return Refusal.notRunRetryAfter(code, detail, ELSEWHERE_MILLIS);
     }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.tinylog.Logger;
 
 /** Hands what comes on a client connection to the call that uses it now. */
 final class HttpCallHandler extends SimpleChannelInboundHandler<HttpObject> {
@@ -94,6 +95,9 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (call != null) {
             detach().fail("the connection broke: " + cause.getMessage(), true);
+        } else if (cause instanceof RuntimeException) {
+            // Thrown by a listener: a fault of this program, not of the connection.
+            Logger.error(cause, "a listener failed on an answer");
         }
         context.close();
     }
--- a/wire/src/main/java/org/quetzalshunt/wire/record/StoredRecords.java
+++ b/wire/src/main/java/org/quetzalshunt/wire/record/StoredRecords.java
@@ -72,9 +72,10 @@
     /** Bytes of a VM's parts of the rates. */
     public static byte[] encode(ShareRecord record) {
         List<StoredShare> shares = new ArrayList<>();
-        record.shares()
-                .forEach((account, share) -> shares.add(new StoredShare(account, share.parts(), share.demand())));
-        return MessageCodec.encode(new StoredShares(record.incarnation(), record.sequence(), shares));
+        record.shares().forEach((account, share) -> shares.add(new StoredShare(account, share.parts())));
+        StoredShares stored = new StoredShares(record.incarnation(), record.sequence(), shares);
+        stored.setLinkAddress(record.linkAddress());
+        return MessageCodec.encode(stored);
     }
 
     /** A VM's parts of the rates from their bytes. */
@@ -88,8 +89,9 @@
             if (share.getAccount() == null) {
                 return Optional.empty();
             }
-            shares.put(share.getAccount(), new AccountShare(share.getParts(), share.getDemand()));
+            shares.put(share.getAccount(), new AccountShare(share.getParts()));
         }
-        return Optional.of(new ShareRecord(stored.getIncarnation(), stored.getSequence(), Map.copyOf(shares)));
+        String address = Optional.ofNullable(stored.getLinkAddress()).orElse("");
+        return Optional.of(new ShareRecord(stored.getIncarnation(), stored.getSequence(), Map.copyOf(shares), address));
     }
 }
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -234,6 +234,23 @@
   2: binary payload
 }
 
+/** Asks for tokens of a client account's rate, of which the receiver holds a part. */
+struct TokenRequest {
+  1: i64 id
+  2: string account
+}
+
+/** Answer to a TokenRequest. */
+struct TokenAnswer {
+  1: i64 id
+  2: bool granted
+}
+
+/** How many requests of the sender run at each endpoint; those without any are left out. */
+struct EndpointLoads {
+  1: map<string, i32> running
+}
+
 union Message {
   1: Hello hello
   2: HelloProof helloProof
@@ -260,6 +277,9 @@
   23: LimitCarryAcknowledgement limitCarryAcknowledgement
   24: LimitLeaseRequest limitLeaseRequest
   25: LimitLeaseWord limitLeaseWord
+  26: TokenRequest tokenRequest
+  27: TokenAnswer tokenAnswer
+  28: EndpointLoads endpointLoads
 }
 
 /* Records of the shard streams. */
@@ -445,12 +465,12 @@
 struct StoredShare {
   1: string account
   2: i32 parts
-  3: double demand
 }
 
-/** A VM's parts of the rates. */
+/** A VM's parts of the rates, and where other VMs reach it. */
 struct StoredShares {
   1: i64 incarnation
   2: i64 sequence
   3: list<StoredShare> shares
+  4: optional string linkAddress
 }
