--- a/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
@@ -29,6 +29,9 @@
         long arrivedMillis,
         long deadlineMillis) {
 
+    /** Tokens assumed of a turn that does not say how many it may generate. */
+    private static final long TOKENS_UNSAID = 512;
+
     /** 0 is the most urgent: the account's rank goes before the route's. */
     int priority() {
         return account.map(AccountTerms::priority).filter(rank -> rank >= 0).orElse(route.priority());
@@ -41,4 +44,24 @@
     int tokensPerEvent() {
         return service.engine().map(EngineShape::tokensPerEvent).orElse(1);
     }
+
+    /** Tokens that a turn may generate, in whole events. */
+    long mostTokens() {
+        long said = request.mostTokens().orElse(TOKENS_UNSAID);
+        int each = tokensPerEvent();
+        return (said + each - 1) / each * each;
+    }
+
+    /** The program whose budget a turn spends, within its account; empty for requests without a budget. */
+    Optional<String> budgetedProgram() {
+        if (!route.stateful() || request.tokenBudget().isEmpty()) {
+            return Optional.empty();
+        }
+        return request.program().map(program -> accountName() + ":" + program);
+    }
+
+    /** Whether this is the first turn of a program. */
+    boolean beginsProgram() {
+        return route.stateful() && request.previousTurn().isEmpty();
+    }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
@@ -90,6 +90,18 @@
         return row != null && row.allotment.known();
     }
 
+    /** Whether what this VM knows already says that the budget is spent: allotments of others never shrink. */
+    Optional<Verdict.Spent> knownSpent(String program, long budget, long mostTokens) {
+        Row row = rows.get(program);
+        if (row == null || !row.allotment.known() || row.allotment.covers(mostTokens)) {
+            return Optional.empty();
+        }
+        if (row.allotment.wanted(budget, mostTokens).isPresent()) {
+            return Optional.empty();
+        }
+        return Optional.of(new Verdict.Spent(row.allotment.allotted(), row.allotment.others()));
+    }
+
     /**
      * Sets tokens aside for a turn.
      *
@@ -102,6 +114,11 @@
             listener.accept(new Verdict.Granted());
             return;
         }
+        Optional<Verdict.Spent> spent = knownSpent(program, budget, mostTokens);
+        if (spent.isPresent()) {
+            listener.accept(spent.get());
+            return;
+        }
         MapShard key = Shards.ofProgram(program);
         Shard shard = shards.computeIfAbsent(key, ignored -> new Shard());
         shard.waiting.addLast(new Pending(program, budget, mostTokens, keepMillis, listener));
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -9,8 +9,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.quetzalshunt.core.endpoint.EndpointTable;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.core.vm.VmRole;
@@ -52,7 +52,7 @@
     private final EndpointTable endpoints;
     private final NodeClock clock;
     private final DecisionLog log;
-    private final Function<String, OptionalLong> giveToken;
+    private final BiFunction<String, Boolean, OptionalLong> giveToken;
     private final Map<String, PeerLink> links = new HashMap<>();
     private final Map<Long, Consumer<OptionalLong>> waiting = new HashMap<>();
     private LinkConnector connector;
@@ -71,7 +71,7 @@
             EndpointTable endpoints,
             NodeClock clock,
             DecisionLog log,
-            Function<String, OptionalLong> giveToken) {
+            BiFunction<String, Boolean, OptionalLong> giveToken) {
         this.group = group;
         this.executor = group.next();
         this.settings = settings;
@@ -109,7 +109,7 @@
     }
 
     /** Asks another gateway for a token: the wait until it may be used; empty when there is none, or no answer. */
-    void askToken(String vm, String account, Consumer<OptionalLong> listener) {
+    void askToken(String vm, String account, boolean beginsProgram, Consumer<OptionalLong> listener) {
         PeerLink link = links.get(vm);
         if (link == null || !link.isOpen()) {
             listener.accept(OptionalLong.empty());
@@ -117,7 +117,7 @@
         }
         long id = nextId++;
         waiting.put(id, listener);
-        link.send(Message.tokenRequest(new TokenRequest(id, account)));
+        link.send(Message.tokenRequest(new TokenRequest(id, account, beginsProgram)));
         executor.schedule(() -> answered(id, OptionalLong.empty()), TOKEN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -165,7 +165,8 @@
         if (request.getAccount() == null) {
             return;
         }
-        long wait = giveToken.apply(request.getAccount()).orElse(NO_TOKEN);
+        long wait =
+                giveToken.apply(request.getAccount(), request.isBeginsProgram()).orElse(NO_TOKEN);
         link.send(Message.tokenAnswer(new TokenAnswer(request.getId(), wait)));
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
@@ -41,6 +41,12 @@
     /** Longer than this a request does not wait for its token: its caller would be back sooner after a refusal. */
     private static final long MOST_WAIT_MILLIS = 300;
 
+    /**
+     * Part of the burst kept from new programs for those under way. A program of three turns sends about a dozen
+     * requests within a second; a quarter of a second's rate carries the ones that began over the next.
+     */
+    private static final double RESERVE = 0.25;
+
     /** Conflicts in a row before the next interval is waited for. */
     private static final int MOST_TRIES = 6;
 
@@ -81,16 +87,19 @@
     /**
      * Takes a token of an account's rate: from this VM's part, or from one of the account's homes. The listener hears how
      * long the request must wait; empty when the account is over its rate.
+     *
+     * @param beginsProgram whether the request is a program's first; such a one leaves a reserve for those under way
      */
-    void take(AccountTerms account, Consumer<OptionalLong> listener) {
-        if (!account.limited() || takeHere(account.name())) {
+    void take(AccountTerms account, boolean beginsProgram, Consumer<OptionalLong> listener) {
+        if (!account.limited() || (!beginsProgram && takeHere(account.name()))) {
             listener.accept(OptionalLong.of(0));
             return;
         }
-        ask(account.name(), ledger.homes(account.name()), 0, listener);
+        ask(account.name(), beginsProgram, ledger.homes(account.name()), 0, listener);
     }
 
-    private void ask(String account, List<String> homes, int index, Consumer<OptionalLong> listener) {
+    private void ask(
+            String account, boolean beginsProgram, List<String> homes, int index, Consumer<OptionalLong> listener) {
         if (index == homes.size()) {
             listener.accept(OptionalLong.empty());
             return;
@@ -99,14 +108,14 @@
             if (wait.isPresent()) {
                 listener.accept(wait);
             } else {
-                ask(account, homes, index + 1, listener);
+                ask(account, beginsProgram, homes, index + 1, listener);
             }
         };
         String home = homes.get(index);
         if (home.equals(self)) {
-            next.accept(reserveHere(account));
+            next.accept(reserveHere(account, beginsProgram));
         } else {
-            links.askToken(home, account, next);
+            links.askToken(home, account, beginsProgram, next);
         }
     }
 
@@ -116,12 +125,15 @@
     }
 
     /** Takes a token from this VM's part, for itself or for another VM, that may still have to be earned. */
-    OptionalLong reserveHere(String account) {
+    OptionalLong reserveHere(String account, boolean beginsProgram) {
         long now = clock.now();
         if (stopping || !ledger.leased(now)) {
             return OptionalLong.empty();
         }
-        return bucket(account).reserve(now, MOST_WAIT_MILLIS);
+        if (!beginsProgram) {
+            return bucket(account).reserve(now, MOST_WAIT_MILLIS);
+        }
+        return bucket(account).takeAbove(now, RESERVE) ? OptionalLong.of(0) : OptionalLong.empty();
     }
 
     /** Whether this VM holds its parts by a lease that is in force. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -100,11 +100,17 @@
         long left = Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(DEADLINE_UNSAID_MILLIS));
         Accepted accepted =
                 new Accepted(exchange, request, route, service, account, configuration.version(), now, now + left);
+        Optional<BudgetKeeper.Verdict.Spent> spent = spent(accepted);
+        if (spent.isPresent()) {
+            // Before a token of the rate is taken: a program that loops must not spend its account's rate as well.
+            Outcome.refuse(gateway, accepted, StreamRun.refusal(spent.get()), Optional.empty());
+            return;
+        }
         if (account.isEmpty()) {
             run(accepted);
             return;
         }
-        gateway.rates().take(account.get(), wait -> {
+        gateway.rates().take(account.get(), accepted.beginsProgram(), wait -> {
             if (wait.isEmpty()) {
                 overRate(accepted, account.get());
             } else if (wait.getAsLong() == 0) {
@@ -115,6 +121,11 @@
         });
     }
 
+    private Optional<BudgetKeeper.Verdict.Spent> spent(Accepted accepted) {
+        return accepted.budgetedProgram().flatMap(program -> gateway.budgets()
+                .knownSpent(program, accepted.request().tokenBudget().getAsLong(), accepted.mostTokens()));
+    }
+
     private void run(Accepted accepted) {
         if (accepted.exchange().finished()) {
             Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.empty());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -28,9 +28,6 @@
     /** For callers refused because the shared map is away: outages last seconds, and another VM may reach it. */
     private static final long MAP_RETRY_MILLIS = 300;
 
-    /** Tokens assumed of a turn that does not say how many it may generate. */
-    private static final long TOKENS_UNSAID = 512;
-
     private final Gateway gateway;
     private final Accepted accepted;
     private final EventFrames frames = new EventFrames();
@@ -74,8 +71,8 @@
         }
         boolean first = accepted.request().previousTurn().isEmpty();
         boolean unknown =
-                accepted.request().program().filter(gateway.budgets()::knows).isEmpty();
-        boolean ample = accepted.request().tokenBudget().orElse(Long.MAX_VALUE) >= mostTokens();
+                accepted.budgetedProgram().filter(gateway.budgets()::knows).isEmpty();
+        boolean ample = accepted.request().tokenBudget().orElse(Long.MAX_VALUE) >= accepted.mostTokens();
         findChain();
         if (first && unknown && ample) {
             dispatch();
@@ -110,27 +107,21 @@
         end(Refusal.notRunRetryAfter(ResultCode.LOG_UNAVAILABLE, "history: " + reason, MAP_RETRY_MILLIS));
     }
 
-    private long mostTokens() {
-        long said = accepted.request().mostTokens().orElse(TOKENS_UNSAID);
-        int each = accepted.tokensPerEvent();
-        return (said + each - 1) / each * each;
-    }
-
     private void reserve() {
-        CallerRequest request = accepted.request();
         if (finished) {
             return;
         }
-        if (request.tokenBudget().isEmpty() || request.program().isEmpty()) {
+        Optional<String> program = accepted.budgetedProgram();
+        if (program.isEmpty()) {
             granted = true;
             dispatchWhenReady();
             return;
         }
         gateway.budgets()
                 .reserve(
-                        accepted.accountName() + " " + request.program().get(),
-                        request.tokenBudget().getAsLong(),
-                        mostTokens(),
+                        program.get(),
+                        accepted.request().tokenBudget().getAsLong(),
+                        accepted.mostTokens(),
                         accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS,
                         this::reserved);
     }
@@ -157,7 +148,8 @@
         end(Refusal.after(ResultCode.ENDPOINT_FAILED, Execution.UNKNOWN, refusal.detail()));
     }
 
-    private static Refusal refusal(BudgetKeeper.Verdict verdict) {
+    /** What a caller hears instead of a grant. */
+    static Refusal refusal(BudgetKeeper.Verdict verdict) {
         if (verdict instanceof BudgetKeeper.Verdict.Spent spent) {
             return Refusal.notRun(
                     ResultCode.BUDGET_EXHAUSTED,
@@ -359,8 +351,8 @@
             return;
         }
         reserved = false;
-        long handedOut = Math.min(mostTokens(), events * accepted.tokensPerEvent());
-        accepted.request().program().ifPresent(program -> gateway.budgets()
-                .release(accepted.accountName() + " " + program, mostTokens(), handedOut));
+        long handedOut = Math.min(accepted.mostTokens(), events * accepted.tokensPerEvent());
+        accepted.budgetedProgram()
+                .ifPresent(program -> gateway.budgets().release(program, accepted.mostTokens(), handedOut));
     }
 }
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -238,6 +238,7 @@
 struct TokenRequest {
   1: i64 id
   2: string account
+  3: bool beginsProgram
 }
 
 /** Answer to a TokenRequest: how long the request must wait before it runs; negative when there is no token. */
