--- a/core/src/main/java/org/quetzalshunt/core/share/ShareBucket.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareBucket.java
@@ -65,21 +65,6 @@
         return OptionalLong.of(wait);
     }
 
-    /**
-     * Takes a token only while a part of the room is left over. Answers an account at its rate: a program that is
-     * refused at its first request costs its caller a moment, one that is refused in the middle has cost all its work.
-     *
-     * @param reserve part of the room, from 0 to 1, that must be there
-     */
-    public boolean takeAbove(long nowMillis, double reserve) {
-        fill(nowMillis);
-        if (level < Math.max(1, reserve * capacity)) {
-            return false;
-        }
-        level -= 1;
-        return true;
-    }
-
     private void fill(long nowMillis) {
         long elapsed = Math.max(0, nowMillis - filledMillis);
         filledMillis = nowMillis;
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/store/AnswerLimit.java
@@ -0,0 +1,48 @@
+package org.quetzalshunt.core.store;
+
+/**
+ * How long to wait for an answer before the call is made again.
+ *
+ * <p>Load pattern: a map that loses some answers, and one that answers sixty times as slowly. A short limit serves the
+ * first, since a lost answer costs its caller the whole limit; it would make every call of the second fail. So the limit
+ * follows the answers seen, and doubles with each that does not come.
+ */
+public final class AnswerLimit {
+    /** Twenty times the usual answer of 7 ms: the slowest of ten thousand on a calm day came within. */
+    private static final double LEAST_MILLIS = 150;
+
+    /** Answers that take longer are of no use to callers who wait three seconds for a whole turn. */
+    private static final double MOST_MILLIS = 1_200;
+
+    /** A limit this many times the average is seldom met by an answer that is still to come. */
+    private static final double TIMES_AVERAGE = 5;
+
+    private static final double WEIGHT = 0.1;
+
+    private double averageMillis;
+    private double limitMillis = LEAST_MILLIS;
+
+    private AnswerLimit() {}
+
+    /** A limit for a map not yet asked. */
+    public static AnswerLimit create() {
+        return new AnswerLimit();
+    }
+
+    /** The limit for the next call, in milliseconds. */
+    public long millis() {
+        return (long) limitMillis;
+    }
+
+    /** An answer came. */
+    public void answered(long tookMillis) {
+        averageMillis += WEIGHT * (tookMillis - averageMillis);
+        double wanted = Math.max(LEAST_MILLIS, TIMES_AVERAGE * Math.max(averageMillis, tookMillis / 2.0));
+        limitMillis = Math.min(MOST_MILLIS, wanted);
+    }
+
+    /** No answer came within the limit, or the call failed. */
+    public void unanswered() {
+        limitMillis = Math.min(MOST_MILLIS, 2 * limitMillis);
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
@@ -1,5 +1,6 @@
 package org.quetzalshunt.server.gateway;
 
+import io.netty.util.concurrent.EventExecutor;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -8,13 +9,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.quetzalshunt.core.budget.ProgramAllotment;
 import org.quetzalshunt.core.store.AppendAnswer;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapShard;
 import org.quetzalshunt.core.store.RangeAnswer;
-import org.quetzalshunt.core.store.SharedMap;
 import org.quetzalshunt.wire.record.StoredRecords;
 
 /**
@@ -36,7 +37,14 @@
     }
 
     /** A turn that waits for its grant. */
-    private record Pending(String program, long budget, long mostTokens, long keepMillis, Consumer<Verdict> listener) {}
+    private record Pending(
+            String program,
+            long budget,
+            long mostTokens,
+            long keepMillis,
+            long giveUpMillis,
+            Backoff backoff,
+            Consumer<Verdict> listener) {}
 
     private static final class Row {
         final ProgramAllotment allotment = ProgramAllotment.unknown();
@@ -51,11 +59,8 @@
         long epoch;
     }
 
-    /** Conflicts and lost answers in a row before the caller hears that the map cannot be asked. */
-    private static final int MOST_TRIES = 6;
-
-    /** A map that cannot be read is asked twice, not six times: the caller can come back. */
-    private static final int TRIES_OF_A_FAILED_READ = 3;
+    /** Longer than this a turn does not wait for its grant: its caller would rather come back. */
+    private static final long GIVE_UP_MILLIS = 900;
 
     /** Programs remembered; far more than run within one retention at one VM. */
     private static final int MOST_PROGRAMS = 20_000;
@@ -65,7 +70,8 @@
 
     private static final char SEPARATOR = '/';
 
-    private final SharedMap map;
+    private final EventExecutor executor;
+    private final MapClient map;
     private final NodeClock clock;
     private final String holder;
     private final Map<MapShard, Shard> shards = new HashMap<>();
@@ -78,7 +84,8 @@
         }
     };
 
-    BudgetKeeper(SharedMap map, NodeClock clock, GatewaySettings settings) {
+    BudgetKeeper(EventExecutor executor, MapClient map, NodeClock clock, GatewaySettings settings) {
+        this.executor = executor;
         this.map = map;
         this.clock = clock;
         this.holder = settings.vm() + ":" + Long.toString(settings.incarnation(), Character.MAX_RADIX);
@@ -121,7 +128,14 @@
         }
         MapShard key = Shards.ofProgram(program);
         Shard shard = shards.computeIfAbsent(key, ignored -> new Shard());
-        shard.waiting.addLast(new Pending(program, budget, mostTokens, keepMillis, listener));
+        shard.waiting.addLast(new Pending(
+                program,
+                budget,
+                mostTokens,
+                keepMillis,
+                clock.now() + GIVE_UP_MILLIS,
+                new Backoff(program.hashCode()),
+                listener));
         if (!shard.busy) {
             next(key, shard);
         }
@@ -142,7 +156,7 @@
             return;
         }
         shard.busy = true;
-        step(key, shard, pending, MOST_TRIES);
+        step(key, shard, pending);
     }
 
     private void finish(MapShard key, Shard shard, Pending pending, Verdict verdict) {
@@ -150,19 +164,19 @@
         next(key, shard);
     }
 
-    private void step(MapShard key, Shard shard, Pending pending, int tries) {
+    private void step(MapShard key, Shard shard, Pending pending) {
         Row row = rows.computeIfAbsent(pending.program(), ignored -> new Row());
         if (row.allotment.covers(pending.mostTokens())) {
             row.allotment.started(pending.mostTokens());
             finish(key, shard, pending, new Verdict.Granted());
             return;
         }
-        if (tries <= 0) {
-            finish(key, shard, pending, new Verdict.Unavailable("no grant after " + MOST_TRIES + " tries"));
+        if (clock.now() >= pending.giveUpMillis() || map.away()) {
+            finish(key, shard, pending, new Verdict.Unavailable("no grant in time"));
             return;
         }
         if (row.readEpoch != shard.epoch) {
-            read(key, shard, pending, row, tries);
+            read(key, shard, pending, row);
             return;
         }
         OptionalLong wanted = row.allotment.wanted(pending.budget(), pending.mostTokens());
@@ -170,14 +184,18 @@
             finish(key, shard, pending, new Verdict.Spent(row.allotment.allotted(), row.allotment.others()));
             return;
         }
-        raise(key, shard, pending, row, wanted.getAsLong(), tries);
+        raise(key, shard, pending, row, wanted.getAsLong());
+    }
+
+    private void stepLater(MapShard key, Shard shard, Pending pending) {
+        executor.schedule(() -> step(key, shard, pending), pending.backoff().failedMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void read(MapShard key, Shard shard, Pending pending, Row row, int tries) {
+    private void read(MapShard key, Shard shard, Pending pending, Row row) {
         String prefix = pending.program() + SEPARATOR;
         map.range(key, prefix, answer -> {
             if (!(answer instanceof RangeAnswer.Page page)) {
-                step(key, shard, pending, tries - TRIES_OF_A_FAILED_READ);
+                stepLater(key, shard, pending);
                 return;
             }
             if (page.end() != shard.end) {
@@ -187,7 +205,7 @@
             }
             readRow(row, prefix, page.entries());
             row.readEpoch = shard.epoch;
-            step(key, shard, pending, tries);
+            step(key, shard, pending);
         });
     }
 
@@ -213,18 +231,22 @@
         row.allotment.read(others, own);
     }
 
-    private void raise(MapShard key, Shard shard, Pending pending, Row row, long tokens, int tries) {
+    private void raise(MapShard key, Shard shard, Pending pending, Row row, long tokens) {
         StoredRecords.Allotment allotment = new StoredRecords.Allotment(tokens, clock.wall() + pending.keepMillis());
         MapEntry entry = MapEntry.of(pending.program() + SEPARATOR + holder, StoredRecords.encode(allotment));
         map.append(key, List.of(entry), OptionalLong.of(shard.end), answer -> {
             if (answer instanceof AppendAnswer.Appended appended) {
                 shard.end = appended.end();
                 row.allotment.granted(tokens);
-                step(key, shard, pending, tries);
+                step(key, shard, pending);
                 return;
             }
             shard.epoch++;
-            step(key, shard, pending, tries - 1);
+            if (answer instanceof AppendAnswer.Conflict) {
+                step(key, shard, pending);
+            } else {
+                stepLater(key, shard, pending);
+            }
         });
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
@@ -11,7 +11,6 @@
 import org.quetzalshunt.core.store.MapName;
 import org.quetzalshunt.core.store.MapShard;
 import org.quetzalshunt.core.store.RangeAnswer;
-import org.quetzalshunt.core.store.SharedMap;
 
 /**
  * Follows the configuration by long polls, and knows since when it is proven current: from the moment at which the call
@@ -28,7 +27,7 @@
     private static final long POLL_MILLIS = 1_000;
 
     private final EventExecutor executor;
-    private final SharedMap map;
+    private final MapClient map;
     private final Dialect dialect;
     private final NodeClock clock;
     private final DecisionLog log;
@@ -41,7 +40,7 @@
 
     ConfigurationFollower(
             EventExecutor executor,
-            SharedMap map,
+            MapClient map,
             Dialect dialect,
             NodeClock clock,
             DecisionLog log,
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.quetzalshunt.core.endpoint.EndpointTable;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.core.vm.VmRole;
@@ -44,6 +45,9 @@
     /** Ten round trips between data centres; a home that takes longer is slow or gone. */
     private static final long TOKEN_MILLIS = 25;
 
+    /** Proofs are renewed every second or two; one that is older was missed. */
+    private static final long IN_TOUCH_MILLIS = 2_600;
+
     private static final long NO_TOKEN = -1;
 
     private final EventLoopGroup group;
@@ -52,8 +56,12 @@
     private final EndpointTable endpoints;
     private final NodeClock clock;
     private final DecisionLog log;
-    private final BiFunction<String, Boolean, OptionalLong> giveToken;
+    private final BiFunction<String, Long, OptionalLong> giveToken;
     private final Map<String, PeerLink> links = new HashMap<>();
+    private final LongSupplier proofAgeMillis;
+    /** When each peer last said that its configuration is proven current. */
+    private final Map<String, Long> inTouchMillis = new HashMap<>();
+
     private final Map<Long, Consumer<OptionalLong>> waiting = new HashMap<>();
     private LinkConnector connector;
     private long nextId;
@@ -63,6 +71,7 @@
     /**
      * Makes links that wait for the shared secret.
      *
+     * @param proofAgeMillis age of this VM's proof that its configuration is current
      * @param giveToken takes a token of an account from this VM's part, for another VM: the wait until it may be used
      */
     FleetLinks(
@@ -71,7 +80,8 @@
             EndpointTable endpoints,
             NodeClock clock,
             DecisionLog log,
-            BiFunction<String, Boolean, OptionalLong> giveToken) {
+            BiFunction<String, Long, OptionalLong> giveToken,
+            LongSupplier proofAgeMillis) {
         this.group = group;
         this.executor = group.next();
         this.settings = settings;
@@ -79,6 +89,7 @@
         this.clock = clock;
         this.log = log;
         this.giveToken = giveToken;
+        this.proofAgeMillis = proofAgeMillis;
     }
 
     /** Opens the door once the secret that all gateways share is known. */
@@ -109,7 +120,7 @@
     }
 
     /** Asks another gateway for a token: the wait until it may be used; empty when there is none, or no answer. */
-    void askToken(String vm, String account, boolean beginsProgram, Consumer<OptionalLong> listener) {
+    void askToken(String vm, String account, long mostWaitMillis, Consumer<OptionalLong> listener) {
         PeerLink link = links.get(vm);
         if (link == null || !link.isOpen()) {
             listener.accept(OptionalLong.empty());
@@ -117,7 +128,7 @@
         }
         long id = nextId++;
         waiting.put(id, listener);
-        link.send(Message.tokenRequest(new TokenRequest(id, account, beginsProgram)));
+        link.send(Message.tokenRequest(new TokenRequest(id, account, mostWaitMillis)));
         executor.schedule(() -> answered(id, OptionalLong.empty()), TOKEN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -134,7 +145,7 @@
         if (!running.equals(told) || now - toldMillis >= REPEAT_MILLIS) {
             told = running;
             toldMillis = now;
-            Message message = Message.endpointLoads(new EndpointLoads(running));
+            Message message = Message.endpointLoads(new EndpointLoads(running, proofAgeMillis.getAsLong()));
             links.values().stream().filter(PeerLink::isWritable).forEach(link -> link.send(message));
         }
         long pace = LOADS_MILLIS * Math.max(1, links.size() / VMS_AT_FULL_PACE);
@@ -156,17 +167,30 @@
             long wait = answer.getWaitMillis();
             answered(answer.getId(), wait < 0 ? OptionalLong.empty() : OptionalLong.of(wait));
         } else if (message.isSetEndpointLoads() && message.getEndpointLoads().getRunning() != null) {
-            endpoints.otherRuns(
-                    link.remote().id().name(), message.getEndpointLoads().getRunning());
+            loadsTold(link.remote().id().name(), message.getEndpointLoads());
         }
     }
 
+    private void loadsTold(String vm, EndpointLoads loads) {
+        endpoints.otherRuns(vm, loads.getRunning());
+        if (loads.getProofAgeMillis() < IN_TOUCH_MILLIS) {
+            inTouchMillis.put(vm, clock.now());
+        }
+    }
+
+    /** Whether another gateway lately said that it is in touch with the shared map. */
+    boolean anyInTouch() {
+        long since = clock.now() - IN_TOUCH_MILLIS;
+        return inTouchMillis.values().stream().anyMatch(told -> told >= since);
+    }
+
     private void giveToken(PeerLink link, TokenRequest request) {
         if (request.getAccount() == null) {
             return;
         }
-        long wait =
-                giveToken.apply(request.getAccount(), request.isBeginsProgram()).orElse(NO_TOKEN);
+        long wait = giveToken
+                .apply(request.getAccount(), request.getMostWaitMillis())
+                .orElse(NO_TOKEN);
         link.send(Message.tokenAnswer(new TokenAnswer(request.getId(), wait)));
     }
 
@@ -175,6 +199,7 @@
         String vm = link.remote().id().name();
         if (links.remove(vm, link)) {
             endpoints.forgetOther(vm);
+            inTouchMillis.remove(vm);
         }
         log.line(log.event("link-closed").put("peer", link.remote().id().toString()));
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -19,4 +19,23 @@
         RateKeeper rates,
         TurnHistory history,
         BudgetKeeper budgets,
-        CachedPrompts cachedPrompts) {}
+        CachedPrompts cachedPrompts,
+        MapClient map,
+        FleetLinks links) {
+    /** For callers whom this VM cannot serve but another can: at once, since a retry reaches another VM. */
+    private static final long ELSEWHERE_MILLIS = 100;
+
+    /**
+     * For callers whom no VM can serve while the shared map is away. Callers wait at most a third of the time they have,
+     * three seconds for most; spaced so, the tries of one turn reach over an outage of five seconds.
+     */
+    private static final long NOWHERE_MILLIS = 900;
+
+    private static final int LARGEST_PART_OF_LEFT = 3;
+
+    /** When a caller that this VM cannot serve should come back, in milliseconds. */
+    long comeBackMillis(long leftMillis) {
+        long wanted = links.anyInTouch() ? ELSEWHERE_MILLIS : NOWHERE_MILLIS;
+        return Math.max(ELSEWHERE_MILLIS, Math.min(wanted, leftMillis / LARGEST_PART_OF_LEFT));
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -60,7 +60,7 @@
     private void assemble(Dialect dialect, Function<HttpClient, SharedMap> maps) {
         NodeClock clock = new NodeClock(this::clockJumped);
         HttpClient http = HttpClient.create(group);
-        SharedMap map = maps.apply(http);
+        MapClient map = new MapClient(maps.apply(http), clock);
         EndpointTable endpoints = EndpointTable.create(settings.dataCentre(), settings.incarnation());
         GatewayMeasures measures = new GatewayMeasures();
         ConfigurationFollower configuration =
@@ -68,6 +68,8 @@
         RegistrationFollower registrations =
                 new RegistrationFollower(group.next(), map, dialect, clock, log, endpoints);
         RateKeeper rates = new RateKeeper(group.next(), map, clock, log, settings, configuration::current);
+        FleetLinks links =
+                new FleetLinks(group, settings, endpoints, clock, log, rates::reserveHere, configuration::ageMillis);
         gateway = new Gateway(
                 settings,
                 group.next(),
@@ -81,8 +83,10 @@
                 registrations,
                 rates,
                 new TurnHistory(group.next(), map, clock),
-                new BudgetKeeper(map, clock, settings),
-                new CachedPrompts());
+                new BudgetKeeper(group.next(), map, clock, settings),
+                new CachedPrompts(),
+                map,
+                links);
         gate = new RequestGate(gateway, () -> stopping);
         gauges(measures);
         log.line(log.event("start")
@@ -91,7 +95,7 @@
                 .put("callers", settings.callers().toString()));
         configuration.start();
         registrations.start();
-        rates.start(new FleetLinks(group, settings, endpoints, clock, log, rates::reserveHere));
+        rates.start(links);
         group.next().scheduleWithFixedDelay(clock::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/MapClient.java
@@ -0,0 +1,73 @@
+package org.quetzalshunt.server.gateway;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.quetzalshunt.core.store.AnswerLimit;
+import org.quetzalshunt.core.store.AppendAnswer;
+import org.quetzalshunt.core.store.ChangesAnswer;
+import org.quetzalshunt.core.store.MapEntry;
+import org.quetzalshunt.core.store.MapShard;
+import org.quetzalshunt.core.store.RangeAnswer;
+import org.quetzalshunt.core.store.SharedMap;
+
+/**
+ * The gateway's one way to the shared map: gives each call its time limit by how the map answered lately, and knows
+ * whether the map is away, so that work that cannot be kept is refused before it runs.
+ */
+final class MapClient {
+    /** Fewer failures in a row may be lost answers; a map that is away fails every call of all three kinds. */
+    private static final int AWAY_FAILURES = 3;
+
+    private final SharedMap map;
+    private final NodeClock clock;
+    private final AnswerLimit limit = AnswerLimit.create();
+    private int failures;
+
+    MapClient(SharedMap map, NodeClock clock) {
+        this.map = map;
+        this.clock = clock;
+    }
+
+    /** Whether the map answered none of the last calls. */
+    boolean away() {
+        return failures >= AWAY_FAILURES;
+    }
+
+    void range(MapShard shard, String after, Consumer<RangeAnswer> listener) {
+        long sent = clock.now();
+        map.range(shard, after, limit.millis(), answer -> {
+            note(sent, 0, answer instanceof RangeAnswer.Page);
+            listener.accept(answer);
+        });
+    }
+
+    void append(MapShard shard, List<MapEntry> entries, OptionalLong expectedEnd, Consumer<AppendAnswer> listener) {
+        long sent = clock.now();
+        map.append(shard, entries, expectedEnd, limit.millis(), answer -> {
+            note(sent, 0, answer instanceof AppendAnswer.Appended || answer instanceof AppendAnswer.Conflict);
+            listener.accept(answer);
+        });
+    }
+
+    void changes(MapShard shard, long from, long waitMillis, Consumer<ChangesAnswer> listener) {
+        long sent = clock.now();
+        map.changes(shard, from, waitMillis, limit.millis(), answer -> {
+            note(sent, waitMillis, !(answer instanceof ChangesAnswer.Unavailable));
+            listener.accept(answer);
+        });
+    }
+
+    private void note(long sentMillis, long waitMillis, boolean answered) {
+        if (!answered) {
+            failures++;
+            limit.unanswered();
+            return;
+        }
+        failures = 0;
+        // The time of a call that waited for news says nothing of how fast the map is.
+        if (waitMillis == 0) {
+            limit.answered(clock.now() - sentMillis);
+        }
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
@@ -22,7 +22,6 @@
 import org.quetzalshunt.core.store.MapName;
 import org.quetzalshunt.core.store.MapShard;
 import org.quetzalshunt.core.store.RangeAnswer;
-import org.quetzalshunt.core.store.SharedMap;
 import org.quetzalshunt.wire.record.StoredRecords;
 
 /**
@@ -38,20 +37,11 @@
     /** How soon a VM that came or went is noticed; one read a second costs little. */
     private static final long INTERVAL_MILLIS = 1_000;
 
-    /** Longer than this a request does not wait for its token: its caller would be back sooner after a refusal. */
-    private static final long MOST_WAIT_MILLIS = 300;
-
-    /**
-     * Part of the burst kept from new programs for those under way. A program of three turns sends about a dozen
-     * requests within a second; a quarter of a second's rate carries the ones that began over the next.
-     */
-    private static final double RESERVE = 0.25;
-
     /** Conflicts in a row before the next interval is waited for. */
     private static final int MOST_TRIES = 6;
 
     private final EventExecutor executor;
-    private final SharedMap map;
+    private final MapClient map;
     private final NodeClock clock;
     private final DecisionLog log;
     private final String key;
@@ -67,7 +57,7 @@
 
     RateKeeper(
             EventExecutor executor,
-            SharedMap map,
+            MapClient map,
             NodeClock clock,
             DecisionLog log,
             GatewaySettings settings,
@@ -88,18 +78,18 @@
      * Takes a token of an account's rate: from this VM's part, or from one of the account's homes. The listener hears how
      * long the request must wait; empty when the account is over its rate.
      *
-     * @param beginsProgram whether the request is a program's first; such a one leaves a reserve for those under way
+     * @param mostWaitMillis longest time for which the request may wait for a token that is still to be earned
      */
-    void take(AccountTerms account, boolean beginsProgram, Consumer<OptionalLong> listener) {
-        if (!account.limited() || (!beginsProgram && takeHere(account.name()))) {
+    void take(AccountTerms account, long mostWaitMillis, Consumer<OptionalLong> listener) {
+        if (!account.limited() || takeHere(account.name())) {
             listener.accept(OptionalLong.of(0));
             return;
         }
-        ask(account.name(), beginsProgram, ledger.homes(account.name()), 0, listener);
+        ask(account.name(), mostWaitMillis, ledger.homes(account.name()), 0, listener);
     }
 
     private void ask(
-            String account, boolean beginsProgram, List<String> homes, int index, Consumer<OptionalLong> listener) {
+            String account, long mostWaitMillis, List<String> homes, int index, Consumer<OptionalLong> listener) {
         if (index == homes.size()) {
             listener.accept(OptionalLong.empty());
             return;
@@ -108,14 +98,14 @@
             if (wait.isPresent()) {
                 listener.accept(wait);
             } else {
-                ask(account, beginsProgram, homes, index + 1, listener);
+                ask(account, mostWaitMillis, homes, index + 1, listener);
             }
         };
         String home = homes.get(index);
         if (home.equals(self)) {
-            next.accept(reserveHere(account, beginsProgram));
+            next.accept(reserveHere(account, mostWaitMillis));
         } else {
-            links.askToken(home, account, beginsProgram, next);
+            links.askToken(home, account, mostWaitMillis, next);
         }
     }
 
@@ -125,15 +115,12 @@
     }
 
     /** Takes a token from this VM's part, for itself or for another VM, that may still have to be earned. */
-    OptionalLong reserveHere(String account, boolean beginsProgram) {
+    OptionalLong reserveHere(String account, long mostWaitMillis) {
         long now = clock.now();
         if (stopping || !ledger.leased(now)) {
             return OptionalLong.empty();
         }
-        if (!beginsProgram) {
-            return bucket(account).reserve(now, MOST_WAIT_MILLIS);
-        }
-        return bucket(account).takeAbove(now, RESERVE) ? OptionalLong.of(0) : OptionalLong.empty();
+        return bucket(account).reserve(now, mostWaitMillis);
     }
 
     /** Whether this VM holds its parts by a lease that is in force. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
@@ -13,7 +13,6 @@
 import org.quetzalshunt.core.store.MapName;
 import org.quetzalshunt.core.store.MapShard;
 import org.quetzalshunt.core.store.RangeAnswer;
-import org.quetzalshunt.core.store.SharedMap;
 
 /**
  * Follows the endpoints' registrations at a fixed interval: each endpoint writes about once a second, so a long poll
@@ -35,7 +34,7 @@
     private static final long RETURN_MILLIS = 2_200;
 
     private final EventExecutor executor;
-    private final SharedMap map;
+    private final MapClient map;
     private final Dialect dialect;
     private final NodeClock clock;
     private final DecisionLog log;
@@ -48,7 +47,7 @@
 
     RegistrationFollower(
             EventExecutor executor,
-            SharedMap map,
+            MapClient map,
             Dialect dialect,
             NodeClock clock,
             DecisionLog log,
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -20,8 +20,8 @@
     /** Time that a caller is taken to wait when it does not say. */
     private static final long DEADLINE_UNSAID_MILLIS = 10_000;
 
-    /** For callers that this VM cannot serve for now: another VM probably can, at once. */
-    private static final long ELSEWHERE_MILLIS = 150;
+    /** Part of its time that a request may wait for a token: it must still run, and be tried again if that fails. */
+    private static final double WAIT_PART = 0.25;
 
     /** For accounts without a token, in milliseconds: the time in which the fleet earns five, within bounds. */
     private static final long RATE_LEAST_MILLIS = 100;
@@ -54,7 +54,7 @@
     private void judge(HttpExchange exchange, CallerRequest request) {
         Optional<TrafficConfiguration> known = gateway.configuration().current();
         if (known.isEmpty()) {
-            refuse(exchange, request.id(), elsewhere(ResultCode.NOT_READY, "no configuration yet"));
+            refuse(exchange, request.id(), elsewhere(request, ResultCode.NOT_READY, "no configuration yet"));
             return;
         }
         TrafficConfiguration configuration = known.get();
@@ -63,7 +63,10 @@
         boolean current =
                 gateway.configuration().ageMillis() < gateway.settings().keyAgeMillis();
         if (!current && configuration.keysRequired() && !open) {
-            refuse(exchange, request.id(), elsewhere(ResultCode.CONFIGURATION_STALE, "the configuration is too old"));
+            refuse(
+                    exchange,
+                    request.id(),
+                    elsewhere(request, ResultCode.CONFIGURATION_STALE, "the configuration is too old"));
             return;
         }
         if (route.isEmpty()) {
@@ -93,24 +96,30 @@
                 .services()
                 .get(route.serviceFor(request.program().orElse(request.id()).hashCode()));
         if (service == null) {
-            refuse(exchange, request.id(), elsewhere(ResultCode.NO_ENDPOINT, "the service is not configured"));
+            refuse(exchange, request.id(), elsewhere(request, ResultCode.NO_ENDPOINT, "the service is not configured"));
             return;
         }
         long now = gateway.clock().now();
         long left = Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(DEADLINE_UNSAID_MILLIS));
         Accepted accepted =
                 new Accepted(exchange, request, route, service, account, configuration.version(), now, now + left);
+        if (route.stateful() && gateway.map().away()) {
+            // The turn could neither be granted nor kept; run, its work would be lost.
+            Refusal refusal = elsewhere(request, ResultCode.LOG_UNAVAILABLE, "the shared map is away");
+            Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+            return;
+        }
         Optional<BudgetKeeper.Verdict.Spent> spent = spent(accepted);
         if (spent.isPresent()) {
             // Before a token of the rate is taken: a program that loops must not spend its account's rate as well.
-            Outcome.refuse(gateway, accepted, StreamRun.refusal(spent.get()), Optional.empty());
+            Outcome.refuse(gateway, accepted, StreamRun.spentRefusal(spent.get()), Optional.empty());
             return;
         }
         if (account.isEmpty()) {
             run(accepted);
             return;
         }
-        gateway.rates().take(account.get(), accepted.beginsProgram(), wait -> {
+        gateway.rates().take(account.get(), mostWait(accepted, left), wait -> {
             if (wait.isEmpty()) {
                 overRate(accepted, account.get());
             } else if (wait.getAsLong() == 0) {
@@ -121,6 +130,14 @@
         });
     }
 
+    /**
+     * A program under way waits for its token, since a refusal may cost all that it has done; a new one does not, so that
+     * an account at its rate begins no more programs than it can carry.
+     */
+    private static long mostWait(Accepted accepted, long leftMillis) {
+        return accepted.beginsProgram() ? 0 : (long) (WAIT_PART * leftMillis);
+    }
+
     private Optional<BudgetKeeper.Verdict.Spent> spent(Accepted accepted) {
         return accepted.budgetedProgram().flatMap(program -> gateway.budgets()
                 .knownSpent(program, accepted.request().tokenBudget().getAsLong(), accepted.mostTokens()));
@@ -144,8 +161,9 @@
         Outcome.refuse(gateway, accepted, refusal, Optional.empty());
     }
 
-    private static Refusal elsewhere(ResultCode code, String detail) {
-        return Refusal.notRunRetryAfter(code, detail, ELSEWHERE_MILLIS);
+    private Refusal elsewhere(CallerRequest request, ResultCode code, String detail) {
+        long left = request.deadlineMillis().orElse(DEADLINE_UNSAID_MILLIS);
+        return Refusal.notRunRetryAfter(code, detail, gateway.comeBackMillis(left));
     }
 
     private void refuse(HttpExchange exchange, String requestId, Refusal refusal) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -25,9 +25,6 @@
     /** Kept beyond the retention, since callers' clocks and ours may differ. */
     private static final long RETENTION_MARGIN_MILLIS = 10_000;
 
-    /** For callers refused because the shared map is away: outages last seconds, and another VM may reach it. */
-    private static final long MAP_RETRY_MILLIS = 300;
-
     private final Gateway gateway;
     private final Accepted accepted;
     private final EventFrames frames = new EventFrames();
@@ -104,7 +101,11 @@
             return;
         }
         String reason = ((TurnHistory.Chain.Unavailable) answer).reason();
-        end(Refusal.notRunRetryAfter(ResultCode.LOG_UNAVAILABLE, "history: " + reason, MAP_RETRY_MILLIS));
+        end(Refusal.notRunRetryAfter(
+                ResultCode.LOG_UNAVAILABLE,
+                "history: " + reason,
+                gateway.comeBackMillis(
+                        accepted.deadlineMillis() - gateway.clock().now())));
     }
 
     private void reserve() {
@@ -148,15 +149,23 @@
         end(Refusal.after(ResultCode.ENDPOINT_FAILED, Execution.UNKNOWN, refusal.detail()));
     }
 
-    /** What a caller hears instead of a grant. */
-    static Refusal refusal(BudgetKeeper.Verdict verdict) {
+    private Refusal refusal(BudgetKeeper.Verdict verdict) {
         if (verdict instanceof BudgetKeeper.Verdict.Spent spent) {
-            return Refusal.notRun(
-                    ResultCode.BUDGET_EXHAUSTED,
-                    "allotted " + spent.allotted() + " here, " + spent.others() + " elsewhere");
+            return spentRefusal(spent);
         }
         String reason = ((BudgetKeeper.Verdict.Unavailable) verdict).reason();
-        return Refusal.notRunRetryAfter(ResultCode.LOG_UNAVAILABLE, "budget: " + reason, MAP_RETRY_MILLIS);
+        return Refusal.notRunRetryAfter(
+                ResultCode.LOG_UNAVAILABLE,
+                "budget: " + reason,
+                gateway.comeBackMillis(
+                        accepted.deadlineMillis() - gateway.clock().now()));
+    }
+
+    /** What a caller hears when the budget is spent. */
+    static Refusal spentRefusal(BudgetKeeper.Verdict.Spent spent) {
+        return Refusal.notRun(
+                ResultCode.BUDGET_EXHAUSTED,
+                "allotted " + spent.allotted() + " here, " + spent.others() + " elsewhere");
     }
 
     private void dispatchWhenReady() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
@@ -15,7 +15,6 @@
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapShard;
 import org.quetzalshunt.core.store.RangeAnswer;
-import org.quetzalshunt.core.store.SharedMap;
 import org.quetzalshunt.core.turn.TurnCache;
 import org.quetzalshunt.core.turn.TurnRecord;
 import org.quetzalshunt.wire.record.StoredRecords;
@@ -55,12 +54,12 @@
     private record Written(String id, long expiresMillis) {}
 
     private final EventExecutor executor;
-    private final SharedMap map;
+    private final MapClient map;
     private final NodeClock clock;
     private final TurnCache cache = TurnCache.create(CACHE_BYTES);
     private final Map<Integer, Deque<Written>> written = new HashMap<>();
 
-    TurnHistory(EventExecutor executor, SharedMap map, NodeClock clock) {
+    TurnHistory(EventExecutor executor, MapClient map, NodeClock clock) {
         this.executor = executor;
         this.map = map;
         this.clock = clock;
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -238,7 +238,7 @@
 struct TokenRequest {
   1: i64 id
   2: string account
-  3: bool beginsProgram
+  3: i64 mostWaitMillis
 }
 
 /** Answer to a TokenRequest: how long the request must wait before it runs; negative when there is no token. */
@@ -247,9 +247,13 @@
   2: i64 waitMillis
 }
 
-/** How many requests of the sender run at each endpoint; those without any are left out. */
+/**
+ * How many requests of the sender run at each endpoint; those without any are left out. The age is that of the
+ * sender's proof that its configuration is current.
+ */
 struct EndpointLoads {
   1: map<string, i32> running
+  2: i64 proofAgeMillis
 }
 
 union Message {
