Tests of the gateway from outside and of its decisions; a VM asks those that hold a rate, and tells over-rate from unreachable

Found by the tests: a gateway that had just joined answered 429 for accounts that were far below their rate, since the parts still lay at their former home. It now asks whoever holds them, is ready only when it reaches a holder, and answers 503 where it reaches none. A record of a dead VM that is read again no longer revives it.

--- a/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
@@ -48,6 +48,9 @@
     /** For the account's first home, which is asked first, and its second, which remains when the first is lost. */
     private static final double[] HOMES = {0.6, 0.3};
 
+    /** The two homes, and one that was a home a moment ago. */
+    private static final int MOST_ASKED = 3;
+
     /** A change below this part of a holding is not worth an append. */
     private static final double WORTH_CHANGING = 0.2;
 
@@ -55,6 +58,8 @@
     private final long incarnation;
     private final String linkAddress;
     private final Map<String, Holder> others = new HashMap<>();
+    private final Map<String, List<String>> homes = new HashMap<>();
+    private Map<String, Holder> live = Map.of();
     private Map<String, AccountShare> held = Map.of();
     private long sequence;
     private long sentMillis = Long.MIN_VALUE / 2;
@@ -89,20 +94,42 @@
         others.remove(vm);
     }
 
-    /** Other VMs whose leases may still be in use, with the addresses at which they are reached. */
-    public Map<String, String> liveOthers(long nowMillis) {
-        Map<String, String> addresses = new HashMap<>();
+    /** Records of the other VMs whose leases may still be in use, by VM. */
+    public Map<String, ShareRecord> liveOthers(long nowMillis) {
+        Map<String, ShareRecord> records = new HashMap<>();
         others.forEach((vm, holder) -> {
             if (holder.live(nowMillis)) {
-                addresses.put(vm, holder.record.linkAddress());
+                records.put(vm, holder.record);
             }
         });
-        return addresses;
+        return records;
     }
 
     /** The account's two homes among the live VMs, the first to be asked first; alike at all VMs with the same view. */
-    public List<String> homes(String account) {
-        List<String> vms = new ArrayList<>(others.keySet());
+    List<String> homes(String account) {
+        return homes.computeIfAbsent(account, this::chooseHomes);
+    }
+
+    /**
+     * The VMs to ask for a token of the account, those that hold most of it first. While VMs come and go these are not
+     * its homes of the moment: a new home holds nothing until the former one has given up its part.
+     */
+    public List<String> holders(String account) {
+        Map<String, Integer> parts = new HashMap<>();
+        live.forEach((vm, holder) -> parts.put(vm, holder.share(account).parts()));
+        parts.put(self, held.getOrDefault(account, AccountShare.NONE).parts());
+        return parts.entrySet().stream()
+                .filter(entry -> entry.getValue() > 0)
+                .sorted(Map.Entry.<String, Integer>comparingByValue()
+                        .reversed()
+                        .thenComparing(Map.Entry.comparingByKey()))
+                .limit(MOST_ASKED)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private List<String> chooseHomes(String account) {
+        List<String> vms = new ArrayList<>(live.keySet());
         vms.add(self);
         Optional<String> first = Rendezvous.winner(account, vms);
         first.ifPresent(vms::remove);
@@ -110,9 +137,23 @@
         return Stream.of(first, second).flatMap(Optional::stream).toList();
     }
 
+    /** Takes the live ones anew. Records of dead VMs stay known, so that reading one again does not revive it. */
+    private void refresh(long nowMillis) {
+        Map<String, Holder> now = new HashMap<>();
+        others.forEach((vm, holder) -> {
+            if (holder.live(nowMillis)) {
+                now.put(vm, holder);
+            }
+        });
+        if (!now.keySet().equals(live.keySet())) {
+            homes.clear();
+        }
+        live = now;
+    }
+
     /** The record to append now, if there is reason to. */
     public Optional<ShareRecord> propose(long nowMillis, Collection<String> accounts) {
-        others.values().removeIf(holder -> !holder.live(nowMillis));
+        refresh(nowMillis);
         Map<String, AccountShare> base = leased(nowMillis) ? held : Map.of();
         Map<String, AccountShare> wanted = new HashMap<>();
         boolean changed = nowMillis - sentMillis >= RENEW_MILLIS;
@@ -133,13 +174,13 @@
         List<String> homes = homes(account);
         int rank = homes.indexOf(self);
         double home = rank < 0 ? 0 : homes.size() == 1 ? 1 - DEALT : HOMES[rank];
-        double part = DEALT / (others.size() + 1) + home;
+        double part = DEALT / (live.size() + 1) + home;
         return (int) (part * ALL_PARTS);
     }
 
     private int room(String account) {
         int taken = 0;
-        for (Holder holder : others.values()) {
+        for (Holder holder : live.values()) {
             taken += holder.share(account).parts();
         }
         return Math.max(0, ALL_PARTS - taken);
--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/budget/ProgramAllotmentTest.java
@@ -0,0 +1,105 @@
+package org.quetzalshunt.core.budget;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class ProgramAllotmentTest {
+    private static final long MOST = 280;
+
+    @Test
+    void spareCoversTheNextTurns() {
+        ProgramAllotment allotment = ProgramAllotment.unknown();
+        allotment.read(0, 0);
+        OptionalLong wanted = allotment.wanted(4_000, MOST);
+        allotment.granted(wanted.getAsLong());
+        allotment.started(MOST);
+        allotment.ended(MOST, 70);
+        assertThat(allotment.covers(MOST)).isTrue();
+    }
+
+    @Test
+    void spareShrinksWithWhatIsLeft() {
+        ProgramAllotment allotment = ProgramAllotment.unknown();
+        allotment.read(3_700, 0);
+        assertThat(allotment.wanted(4_000, MOST)).isEqualTo(OptionalLong.of(MOST + 5));
+    }
+
+    @Test
+    void spentBudgetIsRefused() {
+        ProgramAllotment allotment = ProgramAllotment.unknown();
+        allotment.read(4_001, 0);
+        assertThat(allotment.wanted(4_000, MOST)).isEqualTo(OptionalLong.empty());
+    }
+
+    /**
+     * A program loops and starts turns at several VMs at once; VMs die and come back under another life, and their former
+     * allotment stays in the map. Over all of it, no more is handed out than the budget and the most of one turn.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void neverHandsOutMoreThanTheBudgetAndOneTurn(long seed) {
+        Random random = new Random(seed);
+        long budget = 840L + random.nextInt(4_000);
+        Map<String, Long> map = new HashMap<>();
+        List<ProgramAllotment> vms = new ArrayList<>();
+        List<String> lives = new ArrayList<>();
+        List<Integer> running = new ArrayList<>();
+        for (int vm = 0; vm < 3; vm++) {
+            vms.add(ProgramAllotment.unknown());
+            lives.add("vm" + vm);
+            running.add(0);
+        }
+        long handedOut = 0;
+        for (int step = 0; step < 400; step++) {
+            int vm = random.nextInt(3);
+            ProgramAllotment allotment = vms.get(vm);
+            switch (random.nextInt(4)) {
+                case 0, 1 -> {
+                    if (!allotment.covers(MOST)) {
+                        String own = lives.get(vm);
+                        long others = map.entrySet().stream()
+                                .filter(entry -> !entry.getKey().equals(own))
+                                .mapToLong(Map.Entry::getValue)
+                                .sum();
+                        allotment.read(others, map.getOrDefault(own, 0L));
+                        allotment.wanted(budget, MOST).ifPresent(tokens -> {
+                            map.put(own, tokens);
+                            allotment.granted(tokens);
+                        });
+                    }
+                    if (allotment.covers(MOST)) {
+                        allotment.started(MOST);
+                        running.set(vm, running.get(vm) + 1);
+                    }
+                }
+                case 2 -> {
+                    if (running.get(vm) > 0) {
+                        long tokens = random.nextInt((int) MOST + 1);
+                        handedOut += tokens;
+                        allotment.ended(MOST, tokens);
+                        running.set(vm, running.get(vm) - 1);
+                    }
+                }
+                default -> {
+                    if (random.nextInt(20) == 0) {
+                        handedOut += running.get(vm) * MOST;
+                        vms.set(vm, ProgramAllotment.unknown());
+                        lives.set(vm, "vm" + vm + "-" + step);
+                        running.set(vm, 0);
+                    }
+                }
+            }
+            assertWithMessage("seed " + seed).that(handedOut).isAtMost(budget + MOST);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/endpoint/EndpointTableTest.java
@@ -0,0 +1,139 @@
+package org.quetzalshunt.core.endpoint;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Who gets work: in a burst, with a slow, a full and a failing endpoint among healthy ones, and with cached prompts. */
+final class EndpointTableTest {
+    private final EndpointTable table = EndpointTable.create("a", 7);
+
+    @BeforeEach
+    void register() {
+        for (int number = 0; number < 4; number++) {
+            table.registered(registration(number, false, 1));
+        }
+    }
+
+    private static Registration registration(int number, boolean leaving, long born) {
+        return new Registration("e" + number, "llm", "10.0.0." + number + ":80", "a", 8, leaving, born);
+    }
+
+    private static Wish wish() {
+        return new Wish("llm", Set.of(), Optional.empty(), 0, 100);
+    }
+
+    private String choose(long now) {
+        return table.choose(now, wish()).orElseThrow().id();
+    }
+
+    @Test
+    void burstFillsAllEndpointsBeforeAnyQueues() {
+        Map<String, Integer> given = new HashMap<>();
+        for (int request = 0; request < 32; request++) {
+            String id = choose(0);
+            table.started(id);
+            given.merge(id, 1, Integer::sum);
+        }
+        assertThat(given.values()).containsExactly(8, 8, 8, 8);
+    }
+
+    @Test
+    void workOfOtherVmsCounts() {
+        table.otherRuns("vm-2", Map.of("e0", 8, "e1", 8, "e2", 8));
+        assertThat(choose(0)).isEqualTo("e3");
+        table.otherRuns("vm-2", Map.of("e3", 8, "e1", 8, "e2", 8));
+        assertThat(choose(0)).isEqualTo("e0");
+        table.forgetOther("vm-2");
+        table.otherRuns("vm-3", Map.of("e0", 8, "e3", 8, "e2", 8));
+        assertThat(choose(0)).isEqualTo("e1");
+    }
+
+    @Test
+    void slowEndpointGetsLessOfTheWork() {
+        for (int answer = 0; answer < 40; answer++) {
+            table.started("e0");
+            table.finished(answer, "e0", Finish.ANSWERED, 600);
+        }
+        for (int request = 0; request < 12; request++) {
+            String id = choose(100);
+            assertThat(id).isNotEqualTo("e0");
+            table.started(id);
+        }
+    }
+
+    /** An endpoint that refuses connections looks idle: without a penalty it would draw every request of a burst. */
+    @Test
+    void failingEndpointIsLeftAloneForAWhileAndTriedAgain() {
+        table.started("e0");
+        table.finished(1_000, "e0", Finish.FAILED, 1);
+        for (int request = 0; request < 24; request++) {
+            String id = choose(1_100);
+            assertThat(id).isNotEqualTo("e0");
+            table.started(id);
+        }
+        assertThat(choose(1_400)).isEqualTo("e0");
+    }
+
+    @Test
+    void onlyFailingEndpointsAreBetterThanNone() {
+        for (int number = 0; number < 4; number++) {
+            table.started("e" + number);
+            table.finished(0, "e" + number, Finish.FAILED, 1);
+        }
+        assertThat(table.choose(10, wish())).isPresent();
+    }
+
+    @Test
+    void fullEndpointIsPassedOverWhileOthersHaveRoom() {
+        table.started("e0");
+        table.finished(0, "e0", Finish.FULL, 1);
+        for (int request = 0; request < 6; request++) {
+            assertThat(choose(10)).isNotEqualTo("e0");
+        }
+    }
+
+    @Test
+    void cachedPromptDrawsWorkUnlessWaitingThereCostsMore() {
+        Wish wish = new Wish("llm", Set.of(), Optional.of("e2"), 12, 100);
+        assertThat(table.choose(0, wish).orElseThrow().id()).isEqualTo("e2");
+        for (int request = 0; request < 12; request++) {
+            table.started("e2");
+        }
+        assertThat(table.choose(0, wish).orElseThrow().id()).isNotEqualTo("e2");
+    }
+
+    @Test
+    void leavingEndpointGetsNothing() {
+        table.registered(registration(0, true, 1));
+        for (int request = 0; request < 30; request++) {
+            assertThat(choose(request)).isNotEqualTo("e0");
+        }
+        assertThat(table.available("llm")).isEqualTo(3);
+    }
+
+    @Test
+    void restartUnderTheSameIdStartsClean() {
+        table.started("e0");
+        table.finished(0, "e0", Finish.FAILED, 1);
+        table.registered(registration(0, false, 2));
+        table.otherRuns("vm-2", Map.of("e1", 9, "e2", 9, "e3", 9));
+        assertThat(choose(10)).isEqualTo("e0");
+    }
+
+    /** Entries lapse while the store is away and come back: an endpoint that returned in time is not forgotten. */
+    @Test
+    void heldRemovalIsUndoneByARegistration() {
+        table.removedAt("e0", 2_000);
+        table.removedAt("e1", 2_000);
+        table.registered(registration(0, false, 1));
+        table.sweep(2_000);
+        assertThat(table.find("e0")).isPresent();
+        assertThat(table.find("e1")).isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/share/ShareBucketTest.java
@@ -0,0 +1,75 @@
+package org.quetzalshunt.core.share;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class ShareBucketTest {
+    private static ShareBucket full(double rate, double capacity) {
+        ShareBucket bucket = ShareBucket.create(-100_000);
+        bucket.limit(-100_000, rate, capacity);
+        return bucket;
+    }
+
+    @Test
+    void restartEarnsNoBurst() {
+        ShareBucket bucket = ShareBucket.create(0);
+        bucket.limit(0, 10, 100);
+        assertThat(bucket.take(0)).isFalse();
+        assertThat(bucket.take(100)).isTrue();
+        assertThat(bucket.take(100)).isFalse();
+    }
+
+    @Test
+    void partThatShrinksLosesWhatNoLongerFits() {
+        ShareBucket bucket = full(10, 100);
+        bucket.limit(0, 1, 2);
+        assertThat(bucket.take(0)).isTrue();
+        assertThat(bucket.take(0)).isTrue();
+        assertThat(bucket.take(0)).isFalse();
+    }
+
+    @Test
+    void callsBeyondTheBurstWaitTheirTurn() {
+        ShareBucket bucket = full(10, 2);
+        List<OptionalLong> waits = new ArrayList<>();
+        for (int call = 0; call < 6; call++) {
+            waits.add(bucket.reserve(0, 250));
+        }
+        assertThat(waits)
+                .containsExactly(
+                        OptionalLong.of(0),
+                        OptionalLong.of(0),
+                        OptionalLong.of(100),
+                        OptionalLong.of(200),
+                        OptionalLong.empty(),
+                        OptionalLong.empty())
+                .inOrder();
+    }
+
+    /** Whatever waits were granted, no span of time has more requests than its rate and the burst. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void noSpanHasMoreThanRateAndBurst(long seed) {
+        Random random = new Random(seed);
+        ShareBucket bucket = full(20, 15);
+        List<Long> starts = new ArrayList<>();
+        for (long now = 0; now < 20_000; now += random.nextInt(random.nextInt(10) == 0 ? 400 : 25)) {
+            long moment = now;
+            bucket.reserve(now, random.nextInt(700)).ifPresent(wait -> starts.add(moment + wait));
+        }
+        starts.sort(Long::compare);
+        for (int first = 0; first < starts.size(); first++) {
+            for (int last = first; last < starts.size(); last++) {
+                double span = (starts.get(last) - starts.get(first)) / 1_000.0;
+                assertThat((double) (last - first + 1)).isAtMost(20 * span + 15 + 1);
+            }
+        }
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EventFrames.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EventFrames.java
@@ -8,7 +8,7 @@
 
 /**
  * Cuts an event stream (WHATWG HTML, section 9.2.6) into whole events with their octets unchanged, so that a stream that
- * breaks off in mid-event never shows a caller half of one. Ids must grow by one: a gap or a repeat is a broken stream.
+ * breaks off in mid-event never shows a caller half of one. Ids must grow: a repeat or a step back is a broken stream.
  */
 final class EventFrames {
     /** One event. */
@@ -23,6 +23,13 @@
     private long lastId = Long.MIN_VALUE;
     private boolean broken;
 
+    private EventFrames() {}
+
+    /** A stream that has not begun. */
+    static EventFrames create() {
+        return new EventFrames();
+    }
+
     /** Takes octets and gives the events that they end. */
     List<Frame> accept(byte[] octets) {
         List<Frame> frames = new ArrayList<>();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quetzalshunt.core.endpoint.EndpointTable;
+import org.quetzalshunt.core.share.ShareRecord;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.core.vm.VmRole;
 import org.quetzalshunt.server.transport.LinkConnector;
@@ -105,30 +107,50 @@
         tellLoads();
     }
 
-    /** The other gateways, with their addresses. Of two, the one whose name sorts first connects. */
-    void want(Map<String, InetSocketAddress> others) {
+    /**
+     * The other gateways. Of two, the one that started later connects, since it knows of the other first: it has links
+     * before it takes its first request.
+     */
+    void want(Map<String, ShareRecord> others) {
         if (connector == null) {
             return;
         }
         Set<InetSocketAddress> addresses = new HashSet<>();
-        others.forEach((vm, address) -> {
-            if (settings.vm().compareTo(vm) < 0) {
-                addresses.add(address);
+        others.forEach((vm, record) -> {
+            boolean later = settings.incarnation() != record.incarnation()
+                    ? settings.incarnation() > record.incarnation()
+                    : settings.vm().compareTo(vm) > 0;
+            if (later) {
+                address(record.linkAddress()).ifPresent(addresses::add);
             }
         });
         connector.want(addresses);
     }
 
+    private static Optional<InetSocketAddress> address(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+    }
+
+    /** Whether there is an open link to another gateway. */
+    boolean reaches(String vm) {
+        PeerLink link = links.get(vm);
+        return link != null && link.isOpen();
+    }
+
     /** Asks another gateway for a token: the wait until it may be used; empty when there is none, or no answer. */
     void askToken(String vm, String account, long mostWaitMillis, Consumer<OptionalLong> listener) {
-        PeerLink link = links.get(vm);
-        if (link == null || !link.isOpen()) {
+        if (!reaches(vm)) {
             listener.accept(OptionalLong.empty());
             return;
         }
         long id = nextId++;
         waiting.put(id, listener);
-        link.send(Message.tokenRequest(new TokenRequest(id, account, mostWaitMillis)));
+        links.get(vm).send(Message.tokenRequest(new TokenRequest(id, account, mostWaitMillis)));
         executor.schedule(() -> answered(id, OptionalLong.empty()), TOKEN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -155,7 +155,8 @@
                 && gateway.configuration().current().isPresent()
                 && gateway.configuration().ageMillis() < settings.keyAgeMillis()
                 && gateway.registrations().everRead()
-                && gateway.rates().leased();
+                && gateway.rates().leased()
+                && gateway.rates().reachesHolders();
     }
 
     /** Port for callers in use, also when port 0 was asked for. */
@@ -168,6 +169,13 @@
         return probes.port();
     }
 
+    /** Ends at once, breaking every connection, as a crash would; nothing is given back. */
+    public void kill() {
+        callers.close();
+        probes.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
     /**
      * Stops in the planned way: says "not ready" at once, serves what still comes until the balancer has noticed, closes
      * idle connections, and ends when the last request has its answer or the time is up.
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
@@ -85,12 +85,12 @@
             listener.accept(OptionalLong.of(0));
             return;
         }
-        ask(account.name(), mostWaitMillis, ledger.homes(account.name()), 0, listener);
+        ask(account.name(), mostWaitMillis, ledger.holders(account.name()), 0, listener);
     }
 
     private void ask(
-            String account, long mostWaitMillis, List<String> homes, int index, Consumer<OptionalLong> listener) {
-        if (index == homes.size()) {
+            String account, long mostWaitMillis, List<String> holders, int index, Consumer<OptionalLong> listener) {
+        if (index == holders.size()) {
             listener.accept(OptionalLong.empty());
             return;
         }
@@ -98,14 +98,14 @@
             if (wait.isPresent()) {
                 listener.accept(wait);
             } else {
-                ask(account, mostWaitMillis, homes, index + 1, listener);
+                ask(account, mostWaitMillis, holders, index + 1, listener);
             }
         };
-        String home = homes.get(index);
-        if (home.equals(self)) {
+        String holder = holders.get(index);
+        if (holder.equals(self)) {
             next.accept(reserveHere(account, mostWaitMillis));
         } else {
-            links.askToken(home, account, mostWaitMillis, next);
+            links.askToken(holder, account, mostWaitMillis, next);
         }
     }
 
@@ -128,6 +128,22 @@
         return ledger.leased(clock.now());
     }
 
+    /**
+     * Whether a VM that holds parts of the account can be asked: with none, a lack of tokens here says nothing of the
+     * account, and its caller must not hear that it is over its rate.
+     */
+    boolean reachesHolder(String account) {
+        return ledger.holders(account).stream().anyMatch(holder -> holder.equals(self) || links.reaches(holder));
+    }
+
+    /** Whether that is so for every account. */
+    boolean reachesHolders() {
+        return configuration
+                .get()
+                .filter(current -> current.accounts().keySet().stream().allMatch(this::reachesHolder))
+                .isPresent();
+    }
+
     /** VMs that serve, this one included. */
     int liveVms() {
         return ledger.liveOthers(clock.now()).size() + 1;
@@ -175,15 +191,7 @@
     }
 
     private void wantLinks() {
-        Map<String, InetSocketAddress> addresses = new HashMap<>();
-        ledger.liveOthers(clock.now()).forEach((vm, address) -> {
-            int colon = address.lastIndexOf(':');
-            if (colon > 0) {
-                int port = Integer.parseInt(address.substring(colon + 1));
-                addresses.put(vm, new InetSocketAddress(address.substring(0, colon), port));
-            }
-        });
-        links.want(addresses);
+        links.want(ledger.liveOthers(clock.now()));
     }
 
     private void read() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -156,6 +156,12 @@
     }
 
     private void overRate(Accepted accepted, AccountTerms account) {
+        if (!gateway.rates().reachesHolder(account.name())) {
+            Refusal refusal =
+                    elsewhere(accepted.request(), ResultCode.NOT_READY, "no holder of the account is reached");
+            Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+            return;
+        }
         long wait = Math.min(RATE_MOST_MILLIS, RATE_LEAST_MILLIS + (long) (RATE_TOKENS / account.ratePerSecond()));
         Refusal refusal = Refusal.notRunRetryAfter(ResultCode.RATE_EXCEEDED, "rate " + account.ratePerSecond(), wait);
         Outcome.refuse(gateway, accepted, refusal, Optional.empty());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -27,7 +27,7 @@
 
     private final Gateway gateway;
     private final Accepted accepted;
-    private final EventFrames frames = new EventFrames();
+    private final EventFrames frames = EventFrames.create();
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
     private final List<byte[]> held = new ArrayList<>();
--- /dev/null
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -0,0 +1,136 @@
+package org.quetzalshunt.standin.fleet;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.server.http.HttpExchange;
+import org.quetzalshunt.server.http.HttpLimits;
+import org.quetzalshunt.server.http.HttpServer;
+import org.quetzalshunt.wire.json.Json;
+
+/**
+ * A server of the platform: runs what is meant for it, and remembers each run. Requests with a token usage get a stream
+ * of events, others a small body.
+ */
+public final class ServerStandin implements AutoCloseable {
+    /** A request that ran. */
+    public record Ran(String id, String path, Map<String, String> headers, String body) {}
+
+    private static final int EVENTS = 3;
+    private static final int SLOTS = 8;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<Ran> runs = new ArrayList<>();
+    private final String id;
+    private final HttpServer server;
+    private volatile ServerFault fault = ServerFault.NONE;
+
+    private ServerStandin(String id) {
+        this.id = id;
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        server = HttpServer.start(group, address, HttpLimits.defaults(), this::handle);
+    }
+
+    /** Starts a server on a free port of the loopback address. */
+    public static ServerStandin start(String id) {
+        return new ServerStandin(id);
+    }
+
+    /** Its id. */
+    public String id() {
+        return id;
+    }
+
+    /** Puts a fault in force, or ends it. */
+    public void fault(ServerFault newFault) {
+        fault = newFault;
+    }
+
+    /** What ran here so far. */
+    public List<Ran> runs() {
+        return group.next()
+                .submit(() -> List.copyOf(runs))
+                .syncUninterruptibly()
+                .getNow();
+    }
+
+    /** What the server writes about itself into the store. */
+    public byte[] entry(String service, String state) {
+        return Json.bytes(Json.object()
+                .put("service", service)
+                .put("address", "127.0.0.1:" + server.port())
+                .put("zone", "a")
+                .put("version", "v1")
+                .put("slots", SLOTS)
+                .put("state", state)
+                .put("cold_remaining_ms", 0)
+                .put("born", 1)
+                .put("sequence", 1));
+    }
+
+    private void handle(HttpExchange exchange) {
+        if (!exchange.header("x-expect-instance").equals(java.util.Optional.of(id))) {
+            exchange.respond(421, Map.of("x-instance-id", id), new byte[0]);
+            return;
+        }
+        if (fault == ServerFault.FULL) {
+            exchange.respond(503, Map.of("x-not-executed", "1"), new byte[0]);
+            return;
+        }
+        String request = exchange.header("x-request-id").orElse("");
+        Map<String, String> headers = new HashMap<>();
+        exchange.headers()
+                .forEach(header -> headers.put(header.getKey().toLowerCase(java.util.Locale.ROOT), header.getValue()));
+        runs.add(new Ran(request, exchange.path(), headers, new String(exchange.body(), StandardCharsets.UTF_8)));
+        answer(exchange, fault == ServerFault.WRONG_ID ? "another" : request);
+    }
+
+    private void answer(HttpExchange exchange, String request) {
+        Map<String, String> head = new HashMap<>(Map.of("x-request-id", request));
+        if (fault != ServerFault.UNSIGNED) {
+            head.put("x-response-stamp", "stamp-" + id);
+        }
+        switch (fault) {
+            case SILENT -> {}
+            case ANSWER_LOST -> exchange.abort();
+            case CUT -> cut(exchange, head);
+            default -> whole(exchange, head);
+        }
+    }
+
+    private static void whole(HttpExchange exchange, Map<String, String> head) {
+        if (exchange.header("x-token-usage").isEmpty()) {
+            exchange.respond(200, head, "done".getBytes(StandardCharsets.UTF_8));
+            return;
+        }
+        exchange.begin(200, head);
+        for (int event = 0; event < EVENTS; event++) {
+            exchange.write(event(event));
+        }
+        exchange.end();
+    }
+
+    private static void cut(HttpExchange exchange, Map<String, String> head) {
+        exchange.begin(200, head);
+        exchange.write(event(0));
+        exchange.abort();
+    }
+
+    private static byte[] event(int number) {
+        return ("id: " + number + "\ndata: e" + number + "\n\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
