--- a/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
@@ -29,12 +29,16 @@
         long arrivedMillis,
         long deadlineMillis) {
 
+    /** Ranks that accounts and routes use: 0, 1 and 2. */
+    private static final int RANKS = 3;
+
     /** Tokens assumed of a turn that does not say how many it may generate. */
     private static final long TOKENS_UNSAID = 512;
 
-    /** 0 is the most urgent: the account's rank goes before the route's. */
-    int priority() {
-        return account.map(AccountTerms::priority).filter(rank -> rank >= 0).orElse(route.priority());
+    /** 0 is the most urgent: accounts by their rank, and within one account routes by theirs. */
+    int urgency() {
+        int rank = account.map(AccountTerms::priority).orElse(0);
+        return RANKS * Math.max(0, rank) + Math.min(RANKS - 1, Math.max(0, route.priority()));
     }
 
     String accountName() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -173,7 +173,7 @@
                                 endpoint.id(),
                                 remaining,
                                 accepted.account().map(account -> account.name()),
-                                accepted.priority()));
+                                accepted.urgency()));
         return new OutboundRequest(
                 address(endpoint.address()),
                 accepted.exchange().method(),
--- a/server/src/main/java/org/quetzalshunt/server/gateway/OutboundTerms.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/OutboundTerms.java
@@ -9,7 +9,7 @@
  * @param endpoint id of the endpoint meant; another one at its address refuses
  * @param remainingMillis time that is left for the answer
  * @param account client account whose key came with the request
- * @param priority 0 is the most urgent
+ * @param urgency 0 is the most urgent
  */
 public record OutboundTerms(
-        String requestId, String endpoint, long remainingMillis, Optional<String> account, int priority) {}
+        String requestId, String endpoint, long remainingMillis, Optional<String> account, int urgency) {}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -132,10 +132,11 @@
 
     /**
      * A program under way waits for its token, since a refusal may cost all that it has done; a new one does not, so that
-     * an account at its rate begins no more programs than it can carry.
+     * an account at its rate begins no more programs than it can carry, unless it is of the most urgent kind.
      */
     private static long mostWait(Accepted accepted, long leftMillis) {
-        return accepted.beginsProgram() ? 0 : (long) (WAIT_PART * leftMillis);
+        boolean gives = accepted.beginsProgram() && accepted.route().priority() > 0;
+        return gives ? 0 : (long) (WAIT_PART * leftMillis);
     }
 
     private Optional<BudgetKeeper.Verdict.Spent> spent(Accepted accepted) {
