Requests that crash endpoints are not run a fourth time, at any gateway

A broken connection counts as a crash only if the endpoint refuses a new one a moment later; crashes are told through the shared map; an answer clears the request.

--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that end the endpoints which run them. */
+package org.quetzalshunt.core.quarantine;
--- a/core/src/main/java/org/quetzalshunt/core/result/ResultCode.java
+++ b/core/src/main/java/org/quetzalshunt/core/result/ResultCode.java
@@ -47,6 +47,7 @@
     ENDPOINT_REFUSED(4006, 502, "the endpoint refused the request"),
     ANSWER_CUT(4007, 502, "the answer ended before its end mark"),
     DEADLINE_PASSED_RUNNING(4008, 504, "the deadline passed while the request ran"),
+    CRASHES_ENDPOINTS(4009, 503, "endpoints crashed while running this request; it is not run for some minutes"),
 
     LOG_UNAVAILABLE(5000, 503, "the log service does not answer"),
     CONFIGURATION_STALE(5001, 503, "this VM cannot prove that its configuration is current"),
--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/quarantine/CrashTableTest.java
@@ -0,0 +1,46 @@
+package org.quetzalshunt.core.quarantine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+final class CrashTableTest {
+    private final CrashTable table = CrashTable.create();
+
+    @Test
+    void thirdCrashQuarantines() {
+        table.crashed(0, "f", "a-1");
+        table.crashed(0, "f", "b-1");
+        assertThat(table.quarantined(1, "f")).isFalse();
+        table.crashed(1, "f", "a-2");
+        assertThat(table.quarantined(2, "f")).isTrue();
+        assertThat(table.quarantined(2, "other")).isFalse();
+    }
+
+    @Test
+    void crashHeardOfTwiceCountsOnce() {
+        for (int time = 0; time < 5; time++) {
+            table.crashed(time, "f", "a-1");
+        }
+        assertThat(table.quarantined(5, "f")).isFalse();
+    }
+
+    /** Endpoints die in a row of something else, and lookups of one account run at each: they must go on being served. */
+    @Test
+    void answeredRequestIsInnocent() {
+        table.crashed(0, "f", "a-1");
+        table.crashed(0, "f", "a-2");
+        table.answered("f");
+        table.crashed(0, "f", "a-3");
+        assertThat(table.quarantined(1, "f")).isFalse();
+    }
+
+    @Test
+    void quarantineEnds() {
+        for (int crash = 0; crash < CrashTable.CRASHES; crash++) {
+            table.crashed(0, "f", "a-" + crash);
+        }
+        assertThat(table.quarantined(CrashTable.KEEP_MILLIS, "f")).isFalse();
+        assertThat(table.isEmpty()).isTrue();
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CrashWatch.java
@@ -0,0 +1,134 @@
+package org.quetzalshunt.server.gateway;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.core.endpoint.Registration;
+import org.quetzalshunt.core.quarantine.CrashTable;
+import org.quetzalshunt.core.store.MapEntry;
+import org.quetzalshunt.core.store.MapName;
+import org.quetzalshunt.core.store.MapShard;
+import org.quetzalshunt.server.http.HttpClient;
+
+/**
+ * Finds out which requests were running where an endpoint crashed, and tells the other VMs through the shared map. A
+ * broken connection alone is no crash, since answers get lost too: the endpoint must also refuse a new connection.
+ */
+final class CrashWatch {
+    static final String KEY_PREFIX = "crash/";
+
+    private static final MapShard SHARD = MapShard.only(MapName.FLEET);
+    private static final char SEPARATOR = '/';
+
+    /** A crashed endpoint is back after seconds; one that only lost an answer takes a connection at any time. */
+    private static final long PROBE_AFTER_MILLIS = 100;
+
+    private static final long PROBE_MILLIS = 500;
+
+    /** Octets of the digest that are kept: two requests in 2^64 collide. */
+    private static final int DIGEST_BYTES = 8;
+
+    private final EventExecutor executor;
+    private final HttpClient http;
+    private final MapClient map;
+    private final NodeClock clock;
+    private final DecisionLog log;
+    private final String life;
+    private final CrashTable table = CrashTable.create();
+    private long crashes;
+
+    CrashWatch(
+            EventExecutor executor,
+            HttpClient http,
+            MapClient map,
+            NodeClock clock,
+            DecisionLog log,
+            GatewaySettings settings) {
+        this.executor = executor;
+        this.http = http;
+        this.map = map;
+        this.clock = clock;
+        this.log = log;
+        this.life = settings.vm() + ":" + Long.toString(settings.incarnation(), Character.MAX_RADIX);
+    }
+
+    /** Whether the request must not run. */
+    boolean quarantined(Accepted accepted) {
+        return !table.isEmpty() && table.quarantined(clock.now(), fingerprint(accepted));
+    }
+
+    /** The request was answered whole. */
+    void answered(Accepted accepted) {
+        if (!table.isEmpty()) {
+            table.answered(fingerprint(accepted));
+        }
+    }
+
+    /** The connection broke while an endpoint may have been running the request. */
+    void broke(Accepted accepted, Registration endpoint) {
+        InetSocketAddress address = EndpointCall.address(endpoint.address());
+        executor.schedule(
+                () -> http.probe(address, PROBE_MILLIS, reachable -> {
+                    if (!reachable) {
+                        crashed(accepted, endpoint);
+                    }
+                }),
+                PROBE_AFTER_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void crashed(Accepted accepted, Registration endpoint) {
+        String fingerprint = fingerprint(accepted);
+        String crash = life + "-" + crashes++;
+        log.line(log.event("endpoint-crashed")
+                .put("request", accepted.request().id())
+                .put("fingerprint", fingerprint)
+                .put("endpoint", endpoint.id()));
+        table.crashed(clock.now(), fingerprint, crash);
+        String until = Long.toString(clock.wall() + CrashTable.KEEP_MILLIS);
+        MapEntry entry =
+                MapEntry.of(KEY_PREFIX + fingerprint + SEPARATOR + crash, until.getBytes(StandardCharsets.US_ASCII));
+        map.append(SHARD, List.of(entry), OptionalLong.empty(), answer -> {});
+    }
+
+    /** A crash that some VM told of; one that no longer counts is passed over. */
+    void heard(MapEntry entry) {
+        int separator = entry.key().lastIndexOf(SEPARATOR);
+        if (entry.value().isEmpty()
+                || separator <= KEY_PREFIX.length()
+                || until(entry.value().get()) < clock.wall()) {
+            return;
+        }
+        String fingerprint = entry.key().substring(KEY_PREFIX.length(), separator);
+        table.crashed(clock.now(), fingerprint, entry.key().substring(separator + 1));
+    }
+
+    private static long until(byte[] value) {
+        try {
+            return Long.parseLong(new String(value, StandardCharsets.US_ASCII));
+        } catch (NumberFormatException notANumber) {
+            // Another writer's record: it counts for nothing.
+            return Long.MIN_VALUE;
+        }
+    }
+
+    /** What stays the same when a caller sends a request again: method, path, account and body. */
+    private static String fingerprint(Accepted accepted) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            String head =
+                    accepted.exchange().method() + ' ' + accepted.exchange().uri() + ' ' + accepted.accountName();
+            digest.update(head.getBytes(StandardCharsets.UTF_8));
+            digest.update(accepted.exchange().body());
+            return HexFormat.of().formatHex(digest.digest(), 0, DIGEST_BYTES);
+        } catch (NoSuchAlgorithmException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -53,6 +53,9 @@
     /** For callers that were refused because every endpoint is full: a turn's length, so that places are free again. */
     private static final long FULL_RETRY_MILLIS = 250;
 
+    /** Engines read about this many prompt tokens a millisecond. */
+    private static final double PROMPT_TOKENS_PER_MILLI = 168;
+
     private final Gateway gateway;
     private final Accepted accepted;
     private final byte[] body;
@@ -137,9 +140,6 @@
         return new Wish(accepted.service().name(), excluded, cachedAt, cachedMillis, most);
     }
 
-    /** Engines read about this many prompt tokens a millisecond. */
-    private static final double PROMPT_TOKENS_PER_MILLI = 168;
-
     private void noEndpoint(long remaining) {
         boolean none = gateway.endpoints().available(accepted.service().name()) == 0;
         if (none || remaining < FULL_RETRY_MILLIS) {
@@ -182,7 +182,8 @@
                 body);
     }
 
-    private static InetSocketAddress address(String text) {
+    /** An address from an endpoint's registration, which was checked when it was read. */
+    static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
@@ -237,6 +238,7 @@
             }
             ended(Finish.ANSWERED);
             done = true;
+            gateway.crashes().answered(accepted);
             listener.onEnd();
         }
 
@@ -249,6 +251,7 @@
             }
             ended(Finish.FAILED);
             done = true;
+            gateway.crashes().broke(accepted, endpoint);
             listener.onBroken(reason);
         }
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -21,7 +21,8 @@
         BudgetKeeper budgets,
         CachedPrompts cachedPrompts,
         MapClient map,
-        FleetLinks links) {
+        FleetLinks links,
+        CrashWatch crashes) {
     /** For callers whom this VM cannot serve but another can: at once, since a retry reaches another VM. */
     private static final long ELSEWHERE_MILLIS = 100;
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -70,6 +70,7 @@
         RateKeeper rates = new RateKeeper(group.next(), map, clock, log, settings, configuration::current);
         FleetLinks links =
                 new FleetLinks(group, settings, endpoints, clock, log, rates::reserveHere, configuration::ageMillis);
+        CrashWatch crashes = new CrashWatch(group.next(), http, map, clock, log, settings);
         gateway = new Gateway(
                 settings,
                 group.next(),
@@ -86,7 +87,8 @@
                 new BudgetKeeper(group.next(), map, clock, settings),
                 new CachedPrompts(),
                 map,
-                links);
+                links,
+                crashes);
         gate = new RequestGate(gateway, () -> stopping);
         gauges(measures);
         log.line(log.event("start")
@@ -95,7 +97,7 @@
                 .put("callers", settings.callers().toString()));
         configuration.start();
         registrations.start();
-        rates.start(links);
+        rates.start(links, crashes);
         group.next().scheduleWithFixedDelay(clock::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
@@ -50,6 +50,7 @@
     private final ShareLedger ledger;
     private final Map<String, ShareBucket> buckets = new HashMap<>();
     private FleetLinks links;
+    private CrashWatch crashes;
     private boolean secretSeen;
     private long next = -1;
     private int tries;
@@ -171,8 +172,9 @@
     }
 
     /** Begins to read and to keep this VM's record. */
-    void start(FleetLinks fleetLinks) {
+    void start(FleetLinks fleetLinks, CrashWatch crashWatch) {
         links = fleetLinks;
+        crashes = crashWatch;
         round();
     }
 
@@ -235,6 +237,10 @@
             });
             return;
         }
+        if (entry.key().startsWith(CrashWatch.KEY_PREFIX)) {
+            crashes.heard(entry);
+            return;
+        }
         if (!entry.key().startsWith(VM_PREFIX)) {
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -103,6 +103,12 @@
         long left = Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(DEADLINE_UNSAID_MILLIS));
         Accepted accepted =
                 new Accepted(exchange, request, route, service, account, configuration.version(), now, now + left);
+        if (gateway.crashes().quarantined(accepted)) {
+            Refusal refusal =
+                    Refusal.notRun(ResultCode.CRASHES_ENDPOINTS, "it was running at three endpoints that crashed");
+            Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+            return;
+        }
         if (route.stateful() && gateway.map().away()) {
             // The turn could neither be granted nor kept; run, its work would be lost.
             Refusal refusal = elsewhere(request, ResultCode.LOG_UNAVAILABLE, "the shared map is away");
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
@@ -24,6 +24,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import jdk.net.ExtendedSocketOptions;
 
@@ -105,6 +106,21 @@
         return call;
     }
 
+    /** Finds out whether an address takes a connection now. */
+    public void probe(InetSocketAddress address, long connectMillis, Consumer<Boolean> listener) {
+        connectionsOpened++;
+        ChannelFuture connecting = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis)
+                .handler(new HttpClientCodec())
+                .connect(address);
+        connecting.addListener(result -> {
+            connecting.channel().close();
+            listener.accept(result.isSuccess());
+        });
+    }
+
     /** Drops every idle connection. */
     public void close() {
         idle.values()
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerFault.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerFault.java
@@ -15,5 +15,7 @@
     /** Answers the request with another one's id. */
     WRONG_ID,
     /** Answers without its signature. */
-    UNSIGNED
+    UNSIGNED,
+    /** Begins to run the request, crashes, and is back a moment later under the same id and address. */
+    CRASH
 }
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -26,17 +26,20 @@
 
     private static final int EVENTS = 3;
     private static final int SLOTS = 8;
+    private static final long DOWN_MILLIS = 900;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Ran> runs = new ArrayList<>();
     private final String id;
-    private final HttpServer server;
+    private final int port;
+    private volatile HttpServer server;
     private volatile ServerFault fault = ServerFault.NONE;
 
     private ServerStandin(String id) {
         this.id = id;
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         server = HttpServer.start(group, address, HttpLimits.defaults(), this::handle);
+        port = server.port();
     }
 
     /** Starts a server on a free port of the loopback address. */
@@ -66,7 +69,7 @@
     public byte[] entry(String service, String state) {
         return Json.bytes(Json.object()
                 .put("service", service)
-                .put("address", "127.0.0.1:" + server.port())
+                .put("address", "127.0.0.1:" + port)
                 .put("zone", "a")
                 .put("version", "v1")
                 .put("slots", SLOTS)
@@ -101,11 +104,30 @@
         switch (fault) {
             case SILENT -> {}
             case ANSWER_LOST -> exchange.abort();
+            case CRASH -> crash();
             case CUT -> cut(exchange, head);
             default -> whole(exchange, head);
         }
     }
 
+    private void crash() {
+        server.close();
+        Thread restart = new Thread(this::startAgain, id + " restarts");
+        restart.setDaemon(true);
+        restart.start();
+    }
+
+    private void startAgain() {
+        try {
+            Thread.sleep(DOWN_MILLIS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return;
+        }
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        server = HttpServer.start(group, address, HttpLimits.defaults(), this::handle);
+    }
+
     private static void whole(HttpExchange exchange, Map<String, String> head) {
         if (exchange.header("x-token-usage").isEmpty()) {
             exchange.respond(200, head, "done".getBytes(StandardCharsets.UTF_8));
