--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -16,6 +17,7 @@
 import org.quetzalshunt.server.http.CallTimes;
 import org.quetzalshunt.server.http.HttpCall;
 import org.quetzalshunt.server.http.HttpResponseListener;
+import org.quetzalshunt.server.http.IpPort;
 import org.quetzalshunt.server.http.OutboundRequest;
 
 /**
@@ -184,8 +186,7 @@
 
     /** An address from an endpoint's registration, which was checked when it was read. */
     static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        return IpPort.parse(text).orElseThrow();
     }
 
     private static CallTimes times(long remaining) {
@@ -200,7 +201,7 @@
         call = null;
         long now = gateway.clock().now();
         gateway.endpoints().finished(now, endpoint.id(), finish, now - sentMillis);
-        gateway.measures().attempt(finish.name().toLowerCase(java.util.Locale.ROOT));
+        gateway.measures().attempt(finish.name().toLowerCase(Locale.ROOT));
     }
 
     /** What the HTTP client says of the present attempt. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +16,7 @@
 import org.quetzalshunt.core.share.ShareRecord;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.core.vm.VmRole;
+import org.quetzalshunt.server.http.IpPort;
 import org.quetzalshunt.server.transport.LinkConnector;
 import org.quetzalshunt.server.transport.LinkIdentity;
 import org.quetzalshunt.server.transport.LinkListener;
@@ -124,21 +124,12 @@
                     ? settings.incarnation() > record.incarnation()
                     : settings.vm().compareTo(vm) > 0;
             if (later) {
-                address(record.linkAddress()).ifPresent(addresses::add);
+                IpPort.parse(record.linkAddress()).ifPresent(addresses::add);
             }
         });
         connector.want(addresses);
     }
 
-    private static Optional<InetSocketAddress> address(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
-            return Optional.empty();
-        }
-        return Optional.of(
-                new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
-    }
-
     /** Whether there is an open link to another gateway. */
     boolean reaches(String vm) {
         PeerLink link = links.get(vm);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMeasures.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMeasures.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -18,8 +19,8 @@
                 .tag("kind", kind)
                 .tag("code", Integer.toString(code))
                 .publishPercentileHistogram()
-                .minimumExpectedValue(java.time.Duration.ofMillis(1))
-                .maximumExpectedValue(java.time.Duration.ofSeconds(30))
+                .minimumExpectedValue(Duration.ofMillis(1))
+                .maximumExpectedValue(Duration.ofSeconds(30))
                 .register(registry)
                 .record(tookMillis, TimeUnit.MILLISECONDS);
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
@@ -2,7 +2,9 @@
 
 import io.netty.util.concurrent.EventExecutor;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -126,7 +128,7 @@
 
     /** Leaves out records that a later one of the same key replaces. */
     private static List<MapEntry> latest(List<MapEntry> entries) {
-        java.util.Map<String, MapEntry> byKey = new java.util.LinkedHashMap<>();
+        Map<String, MapEntry> byKey = new LinkedHashMap<>();
         entries.forEach(entry -> byKey.put(entry.key(), entry));
         return List.copyOf(byKey.values());
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.quetzalshunt.core.store.AppendAnswer;
 import org.quetzalshunt.core.store.MapEntry;
@@ -169,15 +170,11 @@
      * @param stillWanted asked before each further try
      * @param listener whether it is kept for sure
      */
-    void keep(TurnRecord turn, java.util.function.BooleanSupplier stillWanted, Consumer<Boolean> listener) {
+    void keep(TurnRecord turn, BooleanSupplier stillWanted, Consumer<Boolean> listener) {
         keep(turn, stillWanted, listener, new Backoff(turn.id().hashCode()));
     }
 
-    private void keep(
-            TurnRecord turn,
-            java.util.function.BooleanSupplier stillWanted,
-            Consumer<Boolean> listener,
-            Backoff backoff) {
+    private void keep(TurnRecord turn, BooleanSupplier stillWanted, Consumer<Boolean> listener, Backoff backoff) {
         MapShard shard = Shards.ofTurn(turn.id());
         List<MapEntry> entries = new ArrayList<>();
         entries.add(MapEntry.of(turn.id(), StoredRecords.encode(turn)));
--- a/platform/src/main/java/org/quetzalshunt/platform/Addresses.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/IpPort.java
@@ -1,19 +1,19 @@
-package org.quetzalshunt.platform;
+package org.quetzalshunt.server.http;
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Addresses as the platform writes them: an IPv4 number, a colon and a port. */
-final class Addresses {
+/** Addresses as text: an IPv4 number, a colon and a port. Names are never looked up. */
+public final class IpPort {
     private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}):(\\d{1,5})");
     private static final int LARGEST_PORT = 65_535;
 
-    private Addresses() {}
+    private IpPort() {}
 
     /** Parses an address; empty when the text is none. */
-    static Optional<InetSocketAddress> parse(String text) {
+    public static Optional<InetSocketAddress> parse(String text) {
         Matcher matcher = ADDRESS.matcher(text);
         if (!matcher.matches()) {
             return Optional.empty();
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.quetzalshunt.server.http.HttpExchange;
@@ -90,8 +91,7 @@
         }
         String request = exchange.header("x-request-id").orElse("");
         Map<String, String> headers = new HashMap<>();
-        exchange.headers()
-                .forEach(header -> headers.put(header.getKey().toLowerCase(java.util.Locale.ROOT), header.getValue()));
+        exchange.headers().forEach(header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
         runs.add(new Ran(request, exchange.path(), headers, new String(exchange.body(), StandardCharsets.UTF_8)));
         answer(exchange, fault == ServerFault.WRONG_ID ? "another" : request);
     }
