--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -171,6 +171,11 @@
         return probes.port();
     }
 
+    /** Tells in the log what came of reading the settings file again. */
+    public void reloaded(String outcome) {
+        log.line(log.event("reload").put("outcome", outcome));
+    }
+
     /** Ends at once, breaking every connection, as a crash would; nothing is given back. */
     public void kill() {
         callers.close();
