Endpoints that fail part of their requests draw less work; no part of a rate too small for a token

Cause: an answer with an error counted as a success, and a quick one; an endpoint that failed half of its requests looked best of all. A tenth of each rate was dealt in parts below one token of burst, which a bucket never gives out. Errors and silent endpoints now cost by the square of their share, told between gateways; idempotent requests that ended in an endpoint's error run again elsewhere. Tests fail without each.

--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
@@ -5,6 +5,18 @@
     /** Weight of the newest latency in the average: about the last ten requests count. */
     private static final double LATENCY_WEIGHT = 0.1;
 
+    /** Weight of the newest outcome in the share of failures: about the last seven requests count. */
+    private static final double OUTCOME_WEIGHT = 0.15;
+
+    /**
+     * In this time a share of failures that nothing confirms falls to half. An endpoint that was left alone is tried
+     * again after some four seconds, about as long as a bad spell of half its length.
+     */
+    private static final double FAILURE_HALF_LIFE_MILLIS = 2_000;
+
+    /** What fails for others may serve here, as when a link between two data centres is bad: it costs about half. */
+    private static final double OTHERS_WEIGHT = 0.7;
+
     private static final long FIRST_PENALTY_MILLIS = 300;
     private static final long LONGEST_PENALTY_MILLIS = 4_000;
 
@@ -16,26 +28,69 @@
     long fullUntilMillis = Long.MIN_VALUE / 2;
     long removedMillis = Long.MAX_VALUE;
     private int failures;
+    private double failureShare;
+    private long failureShareMillis;
+    private double othersFailureShare;
+    private long othersFailureMillis;
 
     EndpointRow(Registration registration, double latencyMillis) {
         this.registration = registration;
         this.latencyMillis = latencyMillis;
     }
 
-    void succeeded(long tookMillis) {
+    void succeeded(long nowMillis, long tookMillis) {
         failures = 0;
         suspectUntilMillis = Long.MIN_VALUE / 2;
         latencyMillis += LATENCY_WEIGHT * (tookMillis - latencyMillis);
+        outcome(nowMillis, 0);
+    }
+
+    /** It answered with a failure, or not in time. The time that this took is no latency: errors are quick. */
+    void errored(long nowMillis) {
+        outcome(nowMillis, 1);
     }
 
     void failed(long nowMillis) {
+        outcome(nowMillis, 1);
         long penalty = Math.min(LONGEST_PENALTY_MILLIS, FIRST_PENALTY_MILLIS << Math.min(failures, 10));
         failures++;
         suspectUntilMillis = nowMillis + penalty;
     }
 
+    private void outcome(long nowMillis, double failed) {
+        double present = decayed(nowMillis, failureShare, failureShareMillis);
+        failureShare = present + OUTCOME_WEIGHT * (failed - present);
+        failureShareMillis = nowMillis;
+    }
+
+    /** Another VM said which share of its requests fails here; the worst that was said counts, and fades likewise. */
+    void othersFail(long nowMillis, double share) {
+        double present = decayed(nowMillis, othersFailureShare, othersFailureMillis);
+        if (share > present) {
+            othersFailureShare = share;
+            othersFailureMillis = nowMillis;
+        }
+    }
+
+    /** Share of this VM's own requests that fail here, as seen lately. */
+    double ownFailureShare(long nowMillis) {
+        return decayed(nowMillis, failureShare, failureShareMillis);
+    }
+
+    /** The same, or what another VM said where that weighs more. */
+    double failureShare(long nowMillis) {
+        double others = OTHERS_WEIGHT * decayed(nowMillis, othersFailureShare, othersFailureMillis);
+        return Math.max(ownFailureShare(nowMillis), others);
+    }
+
+    private static double decayed(long nowMillis, double share, long sinceMillis) {
+        return share * Math.pow(0.5, Math.max(0, nowMillis - sinceMillis) / FAILURE_HALF_LIFE_MILLIS);
+    }
+
     /** Forgets what its former life earned. */
     void restarted() {
+        failureShare = 0;
+        othersFailureShare = 0;
         failures = 0;
         suspectUntilMillis = Long.MIN_VALUE / 2;
         fullUntilMillis = Long.MIN_VALUE / 2;
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
@@ -12,7 +12,7 @@
  * The endpoints of all services, and the choice among them: the one at which a request is expected to end soonest.
  *
  * <p>Load patterns: a burst, which must fill all endpoints before any queues; an endpoint that is slow or failing, which
- * must not attract work by looking empty; lines of turns, which belong where their prompt is cached unless waiting there
+ * must not attract work by looking empty or by failing fast; lines of turns, which belong where their prompt is cached unless waiting there
  * costs more than reading it again.
  */
 public final class EndpointTable {
@@ -35,6 +35,18 @@
     private static final double FULL_COST_MILLIS = 500;
     private static final double SUSPECT_COST_MILLIS = 10_000;
 
+    /**
+     * What a failure costs its program: the time until its caller sends again, 0.1 to 0.4 s, and the work done anew, or
+     * the whole program where a call may not be repeated. It is multiplied by the square of the share of requests that
+     * failed lately: one failure among sound answers, as one tool call in a hundred ends, costs 34 ms, less than a short
+     * queue; an endpoint that fails half of its requests 375 ms, so that it serves once all others queue, and the rest is
+     * not drowned.
+     */
+    private static final double FAILURE_COST_MILLIS = 1_500;
+
+    /** Two failures among the last requests; one is not worth telling other VMs. */
+    private static final double FAILURE_WORTH_TELLING = 0.2;
+
     private final String dataCentre;
     private final SplittableRandom random;
     private final Map<String, EndpointRow> rows = new HashMap<>();
@@ -143,6 +155,8 @@
         if (row.suspectUntilMillis > nowMillis) {
             cost += SUSPECT_COST_MILLIS;
         }
+        double failureShare = row.failureShare(nowMillis);
+        cost += FAILURE_COST_MILLIS * failureShare * failureShare;
         if (wish.cachedAt().filter(row.registration.id()::equals).isPresent()) {
             cost -= wish.cachedMillis();
         }
@@ -165,13 +179,47 @@
         }
         row.inFlight = Math.max(0, row.inFlight - 1);
         switch (finish) {
-            case ANSWERED -> row.succeeded(tookMillis);
+            case ANSWERED -> row.succeeded(nowMillis, tookMillis);
+            case ERRORED -> row.errored(nowMillis);
             case FULL -> row.fullUntilMillis = nowMillis + FULL_MILLIS;
             case FAILED -> row.failed(nowMillis);
             case NEUTRAL -> {}
         }
     }
 
+    /**
+     * An attempt has had no sign of an answer for longer than a sound endpoint takes. It goes on, since its outcome is
+     * unknown, but no more work should follow it there.
+     */
+    public void silent(long nowMillis, String id) {
+        EndpointRow row = rows.get(id);
+        if (row != null) {
+            row.errored(nowMillis);
+        }
+    }
+
+    /** Endpoints that fail a part of this VM's requests, with that share. */
+    public Map<String, Double> failing(long nowMillis) {
+        Map<String, Double> failing = new HashMap<>();
+        rows.forEach((id, row) -> {
+            double share = row.ownFailureShare(nowMillis);
+            if (share >= FAILURE_WORTH_TELLING) {
+                failing.put(id, share);
+            }
+        });
+        return failing;
+    }
+
+    /** Another VM said which endpoints fail a part of its requests. */
+    public void othersFail(long nowMillis, Map<String, Double> shares) {
+        shares.forEach((id, share) -> {
+            EndpointRow row = rows.get(id);
+            if (row != null) {
+                row.othersFail(nowMillis, Math.min(1, Math.max(0, share)));
+            }
+        });
+    }
+
     /** Another VM said how much of its own runs where; endpoints left out have none of it. */
     public void otherRuns(String vm, Map<String, Integer> running) {
         forgetOther(vm);
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/Finish.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/Finish.java
@@ -4,10 +4,20 @@
 public enum Finish {
     /** It answered. */
     ANSWERED,
+    /** It answered with a failure of its own, or took far longer than a sound one. */
+    ERRORED,
     /** It said that it is full. */
     FULL,
     /** It could not be reached, broke off, or answered wrongly. */
     FAILED,
     /** Ended for a reason that says nothing of the endpoint, such as a caller that left. */
-    NEUTRAL
+    NEUTRAL;
+
+    /**
+     * The time of an attempt is over. Before its answer began, the endpoint was noted as silent already where it took
+     * longer than a sound one, and a short time limit says nothing of it; after that, it stopped midway.
+     */
+    public static Finish ofLate(boolean answerBegan) {
+        return answerBegan ? ERRORED : NEUTRAL;
+    }
 }
--- a/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
@@ -1,7 +1,6 @@
 package org.quetzalshunt.core.share;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,12 +40,16 @@
     /**
      * Dealt to all VMs evenly, so that one without links serves on. Little, since what lies at a VM where an account is
      * quiet is of no use where it is not: with 0.4 dealt, 291 tries of one quiet day were refused, with 0.1 and tokens
-     * that are waited for 144.
+     * that are waited for 144. Where a VM's part of the burst would be less than one token, it could never be spent, and
+     * a tenth of the rate would be lost: then the homes have it too.
      */
     private static final double DEALT = 0.1;
 
-    /** For the account's first home, which is asked first, and its second, which remains when the first is lost. */
-    private static final double[] HOMES = {0.6, 0.3};
+    /**
+     * Of what is not dealt: for the account's first home, which is asked first, and its second, which remains when the
+     * first is lost.
+     */
+    private static final double[] HOMES = {0.667, 0.333};
 
     /** The two homes, and one that was a home a moment ago. */
     private static final int MOST_ASKED = 3;
@@ -148,15 +151,20 @@
         live = now;
     }
 
-    /** The record to append now, if there is reason to. */
-    public Optional<ShareRecord> propose(long nowMillis, Collection<String> accounts) {
+    /**
+     * The record to append now, if there is reason to.
+     *
+     * @param bursts burst of each account, by its name
+     */
+    public Optional<ShareRecord> propose(long nowMillis, Map<String, Double> bursts) {
         refresh(nowMillis);
         Map<String, AccountShare> base = leased(nowMillis) ? held : Map.of();
         Map<String, AccountShare> wanted = new HashMap<>();
         boolean changed = nowMillis - sentMillis >= RENEW_MILLIS;
-        for (String account : accounts) {
+        for (Map.Entry<String, Double> burst : bursts.entrySet()) {
+            String account = burst.getKey();
             int before = base.getOrDefault(account, AccountShare.NONE).parts();
-            int parts = Math.min(target(account), room(account));
+            int parts = Math.min(target(account, burst.getValue()), room(account));
             boolean significant = Math.abs(parts - before) > WORTH_CHANGING * Math.max(before, 1);
             changed |= significant;
             wanted.put(account, new AccountShare(significant ? parts : Math.min(before, room(account))));
@@ -167,12 +175,13 @@
         return Optional.of(new ShareRecord(incarnation, sequence + 1, Map.copyOf(wanted), linkAddress));
     }
 
-    private int target(String account) {
+    private int target(String account, double burst) {
+        double evenPart = DEALT / (live.size() + 1);
+        double dealt = burst * evenPart < 1 ? 0 : DEALT;
         List<String> homes = homes(account);
         int rank = homes.indexOf(self);
-        double home = rank < 0 ? 0 : homes.size() == 1 ? 1 - DEALT : HOMES[rank];
-        double part = DEALT / (live.size() + 1) + home;
-        return (int) (part * ALL_PARTS);
+        double home = rank < 0 ? 0 : homes.size() == 1 ? 1 : HOMES[rank];
+        return (int) ((dealt > 0 ? evenPart : 0) * ALL_PARTS + (1 - dealt) * home * ALL_PARTS);
     }
 
     private int room(String account) {
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/endpoint/EndpointTableTest.java
@@ -5,9 +5,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Who gets work: in a burst, with a slow, a full and a failing endpoint among healthy ones, and with cached prompts. */
 final class EndpointTableTest {
@@ -136,4 +139,68 @@
         assertThat(table.find("e0")).isPresent();
         assertThat(table.find("e1")).isEmpty();
     }
+
+    /**
+     * An endpoint answers 45 of 100 requests with an error, at once, and the others well. Programs on it fail, while by
+     * its short times and empty slots it looks like the best of all. Even shares would send it a quarter of the work.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void endpointThatFailsFastDrawsLittleWork(long seed) {
+        Random random = new Random(seed);
+        int atFailing = 0;
+        for (int request = 0; request < 600; request++) {
+            long now = request * 30L;
+            String id = choose(now);
+            table.started(id);
+            boolean fails = id.equals("e0") && random.nextInt(100) < 45;
+            atFailing += id.equals("e0") ? 1 : 0;
+            table.finished(now, id, fails ? Finish.ERRORED : Finish.ANSWERED, fails ? 2 : 100);
+        }
+        assertThat(atFailing).isAtMost(60);
+    }
+
+    /** One tool call in a hundred ends with an error of its own; that alone must not move work to queues elsewhere. */
+    @Test
+    void singleErrorDoesNotSendWorkIntoQueues() {
+        for (int number = 1; number < 4; number++) {
+            for (int request = 0; request < 9; request++) {
+                table.started("e" + number);
+            }
+        }
+        table.started("e0");
+        table.finished(0, "e0", Finish.ERRORED, 2);
+        assertThat(choose(10)).isEqualTo("e0");
+    }
+
+    /** With many VMs each sees few requests of an endpoint: what fails for one must be avoided by all. */
+    @Test
+    void endpointThatFailsForAnotherVmIsAvoidedUntilTheWordFades() {
+        table.othersFail(0, Map.of("e0", 0.5, "gone", 1.0));
+        for (int request = 0; request < 12; request++) {
+            assertThat(choose(0)).isNotEqualTo("e0");
+        }
+        for (int number = 1; number < 4; number++) {
+            for (int request = 0; request < 8; request++) {
+                table.started("e" + number);
+            }
+        }
+        assertThat(choose(6_000)).isEqualTo("e0");
+        assertThat(table.failing(0)).isEmpty();
+    }
+
+    /** An endpoint takes requests and answers none. Its callers wait; no more may follow them there. */
+    @Test
+    void silentEndpointGetsNoMoreWork() {
+        for (int request = 0; request < 3; request++) {
+            table.started("e0");
+            table.silent(1_000, "e0");
+        }
+        for (int request = 0; request < 20; request++) {
+            String id = choose(1_010);
+            assertThat(id).isNotEqualTo("e0");
+            table.started(id);
+        }
+        assertThat(table.failing(1_010).keySet()).containsExactly("e0");
+    }
 }
--- a/core/src/test/java/org/quetzalshunt/core/share/ShareLedgerTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/share/ShareLedgerTest.java
@@ -15,6 +15,7 @@
 
 final class ShareLedgerTest {
     private static final List<String> ACCOUNTS = List.of("arusha", "moshi", "karatu");
+    private static final Map<String, Double> BURSTS = Map.of("arusha", 200.0, "moshi", 20.0, "karatu", 20.0);
 
     /** The shared map as the ledgers see it: one order of records, and appends that expect its end. */
     private static final class Records {
@@ -57,7 +58,7 @@
 
         /** Proposes on what it read; the answer may be lost. */
         void propose(Records records, long now, boolean answerLost) {
-            Optional<ShareRecord> proposal = ledger.propose(now, ACCOUNTS);
+            Optional<ShareRecord> proposal = ledger.propose(now, BURSTS);
             if (proposal.isEmpty()) {
                 return;
             }
@@ -96,6 +97,26 @@
         }
     }
 
+    /**
+     * Four VMs share a burst of 20. A fortieth of it is half a token: dealt, it could never be spent, and callers of an
+     * account at its rate would be refused a tenth of what they may send.
+     */
+    @Test
+    void noPartIsTooSmallToHoldAToken() {
+        Records records = new Records();
+        List<Vm> vms = List.of(new Vm("a"), new Vm("b"), new Vm("c"), new Vm("d"));
+        settle(vms, records, 0, 6);
+        for (Map.Entry<String, Double> burst : BURSTS.entrySet()) {
+            for (Vm vm : vms) {
+                int parts = vm.ledger.parts(5_500, burst.getKey());
+                double tokens = burst.getValue() * parts / ShareLedger.ALL_PARTS;
+                assertWithMessage(burst.getKey() + " at " + vm.name)
+                        .that(parts == 0 || tokens >= 1)
+                        .isTrue();
+            }
+        }
+    }
+
     /**
      * A VM that is cut off goes on to spend its part until its lease ends. Another must not take that part over before:
      * an account would get its rate twice.
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -55,6 +55,13 @@
     /** For callers that were refused because every endpoint is full: a turn's length, so that places are free again. */
     private static final long FULL_RETRY_MILLIS = 250;
 
+    /**
+     * An endpoint that has not begun its answer after this many times the route's target gets no more work for a while.
+     * Guards against endpoints that take requests and answer none, which shows as callers that all wait until their
+     * deadline: without it, it looks idle until the first of them is over. A sound one begins within the target.
+     */
+    private static final double SILENT_TARGETS = 2;
+
     /** Engines read about this many prompt tokens a millisecond. */
     private static final double PROMPT_TOKENS_PER_MILLI = 168;
 
@@ -67,6 +74,7 @@
     private Registration endpoint;
     private HttpCall call;
     private ScheduledFuture<?> pause;
+    private ScheduledFuture<?> silence;
     private long sentMillis;
     private boolean done;
     private int sends;
@@ -132,9 +140,17 @@
         sends++;
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
+        watchSilence();
         call = gateway.http().send(request(remaining), times(remaining), this::own, new Answer());
     }
 
+    private void watchSilence() {
+        String id = endpoint.id();
+        long millis = Math.max(1, (long) (SILENT_TARGETS * accepted.route().targetLatencyMillis()));
+        silence = gateway.executor()
+                .schedule(() -> gateway.endpoints().silent(gateway.clock().now(), id), millis, TimeUnit.MILLISECONDS);
+    }
+
     private Wish wish() {
         int vms = Math.max(1, gateway.rates().liveVms());
         int most = Math.max(2, accepted.service().maximumConnections() / vms);
@@ -198,6 +214,7 @@
 
     private void ended(Finish finish) {
         call = null;
+        silence.cancel(false);
         long now = gateway.clock().now();
         gateway.endpoints().finished(now, endpoint.id(), finish, now - sentMillis);
         gateway.measures().attempt(finish.name().toLowerCase(Locale.ROOT));
@@ -209,6 +226,7 @@
 
         @Override
         public void onHead(int status, HttpHeaders headers) {
+            silence.cancel(false);
             head = gateway.dialect().head(status, headers);
             if (passes()) {
                 listener.onHead(head, status, headers);
@@ -244,7 +262,7 @@
                 send();
                 return;
             }
-            ended(Finish.ANSWERED);
+            ended(head == AnswerHead.SUCCESS ? Finish.ANSWERED : Finish.ERRORED);
             done = true;
             gateway.crashes().answered(accepted);
             listener.onEnd();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -30,7 +30,7 @@
 
 /**
  * Links to the other gateways, for two things that are of use only at once: single tokens of a rate from an account's
- * home, and how much runs where. Nothing that lasts goes over them, and each works on without them, only less well.
+ * home, and how much runs and fails where. Nothing that lasts goes over them, and each works on without them, only less well.
  */
 final class FleetLinks implements LinkListener {
     /**
@@ -161,7 +161,9 @@
         if (!running.equals(told) || now - toldMillis >= REPEAT_MILLIS) {
             told = running;
             toldMillis = now;
-            Message message = Message.endpointLoads(new EndpointLoads(running, proofAgeMillis.getAsLong()));
+            EndpointLoads loads = new EndpointLoads(running, proofAgeMillis.getAsLong());
+            loads.setFailing(endpoints.failing(now));
+            Message message = Message.endpointLoads(loads);
             links.values().stream().filter(PeerLink::isWritable).forEach(link -> link.send(message));
         }
         long pace = LOADS_MILLIS * Math.max(1, links.size() / VMS_AT_FULL_PACE);
@@ -189,6 +191,9 @@
 
     private void loadsTold(String vm, EndpointLoads loads) {
         endpoints.otherRuns(vm, loads.getRunning());
+        if (loads.isSetFailing()) {
+            endpoints.othersFail(clock.now(), loads.getFailing());
+        }
         if (loads.getProofAgeMillis() < IN_TOUCH_MILLIS) {
             inTouchMillis.put(vm, clock.now());
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PlainRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PlainRun.java
@@ -21,6 +21,9 @@
      */
     private static final double SILENT_TARGETS = 1.5;
 
+    private static final int SERVER_ERRORS = 500;
+    private static final int GATEWAY_TIMEOUT = 504;
+
     private final Gateway gateway;
     private final Accepted accepted;
     private final EndpointCall call;
@@ -66,7 +69,7 @@
         if (finished) {
             return;
         }
-        call.cancel(Finish.FAILED);
+        call.cancel(Finish.ERRORED);
         attempt();
     }
 
@@ -84,12 +87,24 @@
     @Override
     public void onEnd() {
         stopSilence();
+        if (!finished && endpointFailed() && mayRunAgain()) {
+            attempt();
+            return;
+        }
         if (finish()) {
             accepted.exchange().respond(status, gateway.dialect().inbound(headers), body.toByteArray());
             Outcome.log(gateway, accepted, ResultCode.OK, "status " + status, Optional.of(call));
         }
     }
 
+    /**
+     * Guards against endpoints that fail part of their requests: their callers would spend a try of their own, and the
+     * time to come back. An endpoint that was still at work at its deadline is no such case, and leaves no time.
+     */
+    private boolean endpointFailed() {
+        return status >= SERVER_ERRORS && status != GATEWAY_TIMEOUT;
+    }
+
     @Override
     public void onBroken(String reason) {
         stopSilence();
@@ -109,7 +124,7 @@
 
     private void deadlinePassed() {
         boolean ran = call.running() || runs > 1;
-        call.cancel(ran ? Finish.FAILED : Finish.NEUTRAL);
+        call.cancel(Finish.ofLate(headers != null));
         end(
                 ran
                         ? Refusal.after(ResultCode.DEADLINE_PASSED_RUNNING, Execution.UNKNOWN, "no answer in time")
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
@@ -259,8 +259,9 @@
             return;
         }
         long now = clock.now();
-        Optional<ShareRecord> proposal =
-                ledger.propose(now, current.get().accounts().keySet());
+        Map<String, Double> bursts = new HashMap<>();
+        current.get().accounts().forEach((name, account) -> bursts.put(name, account.burst()));
+        Optional<ShareRecord> proposal = ledger.propose(now, bursts);
         if (proposal.isEmpty()) {
             again();
             return;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -307,7 +307,7 @@
     private void deadlinePassed() {
         boolean ran = (call != null && call.running()) || answerEnded;
         if (call != null) {
-            call.cancel(ran ? Finish.FAILED : Finish.NEUTRAL);
+            call.cancel(Finish.ofLate(headers != null));
         }
         end(
                 ran
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -254,6 +254,7 @@
 struct EndpointLoads {
   1: map<string, i32> running
   2: i64 proofAgeMillis
+  3: optional map<string, double> failing
 }
 
 union Message {
