--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -22,8 +22,12 @@
  * of events, others a small body.
  */
 public final class ServerStandin implements AutoCloseable {
-    /** A request that ran. */
-    public record Ran(String id, String path, Map<String, String> headers, String body) {}
+    /**
+     * A request that ran.
+     *
+     * @param atMillis when it began, in Unix milliseconds
+     */
+    public record Ran(String id, String path, Map<String, String> headers, String body, long atMillis) {}
 
     private static final int EVENTS = 3;
     private static final int SLOTS = 8;
@@ -66,11 +70,21 @@
                 .getNow();
     }
 
+    /** Port in use. */
+    public int port() {
+        return port;
+    }
+
     /** What the server writes about itself into the store. */
     public byte[] entry(String service, String state) {
+        return entry(service, state, port);
+    }
+
+    /** The same, with the port of a proxy before it. */
+    public byte[] entry(String service, String state, int reachedAt) {
         return Json.bytes(Json.object()
                 .put("service", service)
-                .put("address", "127.0.0.1:" + port)
+                .put("address", "127.0.0.1:" + reachedAt)
                 .put("zone", "a")
                 .put("version", "v1")
                 .put("slots", SLOTS)
@@ -92,7 +106,8 @@
         String request = exchange.header("x-request-id").orElse("");
         Map<String, String> headers = new HashMap<>();
         exchange.headers().forEach(header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
-        runs.add(new Ran(request, exchange.path(), headers, new String(exchange.body(), StandardCharsets.UTF_8)));
+        String body = new String(exchange.body(), StandardCharsets.UTF_8);
+        runs.add(new Ran(request, exchange.path(), headers, body, System.currentTimeMillis()));
         answer(exchange, fault == ServerFault.WRONG_ID ? "another" : request);
     }
 
