A token that is there now is looked for at all holders before one is waited for

Cause: a request of an account near its rate waited up to 750 ms at its first home while the second home, with a third of the burst, had tokens. TokenSearchTest fails with the former order. Each request's line tells when it was first sent.

--- a/core/src/main/java/org/quetzalshunt/core/share/ShareBucket.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareBucket.java
@@ -1,7 +1,5 @@
 package org.quetzalshunt.core.share;
 
-import java.util.OptionalLong;
-
 /**
  * A token bucket whose rate and room are a part of an account's. Starts empty, so that a restart earns no burst; a part
  * that grows brings no tokens, one that shrinks loses what no longer fits.
@@ -45,24 +43,23 @@
      * Takes a token that may still have to be earned. Answers a handful of calls that come at once beyond the burst:
      * spread over a moment they fit, while a refusal costs their caller more than the wait.
      *
-     * @return how long the request must wait before it runs, in milliseconds; empty, and nothing taken, when that is
-     *     longer than {@code mostMillis}
+     * @param mostMillis longest wait, in milliseconds; beyond it nothing is taken
      */
-    public OptionalLong reserve(long nowMillis, long mostMillis) {
+    public TokenOffer reserve(long nowMillis, long mostMillis) {
         fill(nowMillis);
         if (level >= 1) {
             level -= 1;
-            return OptionalLong.of(0);
+            return TokenOffer.taken(0);
         }
         if (ratePerSecond <= 0) {
-            return OptionalLong.empty();
+            return TokenOffer.NONE;
         }
         long wait = (long) Math.ceil((1 - level) / ratePerSecond * MILLIS_PER_SECOND);
         if (wait > mostMillis) {
-            return OptionalLong.empty();
+            return TokenOffer.later(wait);
         }
         level -= 1;
-        return OptionalLong.of(wait);
+        return TokenOffer.taken(wait);
     }
 
     private void fill(long nowMillis) {
--- a/core/src/test/java/org/quetzalshunt/core/share/ShareBucketTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/share/ShareBucketTest.java
@@ -40,7 +40,7 @@
         ShareBucket bucket = full(10, 2);
         List<OptionalLong> waits = new ArrayList<>();
         for (int call = 0; call < 6; call++) {
-            waits.add(bucket.reserve(0, 250));
+            waits.add(bucket.reserve(0, 250).granted());
         }
         assertThat(waits)
                 .containsExactly(
@@ -62,7 +62,7 @@
         List<Long> starts = new ArrayList<>();
         for (long now = 0; now < 20_000; now += random.nextInt(random.nextInt(10) == 0 ? 400 : 25)) {
             long moment = now;
-            bucket.reserve(now, random.nextInt(700)).ifPresent(wait -> starts.add(moment + wait));
+            bucket.reserve(now, random.nextInt(700)).granted().ifPresent(wait -> starts.add(moment + wait));
         }
         starts.sort(Long::compare);
         for (int first = 0; first < starts.size(); first++) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -76,6 +77,7 @@
     private ScheduledFuture<?> pause;
     private ScheduledFuture<?> silence;
     private long sentMillis;
+    private OptionalLong firstSentMillis = OptionalLong.empty();
     private boolean done;
     private int sends;
 
@@ -118,6 +120,11 @@
         return Optional.ofNullable(endpoint);
     }
 
+    /** When the first attempt began, on this VM's clock; empty before it. */
+    OptionalLong firstSentMillis() {
+        return firstSentMillis;
+    }
+
     /** Attempts made. */
     int sends() {
         return sends;
@@ -137,6 +144,7 @@
         }
         endpoint = chosen.get();
         sentMillis = now;
+        firstSentMillis = firstSentMillis.isPresent() ? firstSentMillis : OptionalLong.of(now);
         sends++;
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
@@ -14,6 +13,7 @@
 import java.util.function.LongSupplier;
 import org.quetzalshunt.core.endpoint.EndpointTable;
 import org.quetzalshunt.core.share.ShareRecord;
+import org.quetzalshunt.core.share.TokenOffer;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.core.vm.VmRole;
 import org.quetzalshunt.server.http.IpPort;
@@ -53,6 +53,7 @@
     /** Proofs are renewed every second or two; one that is older was missed. */
     private static final long IN_TOUCH_MILLIS = 2_600;
 
+    /** On the wire: no token, or no wait after which there is one. */
     private static final long NO_TOKEN = -1;
 
     private final EventLoopGroup group;
@@ -61,13 +62,13 @@
     private final EndpointTable endpoints;
     private final NodeClock clock;
     private final DecisionLog log;
-    private final BiFunction<String, Long, OptionalLong> giveToken;
+    private final BiFunction<String, Long, TokenOffer> giveToken;
     private final Map<String, PeerLink> links = new HashMap<>();
     private final LongSupplier proofAgeMillis;
     /** When each peer last said that its configuration is proven current. */
     private final Map<String, Long> inTouchMillis = new HashMap<>();
 
-    private final Map<Long, Consumer<OptionalLong>> waiting = new HashMap<>();
+    private final Map<Long, Consumer<TokenOffer>> waiting = new HashMap<>();
     private LinkConnector connector;
     private long nextId;
     private Map<String, Integer> told = Map.of();
@@ -85,7 +86,7 @@
             EndpointTable endpoints,
             NodeClock clock,
             DecisionLog log,
-            BiFunction<String, Long, OptionalLong> giveToken,
+            BiFunction<String, Long, TokenOffer> giveToken,
             LongSupplier proofAgeMillis) {
         this.group = group;
         this.executor = group.next();
@@ -136,25 +137,33 @@
         return link != null && link.isOpen();
     }
 
-    /** Asks another gateway for a token: the wait until it may be used; empty when there is none, or no answer. */
-    void askToken(String vm, String account, long mostWaitMillis, Consumer<OptionalLong> listener) {
+    /** Asks another gateway for a token; one that does not answer has none. */
+    void askToken(String vm, String account, long mostWaitMillis, Consumer<TokenOffer> listener) {
         if (!reaches(vm)) {
-            listener.accept(OptionalLong.empty());
+            listener.accept(TokenOffer.NONE);
             return;
         }
         long id = nextId++;
         waiting.put(id, listener);
         links.get(vm).send(Message.tokenRequest(new TokenRequest(id, account, mostWaitMillis)));
-        executor.schedule(() -> answered(id, OptionalLong.empty()), TOKEN_MILLIS, TimeUnit.MILLISECONDS);
+        executor.schedule(() -> answered(id, TokenOffer.NONE), TOKEN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void answered(long id, OptionalLong waitMillis) {
-        Consumer<OptionalLong> listener = waiting.remove(id);
+    private void answered(long id, TokenOffer offer) {
+        Consumer<TokenOffer> listener = waiting.remove(id);
         if (listener != null) {
-            listener.accept(waitMillis);
+            listener.accept(offer);
         }
     }
 
+    private static TokenOffer offer(TokenAnswer answer) {
+        if (answer.getWaitMillis() >= 0) {
+            return TokenOffer.taken(answer.getWaitMillis());
+        }
+        boolean later = answer.isSetShortestMillis() && answer.getShortestMillis() >= 0;
+        return later ? TokenOffer.later(answer.getShortestMillis()) : TokenOffer.NONE;
+    }
+
     private void tellLoads() {
         long now = clock.now();
         Map<String, Integer> running = endpoints.running();
@@ -181,9 +190,7 @@
         if (message.isSetTokenRequest()) {
             giveToken(link, message.getTokenRequest());
         } else if (message.isSetTokenAnswer()) {
-            TokenAnswer answer = message.getTokenAnswer();
-            long wait = answer.getWaitMillis();
-            answered(answer.getId(), wait < 0 ? OptionalLong.empty() : OptionalLong.of(wait));
+            answered(message.getTokenAnswer().getId(), offer(message.getTokenAnswer()));
         } else if (message.isSetEndpointLoads() && message.getEndpointLoads().getRunning() != null) {
             loadsTold(link.remote().id().name(), message.getEndpointLoads());
         }
@@ -209,10 +216,12 @@
         if (request.getAccount() == null) {
             return;
         }
-        long wait = giveToken
-                .apply(request.getAccount(), request.getMostWaitMillis())
-                .orElse(NO_TOKEN);
-        link.send(Message.tokenAnswer(new TokenAnswer(request.getId(), wait)));
+        TokenOffer offer = giveToken.apply(request.getAccount(), request.getMostWaitMillis());
+        TokenAnswer answer = new TokenAnswer(request.getId(), offer.taken() ? offer.waitMillis() : NO_TOKEN);
+        if (!offer.taken() && offer.waitMillis() != TokenOffer.NEVER) {
+            answer.setShortestMillis(offer.waitMillis());
+        }
+        link.send(Message.tokenAnswer(answer));
     }
 
     @Override
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
@@ -58,6 +58,7 @@
         accepted.request().previousTurn().ifPresent(turn -> line.put("previousTurn", turn));
         call.ifPresent(each -> {
             line.put("sends", each.sends());
+            each.firstSentMillis().ifPresent(sent -> line.put("sentAfterMillis", sent - accepted.arrivedMillis()));
             each.endpoint().map(Registration::id).ifPresent(id -> line.put("endpoint", id));
         });
         if (!detail.isEmpty()) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
@@ -16,6 +16,8 @@
 import org.quetzalshunt.core.share.ShareBucket;
 import org.quetzalshunt.core.share.ShareLedger;
 import org.quetzalshunt.core.share.ShareRecord;
+import org.quetzalshunt.core.share.TokenOffer;
+import org.quetzalshunt.core.share.TokenSearch;
 import org.quetzalshunt.core.store.AppendAnswer;
 import org.quetzalshunt.core.store.ChangesAnswer;
 import org.quetzalshunt.core.store.MapEntry;
@@ -86,28 +88,19 @@
             listener.accept(OptionalLong.of(0));
             return;
         }
-        ask(account.name(), mostWaitMillis, ledger.holders(account.name()), 0, listener);
+        TokenSearch.start(
+                ledger.holders(account.name()),
+                mostWaitMillis,
+                (holder, most, answer) -> ask(holder, account.name(), most, answer),
+                listener);
     }
 
-    private void ask(
-            String account, long mostWaitMillis, List<String> holders, int index, Consumer<OptionalLong> listener) {
-        if (index == holders.size()) {
-            listener.accept(OptionalLong.empty());
-            return;
-        }
-        Consumer<OptionalLong> next = wait -> {
-            if (wait.isPresent()) {
-                listener.accept(wait);
-            } else {
-                ask(account, mostWaitMillis, holders, index + 1, listener);
-            }
-        };
-        String holder = holders.get(index);
+    private void ask(String holder, String account, long mostWaitMillis, Consumer<TokenOffer> answer) {
         if (holder.equals(self)) {
-            next.accept(reserveHere(account, mostWaitMillis));
-        } else {
-            links.askToken(holder, account, mostWaitMillis, next);
+            answer.accept(reserveHere(account, mostWaitMillis));
+            return;
         }
+        links.askToken(holder, account, mostWaitMillis, answer);
     }
 
     private boolean takeHere(String account) {
@@ -116,10 +109,10 @@
     }
 
     /** Takes a token from this VM's part, for itself or for another VM, that may still have to be earned. */
-    OptionalLong reserveHere(String account, long mostWaitMillis) {
+    TokenOffer reserveHere(String account, long mostWaitMillis) {
         long now = clock.now();
         if (stopping || !ledger.leased(now)) {
-            return OptionalLong.empty();
+            return TokenOffer.NONE;
         }
         return bucket(account).reserve(now, mostWaitMillis);
     }
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -245,6 +245,7 @@
 struct TokenAnswer {
   1: i64 id
   2: i64 waitMillis
+  3: optional i64 shortestMillis
 }
 
 /**
