A gateway that alone lost the store says so to the balancer and closes its callers' connections

Cause: in a partial outage a gateway refused every turn for the five seconds until its keys lapsed, and stayed in the balancer's choice.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -39,4 +39,13 @@
         long wanted = links.anyInTouch() ? ELSEWHERE_MILLIS : NOWHERE_MILLIS;
         return Math.max(ELSEWHERE_MILLIS, Math.min(wanted, leftMillis / LARGEST_PART_OF_LEFT));
     }
+
+    /**
+     * Whether this VM has lost the shared map while another has not: callers are better off there. Guards against a
+     * partial outage, in which this VM would refuse every turn, and stay in the balancer's choice, until its keys lapse
+     * several seconds later. In an outage for all there is no better place.
+     */
+    boolean cutOffAlone() {
+        return map.away() && links.anyInTouch();
+    }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -154,6 +154,7 @@
 
     private boolean isReady() {
         return !stopping
+                && !gateway.cutOffAlone()
                 && gateway.configuration().current().isPresent()
                 && gateway.configuration().ageMillis() < settings.keyAgeMillis()
                 && gateway.registrations().everRead()
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -40,7 +40,8 @@
     /** Takes a request; its answer comes now or later. */
     void handle(HttpExchange exchange) {
         gateway.clock().check();
-        if (stopping.getAsBoolean()) {
+        if (stopping.getAsBoolean() || gateway.cutOffAlone()) {
+            // A kept connection stays with this VM; the next one that its caller opens goes to a VM that is ready.
             exchange.closeAfterAnswer();
         }
         Optional<CallerRequest> request = gateway.dialect().request(exchange);
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -92,11 +92,14 @@
         }
     }
 
-    /** Takes no new connections and breaks those open. */
+    /** Takes no new connections and breaks those open, on the event loop, where connections come and go. */
     public void close() {
-        channel.close();
-        for (Channel connection : Set.copyOf(connections)) {
-            connection.close();
+        if (channel.eventLoop().isShuttingDown()) {
+            return;
         }
+        channel.eventLoop().execute(() -> {
+            channel.close();
+            Set.copyOf(connections).forEach(Channel::close);
+        });
     }
 }
