How long a request waits for a token is a decision of its own: half of its time under way, little for beginnings

Cause: of an account with a small rate, programs under way were refused after a quarter of their time, and a second refusal ends them.

--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/share/TokenPatienceTest.java
@@ -0,0 +1,55 @@
+package org.quetzalshunt.core.share;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class TokenPatienceTest {
+    private static final double RATE = 8;
+    private static final long TURN_MILLIS = 3_000;
+
+    /**
+     * A program of an account of eight a second starts helpers and tools: so many requests come at once, on an empty
+     * bucket. Each that is refused may end the program; each that waits must still have time to run.
+     */
+    @ParameterizedTest
+    @CsvSource({"4", "8", "12"})
+    void handfulOfAProgramUnderWayIsCarried(int requests) {
+        ShareBucket bucket = ShareBucket.create(0);
+        bucket.limit(0, RATE, RATE);
+        long longest = 0;
+        for (int request = 0; request < requests; request++) {
+            TokenOffer offer = bucket.reserve(0, TokenPatience.mostWaitMillis(false, false, TURN_MILLIS));
+            assertThat(offer.taken()).isTrue();
+            longest = Math.max(longest, offer.waitMillis());
+        }
+        assertThat(longest).isAtMost(TURN_MILLIS / 2);
+    }
+
+    /** The same account is that far behind already: a new program would make those under way late, and gives way. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void accountFarBehindBeginsNoMorePrograms(boolean mostUrgent) {
+        ShareBucket bucket = ShareBucket.create(0);
+        bucket.limit(0, RATE, RATE);
+        for (int request = 0; request < 4; request++) {
+            bucket.reserve(0, TokenPatience.mostWaitMillis(false, false, TURN_MILLIS));
+        }
+        assertThat(bucket.reserve(0, TokenPatience.mostWaitMillis(true, mostUrgent, TURN_MILLIS))
+                        .taken())
+                .isFalse();
+    }
+
+    /** A moment's shortage: the urgent program begins a little later, the other comes back. */
+    @ParameterizedTest
+    @CsvSource({"true, true", "false, false"})
+    void momentsShortageDelaysOnlyUrgentBeginnings(boolean mostUrgent, boolean taken) {
+        ShareBucket bucket = ShareBucket.create(0);
+        bucket.limit(0, RATE, RATE);
+        bucket.reserve(0, TokenPatience.mostWaitMillis(false, false, TURN_MILLIS));
+        assertThat(bucket.reserve(0, TokenPatience.mostWaitMillis(true, mostUrgent, TURN_MILLIS))
+                        .taken())
+                .isEqualTo(taken);
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -10,6 +10,7 @@
 import org.quetzalshunt.core.route.Route;
 import org.quetzalshunt.core.route.ServiceEntry;
 import org.quetzalshunt.core.route.TrafficConfiguration;
+import org.quetzalshunt.core.share.TokenPatience;
 import org.quetzalshunt.server.http.HttpExchange;
 
 /**
@@ -20,9 +21,6 @@
     /** Time that a caller is taken to wait when it does not say. */
     private static final long DEADLINE_UNSAID_MILLIS = 10_000;
 
-    /** Part of its time that a request may wait for a token: it must still run, and be tried again if that fails. */
-    private static final double WAIT_PART = 0.25;
-
     /** For accounts without a token, in milliseconds: the time in which the fleet earns five, within bounds. */
     private static final long RATE_LEAST_MILLIS = 100;
 
@@ -137,13 +135,9 @@
         });
     }
 
-    /**
-     * A program under way waits for its token, since a refusal may cost all that it has done; a new one does not, so that
-     * an account at its rate begins no more programs than it can carry, unless it is of the most urgent kind.
-     */
     private static long mostWait(Accepted accepted, long leftMillis) {
-        boolean gives = accepted.beginsProgram() && accepted.route().priority() > 0;
-        return gives ? 0 : (long) (WAIT_PART * leftMillis);
+        boolean mostUrgent = accepted.route().priority() <= 0;
+        return TokenPatience.mostWaitMillis(accepted.beginsProgram(), mostUrgent, leftMillis);
     }
 
     private Optional<BudgetKeeper.Verdict.Spent> spent(Accepted accepted) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -22,11 +22,9 @@
  * answer passes only once the turn is kept: a caller that saw the end can go on from it at any VM, whatever happens.
  */
 final class StreamRun implements EndpointCall.Listener {
-    /** Kept beyond the retention, since callers' clocks and ours may differ. */
-    private static final long RETENTION_MARGIN_MILLIS = 10_000;
-
     private final Gateway gateway;
     private final Accepted accepted;
+    private final TurnGrant grant;
     private final EventFrames frames = EventFrames.create();
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
@@ -38,8 +36,6 @@
     private int status;
     private HttpHeaders headers;
     private boolean chainKnown;
-    private boolean granted;
-    private boolean reserved;
     private boolean answerEnded;
     private boolean keeping;
     private boolean finished;
@@ -48,6 +44,7 @@
     private StreamRun(Gateway gateway, Accepted accepted) {
         this.gateway = gateway;
         this.accepted = accepted;
+        this.grant = new TurnGrant(gateway, accepted);
     }
 
     /** Starts a run; it ends by itself. */
@@ -60,30 +57,24 @@
     }
 
     private void begin() {
-        if (!accepted.route().stateful()) {
-            chainKnown = true;
-            granted = true;
-            dispatch();
-            return;
-        }
-        boolean first = accepted.request().previousTurn().isEmpty();
-        boolean unknown =
-                accepted.budgetedProgram().filter(gateway.budgets()::knows).isEmpty();
-        boolean ample = accepted.request().tokenBudget().orElse(Long.MAX_VALUE) >= accepted.mostTokens();
         findChain();
-        if (first && unknown && ample) {
+        if (beginsChain() && grant.plainlyAmple()) {
             dispatch();
         }
-        reserve();
+        grant.ask(this::decided);
+    }
+
+    private boolean beginsChain() {
+        return !accepted.route().stateful() || accepted.request().previousTurn().isEmpty();
     }
 
     private void findChain() {
-        Optional<String> previous = accepted.request().previousTurn();
-        if (previous.isEmpty()) {
+        if (beginsChain()) {
             chainKnown = true;
             return;
         }
-        gateway.history().find(previous.get(), accepted.accountName(), this::chainFound);
+        String previous = accepted.request().previousTurn().orElseThrow();
+        gateway.history().find(previous, accepted.accountName(), this::chainFound);
     }
 
     private void chainFound(TurnHistory.Chain answer) {
@@ -108,33 +99,11 @@
                         accepted.deadlineMillis() - gateway.clock().now())));
     }
 
-    private void reserve() {
-        if (finished) {
-            return;
-        }
-        Optional<String> program = accepted.budgetedProgram();
-        if (program.isEmpty()) {
-            granted = true;
-            dispatchWhenReady();
-            return;
-        }
-        gateway.budgets()
-                .reserve(
-                        program.get(),
-                        accepted.request().tokenBudget().getAsLong(),
-                        accepted.mostTokens(),
-                        accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS,
-                        this::reserved);
-    }
-
-    private void reserved(BudgetKeeper.Verdict verdict) {
-        reserved = verdict instanceof BudgetKeeper.Verdict.Granted;
+    private void decided(BudgetKeeper.Verdict verdict) {
         if (finished) {
-            release();
             return;
         }
-        if (reserved) {
-            granted = true;
+        if (verdict instanceof BudgetKeeper.Verdict.Granted) {
             dispatchWhenReady();
             pass();
             return;
@@ -169,7 +138,7 @@
     }
 
     private void dispatchWhenReady() {
-        if (chainKnown && granted && call == null && !finished) {
+        if (chainKnown && grant.granted() && call == null && !finished) {
             dispatch();
         }
     }
@@ -211,7 +180,7 @@
     }
 
     private void pass() {
-        if (!granted || finished || headers == null || head != AnswerHead.SUCCESS) {
+        if (!grant.granted() || finished || headers == null || head != AnswerHead.SUCCESS) {
             return;
         }
         if (!held.isEmpty()) {
@@ -272,7 +241,7 @@
             ancestors.addAll(last.ancestors());
             ancestors.add(last.id());
         }
-        long expires = gateway.clock().wall() + accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS;
+        long expires = gateway.clock().wall() + accepted.route().retentionMillis() + TurnGrant.RETENTION_MARGIN_MILLIS;
         return new TurnRecord(
                 id,
                 accepted.accountName(),
@@ -319,7 +288,7 @@
         if (keeping) {
             return "the turn could not be kept in time";
         }
-        return granted ? "no whole answer in time" : "no grant of tokens in time";
+        return grant.granted() ? "no whole answer in time" : "no grant of tokens in time";
     }
 
     private void callerLeft() {
@@ -351,17 +320,7 @@
         if (deadline != null) {
             deadline.cancel(false);
         }
-        release();
+        grant.close(events);
         return true;
     }
-
-    private void release() {
-        if (!reserved) {
-            return;
-        }
-        reserved = false;
-        long handedOut = Math.min(accepted.mostTokens(), events * accepted.tokensPerEvent());
-        accepted.budgetedProgram()
-                .ifPresent(program -> gateway.budgets().release(program, accepted.mostTokens(), handedOut));
-    }
 }
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -0,0 +1,78 @@
+package org.quetzalshunt.server.gateway;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** The tokens that one turn may hand out: asked for once, and what was not handed out given back at its end. */
+final class TurnGrant {
+    /** Kept beyond the retention, since callers' clocks and ours may differ. */
+    static final long RETENTION_MARGIN_MILLIS = 10_000;
+
+    private final Gateway gateway;
+    private final Accepted accepted;
+    private final Optional<String> program;
+    private boolean granted;
+    private boolean reserved;
+    private boolean closed;
+
+    TurnGrant(Gateway gateway, Accepted accepted) {
+        this.gateway = gateway;
+        this.accepted = accepted;
+        this.program = accepted.budgetedProgram();
+    }
+
+    /** Whether the turn's events may pass. */
+    boolean granted() {
+        return granted;
+    }
+
+    /**
+     * Whether the turn may be sent before it is granted: this VM has granted its program nothing yet, and its whole budget
+     * covers the turn. Only a program that loops over several VMs can then still be refused.
+     */
+    boolean plainlyAmple() {
+        boolean unknown = program.filter(gateway.budgets()::knows).isEmpty();
+        return unknown && accepted.request().tokenBudget().orElse(Long.MAX_VALUE) >= accepted.mostTokens();
+    }
+
+    /** Asks for the tokens; the listener hears the verdict unless the grant was closed meanwhile. */
+    void ask(Consumer<BudgetKeeper.Verdict> listener) {
+        if (program.isEmpty()) {
+            granted = true;
+            listener.accept(new BudgetKeeper.Verdict.Granted());
+            return;
+        }
+        gateway.budgets()
+                .reserve(
+                        program.get(),
+                        accepted.request().tokenBudget().getAsLong(),
+                        accepted.mostTokens(),
+                        accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS,
+                        verdict -> decided(verdict, listener));
+    }
+
+    private void decided(BudgetKeeper.Verdict verdict, Consumer<BudgetKeeper.Verdict> listener) {
+        reserved = verdict instanceof BudgetKeeper.Verdict.Granted;
+        granted = reserved;
+        if (closed) {
+            release(0);
+            return;
+        }
+        listener.accept(verdict);
+    }
+
+    /** The turn is over. */
+    void close(long events) {
+        closed = true;
+        release(events);
+    }
+
+    private void release(long events) {
+        if (!reserved) {
+            return;
+        }
+        reserved = false;
+        long handedOut = Math.min(accepted.mostTokens(), events * accepted.tokensPerEvent());
+        program.ifPresent(name -> gateway.budgets().release(name, accepted.mostTokens(), handedOut));
+    }
+}
