--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -53,6 +53,13 @@
     /** Proofs are renewed every second or two; one that is older was missed. */
     private static final long IN_TOUCH_MILLIS = 2_600;
 
+    /**
+     * Told in place of a proof's age by a VM that finds the shared map away. Guards against an outage for all in which
+     * each VM takes the others for better off, since their last proofs are young: callers would be sent from one to the
+     * next every 100 ms, and have used up their tries in the outage's first two seconds.
+     */
+    static final long LOST_MILLIS = Long.MAX_VALUE;
+
     /** On the wire: no token, or no wait after which there is one. */
     private static final long NO_TOKEN = -1;
 
@@ -77,7 +84,8 @@
     /**
      * Makes links that wait for the shared secret.
      *
-     * @param proofAgeMillis age of this VM's proof that its configuration is current
+     * @param proofAgeMillis age of this VM's proof that its configuration is current, {@link #LOST_MILLIS} as soon as it
+     *     finds the shared map away
      * @param giveToken takes a token of an account from this VM's part, for another VM: the wait until it may be used
      */
     FleetLinks(
@@ -203,6 +211,8 @@
         }
         if (loads.getProofAgeMillis() < IN_TOUCH_MILLIS) {
             inTouchMillis.put(vm, clock.now());
+        } else {
+            inTouchMillis.remove(vm);
         }
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -68,8 +68,14 @@
         RegistrationFollower registrations =
                 new RegistrationFollower(group.next(), map, dialect, clock, log, endpoints);
         RateKeeper rates = new RateKeeper(group.next(), map, clock, log, settings, configuration::current);
-        FleetLinks links =
-                new FleetLinks(group, settings, endpoints, clock, log, rates::reserveHere, configuration::ageMillis);
+        FleetLinks links = new FleetLinks(
+                group,
+                settings,
+                endpoints,
+                clock,
+                log,
+                rates::reserveHere,
+                () -> map.away() ? FleetLinks.LOST_MILLIS : configuration.ageMillis());
         CrashWatch crashes = new CrashWatch(group.next(), http, map, clock, log, settings);
         gateway = new Gateway(
                 settings,
