--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
@@ -9,11 +9,14 @@
     private static final double OUTCOME_WEIGHT = 0.15;
 
     /**
-     * In this time a share of failures that nothing confirms falls to half. An endpoint that was left alone is tried
-     * again after some four seconds, about as long as a bad spell of half its length.
+     * In this time a share of failures that nothing confirms falls to half, so that an endpoint that was left alone is
+     * tried again after some four seconds: soon enough to use it once it is sound, seldom enough while it is not.
      */
     private static final double FAILURE_HALF_LIFE_MILLIS = 2_000;
 
+    /** A share below this costs less than a tenth of a millisecond, and is taken for none. */
+    private static final double NEGLIGIBLE_SHARE = 0.005;
+
     /** What fails for others may serve here, as when a link between two data centres is bad: it costs about half. */
     private static final double OTHERS_WEIGHT = 0.7;
 
@@ -84,6 +87,9 @@
     }
 
     private static double decayed(long nowMillis, double share, long sinceMillis) {
+        if (share < NEGLIGIBLE_SHARE) {
+            return 0;
+        }
         return share * Math.pow(0.5, Math.max(0, nowMillis - sinceMillis) / FAILURE_HALF_LIFE_MILLIS);
     }
 
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
@@ -12,8 +12,8 @@
  * The endpoints of all services, and the choice among them: the one at which a request is expected to end soonest.
  *
  * <p>Load patterns: a burst, which must fill all endpoints before any queues; an endpoint that is slow or failing, which
- * must not attract work by looking empty or by failing fast; lines of turns, which belong where their prompt is cached unless waiting there
- * costs more than reading it again.
+ * must not attract work by looking empty or by failing fast; lines of turns, which belong where their prompt is cached
+ * unless waiting there costs more than reading it again.
  */
 public final class EndpointTable {
     /** Latency assumed of an endpoint that has not answered yet. */
