A program's budget holds on routes that keep no history

Cause: whether a turn has a budget, begins its program, goes on from a kept turn and is kept were one question, asked of the route. morning-order keeps no history but has programs and budgets: a loop got 11152 tokens on a budget of 1776. Now four questions of the request. While the map is away a turn without history runs on what this gateway's allotment covers. A turn is sent ahead of its grant only when it begins its program: sub-agents of loops were sent, run and cut. Test: loopingProgramStaysWithinItsBudgetOverGatewaysAndRestarts, parameterised over both kinds of route; the second case failed before (expected at most 130).

--- a/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.quetzalshunt.core.route.AccountTerms;
 import org.quetzalshunt.core.route.EngineShape;
+import org.quetzalshunt.core.route.RequestKind;
 import org.quetzalshunt.core.route.Route;
 import org.quetzalshunt.core.route.ServiceEntry;
 import org.quetzalshunt.server.http.HttpExchange;
@@ -56,16 +57,33 @@
         return (said + each - 1) / each * each;
     }
 
-    /** The program whose budget a turn spends, within its account; empty for requests without a budget. */
+    /** The program that the request belongs to, within its account. */
+    Optional<String> program() {
+        return request.program().map(program -> accountName() + ":" + program);
+    }
+
+    /** The program whose budget the request spends, whether or not its route keeps history; empty without a budget. */
     Optional<String> budgetedProgram() {
-        if (!route.stateful() || request.tokenBudget().isEmpty()) {
+        if (request.tokenBudget().isEmpty()) {
             return Optional.empty();
         }
-        return request.program().map(program -> accountName() + ":" + program);
+        return program();
     }
 
-    /** Whether this is the first turn of a program. */
+    /** Whether this is the first turn of a program; a sub-agent's first turn is not. */
     boolean beginsProgram() {
-        return route.stateful() && request.previousTurn().isEmpty();
+        return route.kind() == RequestKind.STREAM
+                && request.previousTurn().isEmpty()
+                && (request.line().isEmpty() || request.line().equals(request.program()));
+    }
+
+    /** Whether the turn goes on from nothing that is kept here. */
+    boolean beginsChain() {
+        return !route.stateful() || request.previousTurn().isEmpty();
+    }
+
+    /** Whether the turn is kept, for turns that go on from it. */
+    boolean keepsHistory() {
+        return route.stateful();
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
@@ -97,6 +97,12 @@
         return row != null && row.allotment.known();
     }
 
+    /** Whether this VM can grant a turn of the program without asking the shared map. */
+    boolean covers(String program, long mostTokens) {
+        Row row = rows.get(program);
+        return row != null && row.allotment.covers(mostTokens);
+    }
+
     /** Whether what this VM knows already says that the budget is spent: allotments of others never shrink. */
     Optional<Verdict.Spent> knownSpent(String program, long budget, long mostTokens) {
         Row row = rows.get(program);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
@@ -1,7 +1,9 @@
 package org.quetzalshunt.server.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.quetzalshunt.core.endpoint.PromptPart;
 
 /**
  * What a caller's request says, in this system's words.
@@ -12,9 +14,11 @@
  * @param key key of a client account; never logged
  * @param deadlineMillis how long the caller waits, from now
  * @param program program that the request belongs to
+ * @param line the line of turns that it belongs to: one for the program itself and one for each of its sub-agents
  * @param previousTurn id of the turn that this one goes on from
  * @param tokenBudget tokens that all turns of the program may generate
  * @param promptTokens tokens of the whole prompt
+ * @param promptParts parts of the prompt in order; requests with equal first parts share them in an engine's memory
  * @param mostTokens tokens that this turn may generate
  */
 public record CallerRequest(
@@ -24,7 +28,9 @@
         Optional<String> key,
         OptionalLong deadlineMillis,
         Optional<String> program,
+        Optional<String> line,
         Optional<String> previousTurn,
         OptionalLong tokenBudget,
         OptionalLong promptTokens,
+        List<PromptPart> promptParts,
         OptionalLong mostTokens) {}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -108,8 +108,8 @@
             Outcome.refuse(gateway, accepted, refusal, Optional.empty());
             return;
         }
-        if (route.stateful() && gateway.map().away()) {
-            // The turn could neither be granted nor kept; run, its work would be lost.
+        if (gateway.map().away() && needsMap(accepted)) {
+            // The turn could not be granted or not be kept; run, its work would be lost.
             Refusal refusal = elsewhere(request, ResultCode.LOG_UNAVAILABLE, "the shared map is away");
             Outcome.refuse(gateway, accepted, refusal, Optional.empty());
             return;
@@ -135,6 +135,13 @@
         });
     }
 
+    private boolean needsMap(Accepted accepted) {
+        return accepted.keepsHistory()
+                || accepted.budgetedProgram()
+                        .filter(program -> !gateway.budgets().covers(program, accepted.mostTokens()))
+                        .isPresent();
+    }
+
     private static long mostWait(Accepted accepted, long leftMillis) {
         boolean mostUrgent = accepted.route().priority() <= 0;
         return TokenPatience.mostWaitMillis(accepted.beginsProgram(), mostUrgent, leftMillis);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -58,18 +58,14 @@
 
     private void begin() {
         findChain();
-        if (beginsChain() && grant.plainlyAmple()) {
+        if (accepted.beginsChain() && grant.plainlyAmple()) {
             dispatch();
         }
         grant.ask(this::decided);
     }
 
-    private boolean beginsChain() {
-        return !accepted.route().stateful() || accepted.request().previousTurn().isEmpty();
-    }
-
     private void findChain() {
-        if (beginsChain()) {
+        if (accepted.beginsChain()) {
             chainKnown = true;
             return;
         }
@@ -227,7 +223,7 @@
         keeping = true;
         String id = accepted.request().id();
         call.endpoint().ifPresent(endpoint -> gateway.cachedPrompts().ran(id, endpoint.id()));
-        if (!accepted.route().stateful()) {
+        if (!accepted.keepsHistory()) {
             kept(true);
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -32,7 +32,9 @@
      */
     boolean plainlyAmple() {
         boolean unknown = program.filter(gateway.budgets()::knows).isEmpty();
-        return unknown && accepted.request().tokenBudget().orElse(Long.MAX_VALUE) >= accepted.mostTokens();
+        return unknown
+                && accepted.beginsProgram()
+                && accepted.request().tokenBudget().orElse(Long.MAX_VALUE) >= accepted.mostTokens();
     }
 
     /** Asks for the tokens; the listener hears the verdict unless the grant was closed meanwhile. */
