Work goes where its prompt lies in memory, and gateways tell each other where that is

Change: PromptPlaces in the choice: tokens that each endpoint would have to read, by a table of what was sent there, least recently used first out; told to the other gateways with the loads; a part that none holds has one home; reading costs everyone in the batch; an endpoint's speed is its time for a token. Speeds are learnt, the 168 tokens/ms of one site went. Each part has a flag (--without), the policy stands in the start line, and each request's line says what was believed.

--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointCost.java
@@ -0,0 +1,77 @@
+package org.quetzalshunt.core.endpoint;
+
+import org.quetzalshunt.core.policy.Mechanism;
+import org.quetzalshunt.core.policy.Policy;
+
+/**
+ * What a request costs at an endpoint, in milliseconds: until it ends there, and by how much it delays what runs there.
+ *
+ * <p>Load patterns: a burst, which must fill all endpoints before any queues; an endpoint that is slow or failing, which
+ * must not attract work by looking empty or by failing fast; programs with long prompts, of which an engine holds most in
+ * memory: read again elsewhere, each holds up every answer that the engine generates meanwhile.
+ */
+final class EndpointCost {
+    /** What one request more costs below the slots, as part of a latency: a batch step grows by about 3% a request. */
+    private static final double CROWDING = 0.03;
+
+    /** Both ways to another data centre take a millisecond; the rest stands for the price of the octets. */
+    private static final double OTHER_DATA_CENTRE_MILLIS = 8;
+
+    private static final double FULL_COST_MILLIS = 500;
+    private static final double SUSPECT_COST_MILLIS = 10_000;
+
+    /**
+     * What a failure costs its program: the time until its caller sends again and the work done anew, or the whole program
+     * where a call may not be repeated. It is multiplied by the square of the share of requests that failed lately, so that
+     * a single failure costs less than a short queue, and an endpoint that fails half of its requests serves once all
+     * others queue, and the rest is not drowned.
+     */
+    private static final double FAILURE_COST_MILLIS = 1_500;
+
+    private final String dataCentre;
+    private final Policy policy;
+
+    EndpointCost(String dataCentre, Policy policy) {
+        this.dataCentre = dataCentre;
+        this.policy = policy;
+    }
+
+    /**
+     * The cost of a run.
+     *
+     * @param missingTokens tokens of the prompt that the endpoint would have to read
+     */
+    double millis(long nowMillis, EndpointRow row, EngineSpeed speed, long missingTokens) {
+        int load = row.inFlight + row.othersInFlight;
+        double cost = runMillis(row, speed, load) + trouble(nowMillis, row);
+        if (!row.registration.dataCentre().equals(dataCentre)) {
+            cost += OTHER_DATA_CENTRE_MILLIS;
+        }
+        // While an engine reads, the answers of its whole batch stand still.
+        return cost + speed.readMillis(missingTokens) * (1 + load);
+    }
+
+    private double runMillis(EndpointRow row, EngineSpeed speed, int load) {
+        int slots = Math.max(1, row.registration.slots());
+        double alone = policy.has(Mechanism.TOKEN_PACE) && row.generates()
+                ? row.millisPerToken() * speed.tokensPerRun()
+                : row.latencyMillis;
+        double cost = alone * (1 + CROWDING * Math.min(load, slots));
+        if (load >= slots) {
+            cost += alone * (load - slots + 1) / slots;
+        }
+        return cost;
+    }
+
+    private static double trouble(long nowMillis, EndpointRow row) {
+        double cost = 0;
+        if (row.fullUntilMillis > nowMillis) {
+            cost += FULL_COST_MILLIS;
+        }
+        if (row.suspectUntilMillis > nowMillis) {
+            cost += SUSPECT_COST_MILLIS;
+        }
+        double failureShare = row.failureShare(nowMillis);
+        return cost + FAILURE_COST_MILLIS * failureShare * failureShare;
+    }
+}
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
@@ -5,6 +5,9 @@
     /** Weight of the newest latency in the average: about the last ten requests count. */
     private static final double LATENCY_WEIGHT = 0.1;
 
+    /** Weight of the newest run in the time for a token: about the last twenty count. */
+    private static final double PACE_WEIGHT = 0.05;
+
     /** Weight of the newest outcome in the share of failures: about the last seven requests count. */
     private static final double OUTCOME_WEIGHT = 0.15;
 
@@ -23,13 +26,18 @@
     private static final long FIRST_PENALTY_MILLIS = 300;
     private static final long LONGEST_PENALTY_MILLIS = 4_000;
 
+    final PromptMemory prompts = new PromptMemory();
     Registration registration;
     int inFlight;
     int othersInFlight;
     double latencyMillis;
+    /** Tokens that its memory holds; not known before its first prompt. */
+    long memoryTokens = Long.MAX_VALUE;
+
     long suspectUntilMillis = Long.MIN_VALUE / 2;
     long fullUntilMillis = Long.MIN_VALUE / 2;
     long removedMillis = Long.MAX_VALUE;
+    private double millisPerToken;
     private int failures;
     private double failureShare;
     private long failureShareMillis;
@@ -48,6 +56,21 @@
         outcome(nowMillis, 0);
     }
 
+    /** It generated an answer at this pace. */
+    void generated(double millisForToken) {
+        millisPerToken =
+                generates() ? millisPerToken + PACE_WEIGHT * (millisForToken - millisPerToken) : millisForToken;
+    }
+
+    /** Whether its pace is known. */
+    boolean generates() {
+        return millisPerToken > 0;
+    }
+
+    double millisPerToken() {
+        return millisPerToken;
+    }
+
     /** It answered with a failure, or not in time. The time that this took is no latency: errors are quick. */
     void errored(long nowMillis) {
         outcome(nowMillis, 1);
@@ -95,6 +118,7 @@
 
     /** Forgets what its former life earned. */
     void restarted() {
+        prompts.clear();
         failureShare = 0;
         othersFailureShare = 0;
         failures = 0;
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
@@ -1,5 +1,6 @@
 package org.quetzalshunt.core.endpoint;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -7,60 +8,44 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.quetzalshunt.core.membership.Rendezvous;
+import org.quetzalshunt.core.policy.Mechanism;
+import org.quetzalshunt.core.policy.Policy;
 
 /**
  * The endpoints of all services, and the choice among them: the one at which a request is expected to end soonest.
- *
- * <p>Load patterns: a burst, which must fill all endpoints before any queues; an endpoint that is slow or failing, which
- * must not attract work by looking empty or by failing fast; lines of turns, which belong where their prompt is cached
- * unless waiting there costs more than reading it again.
  */
 public final class EndpointTable {
     /** Latency assumed of an endpoint that has not answered yet. */
     private static final double FIRST_LATENCY_MILLIS = 100;
 
-    /** What one request more costs below the slots, as part of a latency: a batch step grows by about 3% a request. */
-    private static final double CROWDING = 0.03;
-
-    /**
-     * Both ways to another data centre take a millisecond; the rest stands for the price of the octets. About three
-     * requests more at a near endpoint outweigh it. Against 2 ms, one quiet day had 15 instead of 16 MB between data
-     * centres and 855 instead of 867 connections opened: no more than noise.
-     */
-    private static final double OTHER_DATA_CENTRE_MILLIS = 8;
-
     /** After an endpoint said that it is full, it is asked again only when nothing else is free. */
     private static final long FULL_MILLIS = 40;
 
-    private static final double FULL_COST_MILLIS = 500;
-    private static final double SUSPECT_COST_MILLIS = 10_000;
-
-    /**
-     * What a failure costs its program: the time until its caller sends again, 0.1 to 0.4 s, and the work done anew, or
-     * the whole program where a call may not be repeated. It is multiplied by the square of the share of requests that
-     * failed lately: one failure among sound answers, as one tool call in a hundred ends, costs 34 ms, less than a short
-     * queue; an endpoint that fails half of its requests 375 ms, so that it serves once all others queue, and the rest is
-     * not drowned.
-     */
-    private static final double FAILURE_COST_MILLIS = 1_500;
-
     /** Two failures among the last requests; one is not worth telling other VMs. */
     private static final double FAILURE_WORTH_TELLING = 0.2;
 
-    private final String dataCentre;
+    /** Places told to other VMs at once; the newest are worth most. */
+    private static final int MOST_NEWS = 512;
+
+    private final EndpointCost cost;
+    private final Policy policy;
     private final SplittableRandom random;
     private final Map<String, EndpointRow> rows = new HashMap<>();
     private final Map<String, List<EndpointRow>> byService = new HashMap<>();
     private final Map<String, Map<String, Integer>> others = new HashMap<>();
+    private final Map<String, EngineSpeed> speeds = new HashMap<>();
+    private final ArrayDeque<PromptPlace> news = new ArrayDeque<>();
 
-    private EndpointTable(String dataCentre, long seed) {
-        this.dataCentre = dataCentre;
+    private EndpointTable(String dataCentre, long seed, Policy policy) {
+        this.cost = new EndpointCost(dataCentre, policy);
+        this.policy = policy;
         this.random = new SplittableRandom(seed);
     }
 
     /** Makes an empty table for a VM in a data centre. */
-    public static EndpointTable create(String dataCentre, long seed) {
-        return new EndpointTable(dataCentre, seed);
+    public static EndpointTable create(String dataCentre, long seed, Policy policy) {
+        return new EndpointTable(dataCentre, seed, policy);
     }
 
     /** Takes in what an endpoint said of itself. */
@@ -121,46 +106,102 @@
     }
 
     /** The best endpoint for a request; empty when the service has none that takes work. */
-    public Optional<Registration> choose(long nowMillis, Wish wish) {
-        EndpointRow best = null;
-        double bestCost = Double.MAX_VALUE;
+    public Optional<Choice> choose(long nowMillis, Wish wish) {
+        Optional<String> home = home(wish);
+        EngineSpeed speed = speed(wish.service());
+        Choice best = null;
         for (EndpointRow row : list(wish.service())) {
             if (row.registration.leaving()
                     || row.inFlight >= wish.mostInFlight()
                     || wish.excluded().contains(row.registration.id())) {
                 continue;
             }
-            double cost = cost(nowMillis, row, wish) + random.nextDouble();
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = row;
+            long missing = policy.has(Mechanism.PROMPT_PLACES) ? row.prompts.missingTokens(wish.prompt()) : 0;
+            boolean isHome = home.filter(row.registration.id()::equals).isPresent();
+            long counted = isHome ? missing - wish.prompt().get(0).tokens() : missing;
+            double millis = cost.millis(nowMillis, row, speed, counted) + random.nextDouble();
+            if (best == null || millis < best.expectedMillis()) {
+                best = new Choice(row.registration, missing, millis);
             }
         }
-        return Optional.ofNullable(best).map(row -> row.registration);
+        return Optional.ofNullable(best);
     }
 
-    private double cost(long nowMillis, EndpointRow row, Wish wish) {
-        int slots = Math.max(1, row.registration.slots());
-        int load = row.inFlight + row.othersInFlight;
-        double cost = row.latencyMillis * (1 + CROWDING * Math.min(load, slots));
-        if (load >= slots) {
-            cost += row.latencyMillis * (load - slots + 1) / slots;
+    /**
+     * The endpoint that reads a prompt's first part when none holds it: all VMs take the same. Guards against a start of
+     * all, in which each VM has each common part read at another endpoint, as none has heard of the others yet.
+     */
+    private Optional<String> home(Wish wish) {
+        if (!policy.has(Mechanism.PROMPT_HOMES) || wish.prompt().size() < 2) {
+            return Optional.empty();
         }
-        if (!row.registration.dataCentre().equals(dataCentre)) {
-            cost += OTHER_DATA_CENTRE_MILLIS;
+        PromptPart first = wish.prompt().get(0);
+        List<EndpointRow> open = list(wish.service()).stream()
+                .filter(row -> !row.registration.leaving())
+                .toList();
+        if (open.stream().anyMatch(row -> row.prompts.holds(first))) {
+            return Optional.empty();
         }
-        if (row.fullUntilMillis > nowMillis) {
-            cost += FULL_COST_MILLIS;
+        return Rendezvous.winner(
+                first.id(), open.stream().map(row -> row.registration.id()).toList());
+    }
+
+    private EngineSpeed speed(String service) {
+        return speeds.computeIfAbsent(service, ignored -> new EngineSpeed());
+    }
+
+    /** An endpoint is about to read a prompt, and will hold it. */
+    public void prompted(String id, Wish wish) {
+        EndpointRow row = rows.get(id);
+        if (row == null) {
+            return;
         }
-        if (row.suspectUntilMillis > nowMillis) {
-            cost += SUSPECT_COST_MILLIS;
+        row.memoryTokens = wish.memoryTokens();
+        for (PromptPart part : wish.prompt()) {
+            if (!row.prompts.holds(part)) {
+                news.addLast(new PromptPlace(id, part));
+            }
+            row.prompts.hold(part, row.memoryTokens);
+        }
+        while (news.size() > MOST_NEWS) {
+            news.removeFirst();
+        }
+    }
+
+    /** What other VMs do not know yet of where prompts lie; each place is given out once. */
+    public List<PromptPlace> placesToTell() {
+        List<PromptPlace> places = List.copyOf(news);
+        news.clear();
+        return policy.has(Mechanism.SHARED_PLACES) ? places : List.of();
+    }
+
+    /** Another VM sent parts of prompts to endpoints. */
+    public void othersPrompted(List<PromptPlace> places) {
+        for (PromptPlace place : places) {
+            EndpointRow row = rows.get(place.endpoint());
+            if (row != null) {
+                row.prompts.hold(place.part(), row.memoryTokens);
+            }
         }
-        double failureShare = row.failureShare(nowMillis);
-        cost += FAILURE_COST_MILLIS * failureShare * failureShare;
-        if (wish.cachedAt().filter(row.registration.id()::equals).isPresent()) {
-            cost -= wish.cachedMillis();
+    }
+
+    /** An endpoint sent the first event of an answer. */
+    public void answerBegan(String id, long missingTokens, long tookMillis) {
+        EndpointRow row = rows.get(id);
+        if (row != null) {
+            speed(row.registration.service()).read(missingTokens, tookMillis);
+        }
+    }
+
+    /** An endpoint generated a whole answer; the time is that after its first event. */
+    public void generated(String id, long tokensAfterFirst, long tookMillis) {
+        EndpointRow row = rows.get(id);
+        if (row == null || tokensAfterFirst <= 0) {
+            return;
         }
-        return cost;
+        double millisForToken = Math.max(1, tookMillis) / (double) tokensAfterFirst;
+        row.generated(millisForToken);
+        speed(row.registration.service()).generated(tokensAfterFirst, millisForToken);
     }
 
     /** An attempt starts at an endpoint. */
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/PromptPlace.java
@@ -0,0 +1,9 @@
+package org.quetzalshunt.core.endpoint;
+
+/**
+ * Where a part of a prompt lies.
+ *
+ * @param endpoint id of the endpoint that it was sent to
+ * @param part the part, with the tokens that were sent
+ */
+public record PromptPlace(String endpoint, PromptPart part) {}
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/Wish.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/Wish.java
@@ -1,6 +1,6 @@
 package org.quetzalshunt.core.endpoint;
 
-import java.util.Optional;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -8,9 +8,13 @@
  *
  * @param service its service
  * @param excluded ids that it was already sent to
- * @param cachedAt id of the endpoint that may still hold the request's prompt
- * @param cachedMillis time that reading the prompt again would cost elsewhere
+ * @param prompt parts of its prompt in order; empty for work that reads none
+ * @param memoryTokens tokens that an engine of the service holds in memory
  * @param mostInFlight requests that this VM may have at one endpoint
  */
-public record Wish(
-        String service, Set<String> excluded, Optional<String> cachedAt, double cachedMillis, int mostInFlight) {}
+public record Wish(String service, Set<String> excluded, List<PromptPart> prompt, long memoryTokens, int mostInFlight) {
+    /** What a request without a prompt wants. */
+    public static Wish plain(String service, Set<String> excluded, int mostInFlight) {
+        return new Wish(service, excluded, List.of(), 0, mostInFlight);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -0,0 +1,29 @@
+package org.quetzalshunt.core.policy;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+
+/** A rule of the policy that can be switched off; what stands in its place is said with each. */
+public enum Mechanism {
+    /** Work goes where its prompt lies in memory. Without it: where least runs. */
+    PROMPT_PLACES,
+    /** Gateways tell each other where prompts lie. Without it: each knows of its own turns only. */
+    SHARED_PLACES,
+    /** A part that no endpoint holds is read first at one that all gateways agree on. Without it: anywhere. */
+    PROMPT_HOMES,
+    /** An endpoint's speed is its time for a token. Without it: the mean time of whole runs, long and short alike. */
+    TOKEN_PACE;
+
+    /** Name in flags: lower case, with hyphens. */
+    public String flag() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** The mechanism with a name as in flags. */
+    public static Optional<Mechanism> ofFlag(String flag) {
+        return Arrays.stream(values())
+                .filter(mechanism -> mechanism.flag().equals(flag))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Which rules are in force, as one value that is made at start. */
+package org.quetzalshunt.core.policy;
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/endpoint/EndpointTableTest.java
@@ -3,18 +3,19 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalshunt.core.policy.Policy;
 
 /** Who gets work: in a burst, with a slow, a full and a failing endpoint among healthy ones, and with cached prompts. */
 final class EndpointTableTest {
-    private final EndpointTable table = EndpointTable.create("a", 7);
+    private final EndpointTable table = EndpointTable.create("a", 7, Policy.whole());
 
     @BeforeEach
     void register() {
@@ -28,11 +29,15 @@
     }
 
     private static Wish wish() {
-        return new Wish("llm", Set.of(), Optional.empty(), 0, 100);
+        return Wish.plain("llm", Set.of(), 100);
     }
 
     private String choose(long now) {
-        return table.choose(now, wish()).orElseThrow().id();
+        return choose(now, wish());
+    }
+
+    private String choose(long now, Wish wish) {
+        return table.choose(now, wish).orElseThrow().registration().id();
     }
 
     @Test
@@ -103,12 +108,13 @@
 
     @Test
     void cachedPromptDrawsWorkUnlessWaitingThereCostsMore() {
-        Wish wish = new Wish("llm", Set.of(), Optional.of("e2"), 12, 100);
-        assertThat(table.choose(0, wish).orElseThrow().id()).isEqualTo("e2");
+        Wish wish = new Wish("llm", Set.of(), List.of(new PromptPart("own", 1_200)), 90_000, 100);
+        table.prompted("e2", wish);
+        assertThat(choose(0, wish)).isEqualTo("e2");
         for (int request = 0; request < 12; request++) {
             table.started("e2");
         }
-        assertThat(table.choose(0, wish).orElseThrow().id()).isNotEqualTo("e2");
+        assertThat(choose(0, wish)).isNotEqualTo("e2");
     }
 
     @Test
--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/endpoint/PromptPlacesTest.java
@@ -0,0 +1,158 @@
+package org.quetzalshunt.core.endpoint;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalshunt.core.policy.Mechanism;
+import org.quetzalshunt.core.policy.Policy;
+
+/** Where turns with long common prompts go: at one VM, at several that hear of each other, and at a start of all. */
+final class PromptPlacesTest {
+    private static final int ENGINES = 6;
+    private static final long MEMORY_TOKENS = 1_000_000;
+    private static final PromptPart COMMON = new PromptPart("common", 12_600);
+
+    private final EndpointTable first = table(1, Policy.whole());
+    private final EndpointTable second = table(2, Policy.whole());
+
+    private static EndpointTable table(long seed, Policy policy) {
+        EndpointTable table = EndpointTable.create("a", seed, policy);
+        for (int number = 0; number < ENGINES; number++) {
+            String address = "10.0.0." + number + ":80";
+            table.registered(new Registration("e" + number, "llm", address, "a", 48, false, 1));
+        }
+        return table;
+    }
+
+    @BeforeEach
+    void engineSpeedsAreKnown() {
+        for (EndpointTable table : List.of(first, second)) {
+            for (int number = 0; number < ENGINES; number++) {
+                table.answerBegan("e" + number, 12_000, 80);
+                table.generated("e" + number, 250, 400);
+            }
+        }
+    }
+
+    private static Wish turn(String line, long tokens) {
+        return wish(List.of(COMMON, new PromptPart(line, tokens)));
+    }
+
+    private static Wish wish(List<PromptPart> prompt) {
+        return new Wish("llm", Set.of(), prompt, MEMORY_TOKENS, 1_000);
+    }
+
+    private static String send(EndpointTable table, Wish wish) {
+        String id = table.choose(0, wish).orElseThrow().registration().id();
+        table.started(id);
+        table.prompted(id, wish);
+        return id;
+    }
+
+    /**
+     * A program's turns arrive through another VM each time, on a route that keeps no history. Without word of where the
+     * first ran, the second is read anew elsewhere, with the whole prompt of the program, and holds up all that runs there.
+     */
+    @Test
+    void turnFollowsItsProgramThroughAnotherVm() {
+        String ran = send(first, turn("line", 2_000));
+        first.finished(0, ran, Finish.ANSWERED, 400);
+        second.othersPrompted(first.placesToTell());
+
+        assertThat(send(second, turn("line", 3_500))).isEqualTo(ran);
+    }
+
+    @Test
+    void subAgentFollowsTheProgramWhosePromptItGoesOnFrom() {
+        String ran = send(first, turn("line", 2_000));
+        PromptPart parent = new PromptPart("line", 2_000);
+
+        assertThat(send(first, wish(List.of(COMMON, parent, new PromptPart("helper", 800)))))
+                .isEqualTo(ran);
+    }
+
+    /** Slow and fast runs alike must not make a turn leave its prompt: their mean is noise, not the engine's speed. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void oddRunsDoNotDrawATurnAwayFromItsPrompt(long seed) {
+        String ran = send(first, turn("line", 2_000));
+        Random random = new Random(seed);
+        for (int run = 0; run < 200; run++) {
+            String id = "e" + random.nextInt(ENGINES);
+            long tokens = 16L * (1 + random.nextInt(37));
+            first.started(id);
+            first.generated(id, tokens, (long) (tokens * 1.6));
+            first.finished(run, id, Finish.ANSWERED, (long) (tokens * 1.6));
+        }
+
+        assertThat(send(first, turn("line", 3_000))).isEqualTo(ran);
+    }
+
+    /**
+     * All VMs begin at once, and each has callers with the same common prompt. Each would have it read at an engine of its
+     * own choice, so that six engines read it in the first instant where one or two would do.
+     */
+    @Test
+    void coldStartReadsACommonPartAtOneEndpoint() {
+        Set<String> readAt = new HashSet<>();
+        for (int vm = 0; vm < 8; vm++) {
+            readAt.add(send(table(vm, Policy.whole()), turn("line-" + vm, 1_000)));
+        }
+        assertThat(readAt).hasSize(1);
+    }
+
+    /** One common part alone must not gather the work of all at one engine: crowded enough, others read it too. */
+    @Test
+    void crowdedHomeIsRelieved() {
+        List<String> sent = new ArrayList<>();
+        for (int request = 0; request < 120; request++) {
+            sent.add(send(first, turn("line-" + request, 1_000)));
+        }
+        assertThat(new HashSet<>(sent)).hasSize(ENGINES);
+    }
+
+    /** Memory for a few prompts only: what was sent long ago is gone there, and must not draw a turn to a busy engine. */
+    @Test
+    void smallMemoryForgetsTheLeastRecentPrompt() {
+        PromptMemory memory = new PromptMemory();
+        for (int number = 0; number < 10; number++) {
+            memory.hold(new PromptPart("p" + number, 10_000), 50_000);
+        }
+        assertThat(memory.missingTokens(List.of(new PromptPart("p9", 11_000)))).isEqualTo(1_000);
+        assertThat(memory.missingTokens(List.of(new PromptPart("p4", 10_000)))).isEqualTo(10_000);
+        assertThat(memory.missingTokens(List.of(new PromptPart("p4", 10_000), new PromptPart("p9", 10_000))))
+                .isEqualTo(20_000);
+    }
+
+    @Test
+    void restartedEndpointHoldsNothing() {
+        String ran = send(first, turn("line", 2_000));
+        first.registered(new Registration(ran, "llm", "10.0.0.9:80", "a", 48, false, 2));
+
+        assertThat(first.choose(0, turn("line", 2_000)).orElseThrow().missingTokens())
+                .isEqualTo(14_600);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Mechanism.class,
+            names = {"PROMPT_PLACES", "SHARED_PLACES"})
+    void withoutTheMechanismTheSecondVmKnowsOfNothing(Mechanism mechanism) {
+        EndpointTable plain = table(1, Policy.without(List.of(mechanism)));
+        send(plain, turn("line", 2_000));
+        second.othersPrompted(plain.placesToTell());
+
+        Choice choice = second.choose(0, turn("line", 2_000)).orElseThrow();
+
+        assertThat(choice.missingTokens()).isEqualTo(mechanism == Mechanism.SHARED_PLACES ? 14_600 : 0);
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -9,11 +9,13 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.core.endpoint.Choice;
 import org.quetzalshunt.core.endpoint.Finish;
 import org.quetzalshunt.core.endpoint.Registration;
 import org.quetzalshunt.core.endpoint.Wish;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.core.route.EngineShape;
 import org.quetzalshunt.core.route.RequestKind;
 import org.quetzalshunt.server.http.CallTimes;
 import org.quetzalshunt.server.http.HttpCall;
@@ -63,16 +65,13 @@
      */
     private static final double SILENT_TARGETS = 2;
 
-    /** Engines read about this many prompt tokens a millisecond. */
-    private static final double PROMPT_TOKENS_PER_MILLI = 168;
-
     private final Gateway gateway;
     private final Accepted accepted;
     private final byte[] body;
-    private final Optional<String> cachedAt;
     private final Listener listener;
     private final Set<String> excluded = new HashSet<>();
     private Registration endpoint;
+    private Choice choice;
     private HttpCall call;
     private ScheduledFuture<?> pause;
     private ScheduledFuture<?> silence;
@@ -81,11 +80,10 @@
     private boolean done;
     private int sends;
 
-    EndpointCall(Gateway gateway, Accepted accepted, byte[] body, Optional<String> cachedAt, Listener listener) {
+    EndpointCall(Gateway gateway, Accepted accepted, byte[] body, Listener listener) {
         this.gateway = gateway;
         this.accepted = accepted;
         this.body = body;
-        this.cachedAt = cachedAt;
         this.listener = listener;
     }
 
@@ -120,6 +118,16 @@
         return Optional.ofNullable(endpoint);
     }
 
+    /** What was believed of that endpoint when it was chosen. */
+    Optional<Choice> choice() {
+        return Optional.ofNullable(choice);
+    }
+
+    /** When the last attempt began, on this VM's clock. */
+    long sentMillis() {
+        return sentMillis;
+    }
+
     /** When the first attempt began, on this VM's clock; empty before it. */
     OptionalLong firstSentMillis() {
         return firstSentMillis;
@@ -137,17 +145,20 @@
             refuse(Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, "no time left"));
             return;
         }
-        Optional<Registration> chosen = gateway.endpoints().choose(now, wish());
+        Wish wish = wish();
+        Optional<Choice> chosen = gateway.endpoints().choose(now, wish);
         if (chosen.isEmpty()) {
             noEndpoint(remaining);
             return;
         }
-        endpoint = chosen.get();
+        choice = chosen.get();
+        endpoint = choice.registration();
         sentMillis = now;
         firstSentMillis = firstSentMillis.isPresent() ? firstSentMillis : OptionalLong.of(now);
         sends++;
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
+        gateway.endpoints().prompted(endpoint.id(), wish);
         watchSilence();
         call = gateway.http().send(request(remaining), times(remaining), this::own, new Answer());
     }
@@ -162,8 +173,12 @@
     private Wish wish() {
         int vms = Math.max(1, gateway.rates().liveVms());
         int most = Math.max(2, accepted.service().maximumConnections() / vms);
-        double cachedMillis = accepted.request().promptTokens().orElse(0) / PROMPT_TOKENS_PER_MILLI;
-        return new Wish(accepted.service().name(), excluded, cachedAt, cachedMillis, most);
+        long memory = accepted.service()
+                .engine()
+                .map(EngineShape::cacheTokens)
+                .filter(tokens -> tokens > 0)
+                .orElse(Long.MAX_VALUE);
+        return new Wish(accepted.service().name(), excluded, accepted.request().promptParts(), memory, most);
     }
 
     private void noEndpoint(long remaining) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +13,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quetzalshunt.core.endpoint.EndpointTable;
+import org.quetzalshunt.core.endpoint.PromptPart;
+import org.quetzalshunt.core.endpoint.PromptPlace;
 import org.quetzalshunt.core.share.ShareRecord;
 import org.quetzalshunt.core.share.TokenOffer;
 import org.quetzalshunt.core.vm.VmId;
@@ -25,6 +28,7 @@
 import org.quetzalshunt.server.transport.PeerLink;
 import org.quetzalshunt.wire.generated.EndpointLoads;
 import org.quetzalshunt.wire.generated.Message;
+import org.quetzalshunt.wire.generated.PromptPlaced;
 import org.quetzalshunt.wire.generated.TokenAnswer;
 import org.quetzalshunt.wire.generated.TokenRequest;
 
@@ -175,11 +179,13 @@
     private void tellLoads() {
         long now = clock.now();
         Map<String, Integer> running = endpoints.running();
-        if (!running.equals(told) || now - toldMillis >= REPEAT_MILLIS) {
+        List<PromptPlaced> placed = placed();
+        if (!running.equals(told) || !placed.isEmpty() || now - toldMillis >= REPEAT_MILLIS) {
             told = running;
             toldMillis = now;
             EndpointLoads loads = new EndpointLoads(running, proofAgeMillis.getAsLong());
             loads.setFailing(endpoints.failing(now));
+            loads.setPlaced(placed);
             Message message = Message.endpointLoads(loads);
             links.values().stream().filter(PeerLink::isWritable).forEach(link -> link.send(message));
         }
@@ -187,6 +193,20 @@
         executor.schedule(this::tellLoads, pace, TimeUnit.MILLISECONDS);
     }
 
+    private List<PromptPlaced> placed() {
+        return endpoints.placesToTell().stream()
+                .map(place -> new PromptPlaced(
+                        place.endpoint(), place.part().id(), place.part().tokens()))
+                .toList();
+    }
+
+    private static List<PromptPlace> places(List<PromptPlaced> placed) {
+        return placed.stream()
+                .filter(each -> each.getEndpoint() != null && each.getPart() != null)
+                .map(each -> new PromptPlace(each.getEndpoint(), new PromptPart(each.getPart(), each.getTokens())))
+                .toList();
+    }
+
     @Override
     public void onOpen(PeerLink link) {
         links.put(link.remote().id().name(), link);
@@ -209,6 +229,9 @@
         if (loads.isSetFailing()) {
             endpoints.othersFail(clock.now(), loads.getFailing());
         }
+        if (loads.isSetPlaced()) {
+            endpoints.othersPrompted(places(loads.getPlaced()));
+        }
         if (loads.getProofAgeMillis() < IN_TOUCH_MILLIS) {
             inTouchMillis.put(vm, clock.now());
         } else {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -19,7 +19,6 @@
         RateKeeper rates,
         TurnHistory history,
         BudgetKeeper budgets,
-        CachedPrompts cachedPrompts,
         MapClient map,
         FleetLinks links,
         CrashWatch crashes) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -61,7 +61,8 @@
         NodeClock clock = new NodeClock(this::clockJumped);
         HttpClient http = HttpClient.create(group);
         MapClient map = new MapClient(maps.apply(http), clock);
-        EndpointTable endpoints = EndpointTable.create(settings.dataCentre(), settings.incarnation());
+        EndpointTable endpoints =
+                EndpointTable.create(settings.dataCentre(), settings.incarnation(), settings.policy());
         GatewayMeasures measures = new GatewayMeasures();
         ConfigurationFollower configuration =
                 new ConfigurationFollower(group.next(), map, dialect, clock, log, this::configurationChanged);
@@ -91,7 +92,6 @@
                 rates,
                 new TurnHistory(group.next(), map, clock),
                 new BudgetKeeper(group.next(), map, clock, settings),
-                new CachedPrompts(),
                 map,
                 links,
                 crashes);
@@ -100,6 +100,7 @@
         log.line(log.event("start")
                 .put("incarnation", settings.incarnation())
                 .put("dataCentre", settings.dataCentre())
+                .put("policy", settings.policy().toString())
                 .put("callers", settings.callers().toString()));
         configuration.start();
         registrations.start();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.gateway;
 
 import java.net.InetSocketAddress;
+import org.quetzalshunt.core.policy.Policy;
 
 /**
  * Settings of a gateway.
@@ -13,6 +14,7 @@
  * @param links address for other gateways
  * @param keyAgeMillis age at which what is known of keys no longer counts
  * @param stopMillis longest time of a planned stop
+ * @param policy rules of the decisions under load
  */
 public record GatewaySettings(
         String vm,
@@ -22,7 +24,14 @@
         InetSocketAddress probes,
         InetSocketAddress links,
         long keyAgeMillis,
-        long stopMillis) {
+        long stopMillis,
+        Policy policy) {
+    /** The same with another policy. */
+    public GatewaySettings withPolicy(Policy other) {
+        return new GatewaySettings(
+                vm, incarnation, dataCentre, callers, probes, links, keyAgeMillis, stopMillis, other);
+    }
+
     /** Names this life of this VM in keys of the shared map; no other life has the same name. */
     String life() {
         return vm + ":" + Long.toString(incarnation, Character.MAX_RADIX);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
@@ -60,6 +60,8 @@
             line.put("sends", each.sends());
             each.firstSentMillis().ifPresent(sent -> line.put("sentAfterMillis", sent - accepted.arrivedMillis()));
             each.endpoint().map(Registration::id).ifPresent(id -> line.put("endpoint", id));
+            each.choice().ifPresent(choice -> line.put("expectedMillis", Math.round(choice.expectedMillis()))
+                    .put("missingTokens", choice.missingTokens()));
         });
         if (!detail.isEmpty()) {
             line.put("detail", detail);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PlainRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PlainRun.java
@@ -38,7 +38,7 @@
     private PlainRun(Gateway gateway, Accepted accepted) {
         this.gateway = gateway;
         this.accepted = accepted;
-        this.call = new EndpointCall(gateway, accepted, accepted.exchange().body(), Optional.empty(), this);
+        this.call = new EndpointCall(gateway, accepted, accepted.exchange().body(), this);
     }
 
     /** Starts a run; it ends by itself. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -39,7 +39,11 @@
     private boolean answerEnded;
     private boolean keeping;
     private boolean finished;
+    /** Events that came from the endpoint, and those that went on to the caller. */
+    private long made;
+
     private long events;
+    private long firstMillis;
 
     private StreamRun(Gateway gateway, Accepted accepted) {
         this.gateway = gateway;
@@ -141,8 +145,7 @@
 
     private void dispatch() {
         byte[] prompt = TurnPrompt.assemble(chain, accepted.exchange().body());
-        Optional<String> cachedAt = accepted.request().previousTurn().flatMap(gateway.cachedPrompts()::endpointOf);
-        call = new EndpointCall(gateway, accepted, prompt, cachedAt, this);
+        call = new EndpointCall(gateway, accepted, prompt, this);
         call.start();
     }
 
@@ -162,7 +165,12 @@
             failureBody.writeBytes(data);
             return;
         }
-        for (EventFrames.Frame frame : frames.accept(data)) {
+        List<EventFrames.Frame> whole = frames.accept(data);
+        if (made == 0 && !whole.isEmpty()) {
+            answerBegan();
+        }
+        made += whole.size();
+        for (EventFrames.Frame frame : whole) {
             held.add(frame.octets());
             output.writeBytes(frame.data());
             output.write('\n');
@@ -175,6 +183,18 @@
         pass();
     }
 
+    private void answerBegan() {
+        firstMillis = gateway.clock().now();
+        call.choice().ifPresent(choice -> gateway.endpoints()
+                .answerBegan(choice.registration().id(), choice.missingTokens(), firstMillis - call.sentMillis()));
+    }
+
+    private void generated() {
+        long tokens = Math.max(0, made - 1) * accepted.tokensPerEvent();
+        long took = gateway.clock().now() - firstMillis;
+        call.endpoint().ifPresent(endpoint -> gateway.endpoints().generated(endpoint.id(), tokens, took));
+    }
+
     private void pass() {
         if (!grant.granted() || finished || headers == null || head != AnswerHead.SUCCESS) {
             return;
@@ -207,6 +227,7 @@
             return;
         }
         answerEnded = true;
+        generated();
         pass();
     }
 
@@ -222,7 +243,6 @@
         }
         keeping = true;
         String id = accepted.request().id();
-        call.endpoint().ifPresent(endpoint -> gateway.cachedPrompts().ran(id, endpoint.id()));
         if (!accepted.keepsHistory()) {
             kept(true);
             return;
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -248,6 +248,13 @@
   3: optional i64 shortestMillis
 }
 
+/** A part of a prompt that the sender had an endpoint read. */
+struct PromptPlaced {
+  1: string endpoint
+  2: string part
+  3: i64 tokens
+}
+
 /**
  * How many requests of the sender run at each endpoint; those without any are left out. The age is that of the
  * sender's proof that its configuration is current.
@@ -256,6 +263,7 @@
   1: map<string, i32> running
   2: i64 proofAgeMillis
   3: optional map<string, double> failing
+  4: optional list<PromptPlaced> placed
 }
 
 union Message {
