A program's allotment holds no spare, so that a budget covers its turns over many gateways

Cause: each gateway on a program's way kept up to three turns of its budget as a spare, and returned none of it. Gateways that were killed took their spare with them. Change: an allotment is raised by what the turn needs. A turn whose budget is plainly ample is sent while its grant is asked for, on routes with history too, so that the further call delays nothing. Ruled out: tokens of turns that really ran (events times tokens an event, added up for twelve of these programs). Tests: everyTurnThatTheBudgetCoversIsGrantedAcrossManyVms failed before. spareCoversTheNextTurns and spareShrinksWithWhatIsLeft told of the spare itself; in their place nextTurnIsGrantedWithWhatTheLastDidNotHandOut and ampleBudgetHasRoomForMoreThanTheTurn.

--- a/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
+++ b/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
@@ -7,17 +7,13 @@
  * shared map; the sum of all VMs' allotments is kept within the budget and the most of one turn by appends that expect
  * the shard as it was read. What a VM held that died counts as spent.
  *
- * <p>Load pattern: programs whose turns come close together at one VM, and programs that never stop and start
- * sub-agents at several VMs at once. For the first, an allotment has a spare, so that most turns need no call to the
- * shared map; for the second, the spare shrinks with what is left, so that a VM does not keep from another what it will
- * not use.
+ * <p>Load pattern: programs whose turns arrive through one VM after another. An allotment is raised by no more than one
+ * turn needs: with a spare for the turns to come, each VM on the way keeps tokens that it will never hand out, and a
+ * program well within its budget is told that it is spent.
  */
 public final class ProgramAllotment {
-    /** Turns that a spare covers at most: a guess between calls saved and tokens stranded when the line moves. */
-    private static final int SPARE_TURNS = 3;
-
-    /** Part of what is left that one VM may hold as a spare: a guess that lets four VMs hold one at once. */
-    private static final int SPARE_DIVISOR = 4;
+    /** Turns that must still fit besides, for a turn to be sent ahead of its grant. */
+    private static final int AMPLE_TURNS = 2;
 
     private long allotted;
     private long used;
@@ -48,6 +44,11 @@
         return known && allotted - used >= mostTokens;
     }
 
+    /** Whether, by what was last read, more turns fit than this one, so that its grant is almost sure to come. */
+    public boolean ample(long budget, long mostTokens) {
+        return known && budget - others - used >= (1 + AMPLE_TURNS) * mostTokens;
+    }
+
     /** A turn starts; it may hand out that many tokens. */
     public void started(long mostTokens) {
         used += mostTokens;
@@ -68,9 +69,7 @@
         if (others + used > budget) {
             return OptionalLong.empty();
         }
-        long room = Math.max(0, budget - others - used - mostTokens);
-        long spare = Math.min(room / SPARE_DIVISOR, SPARE_TURNS * mostTokens);
-        return OptionalLong.of(Math.max(allotted, used + mostTokens + spare));
+        return OptionalLong.of(Math.max(allotted, used + mostTokens));
     }
 
     /** The wanted allotment is kept in the shared map. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
@@ -103,6 +103,12 @@
         return row != null && row.allotment.covers(mostTokens);
     }
 
+    /** Whether a turn's grant is almost sure to come, by what this VM last read of its program. */
+    boolean ample(String program, long budget, long mostTokens) {
+        Row row = rows.get(program);
+        return row != null && row.allotment.ample(budget, mostTokens);
+    }
+
     /** Whether what this VM knows already says that the budget is spent: allotments of others never shrink. */
     Optional<Verdict.Spent> knownSpent(String program, long budget, long mostTokens) {
         Row row = rows.get(program);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -17,8 +17,8 @@
 /**
  * A request whose answer is a stream of events; a turn of a program, where its route keeps history.
  *
- * <p>A turn is sent once its history is read and its tokens are granted, except for a program's first turn: its grant is
- * asked for while the endpoint reads the prompt, and events wait for it. Events then pass as they come. The end of the
+ * <p>A turn is sent once its history is read and its tokens are granted, except where the budget is plainly ample: then its
+ * grant is asked for while the endpoint reads the prompt, and events wait for it. Events then pass as they come. The end of the
  * answer passes only once the turn is kept: a caller that saw the end can go on from it at any VM, whatever happens.
  */
 final class StreamRun implements EndpointCall.Listener {
@@ -35,6 +35,7 @@
     private AnswerHead head;
     private int status;
     private HttpHeaders headers;
+    private boolean ahead;
     private boolean chainKnown;
     private boolean answerEnded;
     private boolean keeping;
@@ -61,10 +62,9 @@
     }
 
     private void begin() {
+        ahead = grant.plainlyAmple();
         findChain();
-        if (accepted.beginsChain() && grant.plainlyAmple()) {
-            dispatch();
-        }
+        dispatchWhenReady();
         grant.ask(this::decided);
     }
 
@@ -138,7 +138,7 @@
     }
 
     private void dispatchWhenReady() {
-        if (chainKnown && grant.granted() && call == null && !finished) {
+        if (chainKnown && (ahead || grant.granted()) && call == null && !finished) {
             dispatch();
         }
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -27,14 +27,19 @@
     }
 
     /**
-     * Whether the turn may be sent before it is granted: this VM has granted its program nothing yet, and its whole budget
-     * covers the turn. Only a program that loops over several VMs can then still be refused.
+     * Whether the turn may be sent before it is granted: it begins its program, of which this VM knows nothing yet and whose
+     * whole budget covers the turn, or by what this VM knows more turns fit. Only a program that loops over several VMs can
+     * then still be refused.
      */
     boolean plainlyAmple() {
-        boolean unknown = program.filter(gateway.budgets()::knows).isEmpty();
-        return unknown
-                && accepted.beginsProgram()
-                && accepted.request().tokenBudget().orElse(Long.MAX_VALUE) >= accepted.mostTokens();
+        if (program.isEmpty()) {
+            return true;
+        }
+        long budget = accepted.request().tokenBudget().orElse(Long.MAX_VALUE);
+        if (gateway.budgets().knows(program.get())) {
+            return gateway.budgets().ample(program.get(), budget, accepted.mostTokens());
+        }
+        return accepted.beginsProgram() && budget >= accepted.mostTokens();
     }
 
     /** Asks for the tokens; the listener hears the verdict unless the grant was closed meanwhile. */
