Requests wait a part of their time for an outage to end, and rates settle quickly after one

A turn has two tries, sent three times; called back after 100 or 900 ms they were used up in 2 to 3.2 s. The records of rates were read and renewed once a second. Change: a request waits up to 0.3 of its time (1.2 s at most) for the map, a current configuration or a holder, programs under way first; its caller comes back after a third of what is left, spread; a VM whose rates are not settled looks every 200 ms. Three mechanisms with flags: outage-wait, late-return, quick-renewal. A VM that alone is cut off refuses at once. Ruled out: links (all open 0.1 s after the start).

--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -13,7 +13,13 @@
     /** A part that no endpoint holds is read first at one that all gateways agree on. Without it: anywhere. */
     PROMPT_HOMES,
     /** An endpoint's speed is its time for a token. Without it: the mean time of whole runs, long and short alike. */
-    TOKEN_PACE;
+    TOKEN_PACE,
+    /** Rates are settled quickly after an outage or a restart. Without it: at the calm pace of one round a second. */
+    QUICK_RENEWAL,
+    /** Requests wait for a part of their time for an outage to end. Without it: refused at once. */
+    OUTAGE_WAIT,
+    /** Callers come back late enough to outlive an outage for all. Without it: after 0.9 s. */
+    LATE_RETURN;
 
     /** Name in flags: lower case, with hyphens. */
     public String flag() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -1,7 +1,10 @@
 package org.quetzalshunt.server.gateway;
 
 import io.netty.util.concurrent.EventExecutor;
+import java.util.concurrent.ThreadLocalRandom;
 import org.quetzalshunt.core.endpoint.EndpointTable;
+import org.quetzalshunt.core.policy.Mechanism;
+import org.quetzalshunt.core.share.OutagePatience;
 import org.quetzalshunt.server.http.HttpClient;
 
 /** What the parts of one gateway share. All of it is used on one event loop. */
@@ -21,22 +24,26 @@
         BudgetKeeper budgets,
         MapClient map,
         FleetLinks links,
-        CrashWatch crashes) {
+        CrashWatch crashes,
+        RecoveryQueue recovery) {
     /** For callers whom this VM cannot serve but another can: at once, since a retry reaches another VM. */
     private static final long ELSEWHERE_MILLIS = 100;
 
-    /**
-     * For callers whom no VM can serve while the shared map is away. Callers wait at most a third of the time they have,
-     * three seconds for most; spaced so, the tries of one turn reach over an outage of five seconds.
-     */
+    /** The same for all callers alike, whatever time they have. */
     private static final long NOWHERE_MILLIS = 900;
 
     private static final int LARGEST_PART_OF_LEFT = 3;
 
     /** When a caller that this VM cannot serve should come back, in milliseconds. */
     long comeBackMillis(long leftMillis) {
-        long wanted = links.anyInTouch() ? ELSEWHERE_MILLIS : NOWHERE_MILLIS;
-        return Math.max(ELSEWHERE_MILLIS, Math.min(wanted, leftMillis / LARGEST_PART_OF_LEFT));
+        if (links.anyInTouch()) {
+            return ELSEWHERE_MILLIS;
+        }
+        long wanted = settings.policy().has(Mechanism.LATE_RETURN)
+                ? OutagePatience.comeBackMillis(
+                        leftMillis, ThreadLocalRandom.current().nextDouble())
+                : Math.min(NOWHERE_MILLIS, leftMillis / LARGEST_PART_OF_LEFT);
+        return Math.max(ELSEWHERE_MILLIS, wanted);
     }
 
     /**
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -94,7 +94,8 @@
                 new BudgetKeeper(group.next(), map, clock, settings),
                 map,
                 links,
-                crashes);
+                crashes,
+                new RecoveryQueue(group.next(), clock));
         gate = new RequestGate(gateway, () -> stopping);
         gauges(measures);
         log.line(log.event("start")
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
@@ -11,8 +11,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.quetzalshunt.core.policy.Mechanism;
+import org.quetzalshunt.core.policy.Policy;
 import org.quetzalshunt.core.route.AccountTerms;
 import org.quetzalshunt.core.route.TrafficConfiguration;
+import org.quetzalshunt.core.share.RenewalPace;
 import org.quetzalshunt.core.share.ShareBucket;
 import org.quetzalshunt.core.share.ShareLedger;
 import org.quetzalshunt.core.share.ShareRecord;
@@ -36,9 +39,6 @@
     private static final String VM_PREFIX = "vm/";
     private static final int SECRET_BYTES = 32;
 
-    /** How soon a VM that came or went is noticed; one read a second costs little. */
-    private static final long INTERVAL_MILLIS = 1_000;
-
     /** Conflicts in a row before the next interval is waited for. */
     private static final int MOST_TRIES = 6;
 
@@ -46,6 +46,7 @@
     private final MapClient map;
     private final NodeClock clock;
     private final DecisionLog log;
+    private final Policy policy;
     private final String key;
     private final String self;
     private final Supplier<Optional<TrafficConfiguration>> configuration;
@@ -70,6 +71,7 @@
         this.clock = clock;
         this.log = log;
         this.self = settings.vm();
+        this.policy = settings.policy();
         this.key = VM_PREFIX + settings.vm();
         this.configuration = configuration;
         InetSocketAddress address = settings.links();
@@ -182,7 +184,14 @@
     private void again() {
         limitBuckets();
         wantLinks();
-        executor.schedule(this::round, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        executor.schedule(this::round, paceMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private long paceMillis() {
+        if (!policy.has(Mechanism.QUICK_RENEWAL)) {
+            return RenewalPace.nextMillis(true, true);
+        }
+        return RenewalPace.nextMillis(leased(), reachesHolders());
     }
 
     private void wantLinks() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.core.route.AccountTerms;
@@ -10,6 +11,7 @@
 import org.quetzalshunt.core.route.Route;
 import org.quetzalshunt.core.route.ServiceEntry;
 import org.quetzalshunt.core.route.TrafficConfiguration;
+import org.quetzalshunt.core.share.OutagePatience;
 import org.quetzalshunt.core.share.TokenPatience;
 import org.quetzalshunt.server.http.HttpExchange;
 
@@ -27,6 +29,17 @@
     private static final double RATE_TOKENS = 5_000;
     private static final long RATE_MOST_MILLIS = 1_000;
 
+    /** A home that was lost is replaced, or found again, within about a second. */
+    private static final long NO_HOLDER_MILLIS = 300;
+
+    /** A request that arrived whole, before it is judged. */
+    private record Arrival(HttpExchange exchange, CallerRequest request, long arrivedMillis) {
+        /** Time that its caller had left when it arrived. */
+        long leftMillis() {
+            return request.deadlineMillis().orElse(DEADLINE_UNSAID_MILLIS);
+        }
+    }
+
     private final Gateway gateway;
     private final BooleanSupplier stopping;
 
@@ -47,71 +60,100 @@
             refuse(exchange, "", Refusal.notRun(ResultCode.MALFORMED_REQUEST, "the request has no id"));
             return;
         }
-        judge(exchange, request.get());
+        judge(new Arrival(exchange, request.get(), gateway.clock().now()));
     }
 
-    private void judge(HttpExchange exchange, CallerRequest request) {
+    private void judge(Arrival arrival) {
+        CallerRequest request = arrival.request();
         Optional<TrafficConfiguration> known = gateway.configuration().current();
         if (known.isEmpty()) {
-            refuse(exchange, request.id(), elsewhere(request, ResultCode.NOT_READY, "no configuration yet"));
+            if (!waits(arrival, false, () -> gateway.configuration().current().isPresent(), () -> judge(arrival))) {
+                refuse(arrival, elsewhere(arrival, ResultCode.NOT_READY, "no configuration yet"));
+            }
             return;
         }
         TrafficConfiguration configuration = known.get();
         Optional<Route> route = configuration.routes().find(request.host(), request.path());
         boolean open = route.filter(Route::open).isPresent();
-        boolean current =
-                gateway.configuration().ageMillis() < gateway.settings().keyAgeMillis();
-        if (!current && configuration.keysRequired() && !open) {
-            refuse(
-                    exchange,
-                    request.id(),
-                    elsewhere(request, ResultCode.CONFIGURATION_STALE, "the configuration is too old"));
+        if (!isCurrent() && configuration.keysRequired() && !open) {
+            if (!waits(arrival, false, this::isCurrent, () -> judge(arrival))) {
+                refuse(arrival, elsewhere(arrival, ResultCode.CONFIGURATION_STALE, "the configuration is too old"));
+            }
             return;
         }
         if (route.isEmpty()) {
-            refuse(exchange, request.id(), Refusal.notRun(ResultCode.UNKNOWN_PATH, "no route"));
+            refuse(arrival, Refusal.notRun(ResultCode.UNKNOWN_PATH, "no route"));
             return;
         }
         Optional<AccountTerms> account = request.key().flatMap(configuration::accountOf);
         if (configuration.keysRequired() && !open && account.isEmpty()) {
             ResultCode code = request.key().isEmpty() ? ResultCode.MISSING_KEY : ResultCode.UNKNOWN_KEY;
-            refuse(exchange, request.id(), Refusal.notRun(code, "version " + configuration.version()));
+            refuse(arrival, Refusal.notRun(code, "version " + configuration.version()));
             return;
         }
-        if (exchange.body().length > configuration.limits().maximumBodyBytes()) {
-            refuse(exchange, request.id(), Refusal.notRun(ResultCode.BODY_TOO_LARGE, "see the limits"));
+        if (arrival.exchange().body().length > configuration.limits().maximumBodyBytes()) {
+            refuse(arrival, Refusal.notRun(ResultCode.BODY_TOO_LARGE, "see the limits"));
             return;
         }
-        accept(exchange, request, configuration, route.get(), account);
+        accept(arrival, configuration, route.get(), account);
+    }
+
+    private boolean isCurrent() {
+        return gateway.configuration().ageMillis() < gateway.settings().keyAgeMillis();
+    }
+
+    /**
+     * Lets a request wait for the end of an outage that no other VM is spared, for a part of its time; false when it has
+     * waited already, or a caller is better off at another VM.
+     */
+    private boolean waits(Arrival arrival, boolean beginning, BooleanSupplier ready, Runnable resume) {
+        long until = arrival.arrivedMillis() + OutagePatience.mostWaitMillis(arrival.leftMillis());
+        boolean useful = gateway.settings().policy().has(Mechanism.OUTAGE_WAIT)
+                && !stopping.getAsBoolean()
+                && !gateway.cutOffAlone()
+                && gateway.clock().now() < until;
+        Runnable resumed = () -> {
+            if (arrival.exchange().finished()) {
+                refuse(arrival, Refusal.notRun(ResultCode.CANCELLED, "the caller left"));
+            } else {
+                resume.run();
+            }
+        };
+        return useful && gateway.recovery().offer(new RecoveryQueue.Waiting(beginning, until, ready, resumed));
     }
 
     private void accept(
-            HttpExchange exchange,
-            CallerRequest request,
-            TrafficConfiguration configuration,
-            Route route,
-            Optional<AccountTerms> account) {
+            Arrival arrival, TrafficConfiguration configuration, Route route, Optional<AccountTerms> account) {
+        CallerRequest request = arrival.request();
         ServiceEntry service = configuration
                 .services()
                 .get(route.serviceFor(request.program().orElse(request.id()).hashCode()));
         if (service == null) {
-            refuse(exchange, request.id(), elsewhere(request, ResultCode.NO_ENDPOINT, "the service is not configured"));
+            refuse(arrival, elsewhere(arrival, ResultCode.NO_ENDPOINT, "the service is not configured"));
             return;
         }
-        long now = gateway.clock().now();
-        long left = Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(DEADLINE_UNSAID_MILLIS));
-        Accepted accepted =
-                new Accepted(exchange, request, route, service, account, configuration.version(), now, now + left);
+        long deadline = arrival.arrivedMillis() + Math.min(route.timeoutMillis(), arrival.leftMillis());
+        Accepted accepted = new Accepted(
+                arrival.exchange(),
+                request,
+                route,
+                service,
+                account,
+                configuration.version(),
+                arrival.arrivedMillis(),
+                deadline);
         if (gateway.crashes().quarantined(accepted)) {
             Refusal refusal =
                     Refusal.notRun(ResultCode.CRASHES_ENDPOINTS, "it was running at three endpoints that crashed");
             Outcome.refuse(gateway, accepted, refusal, Optional.empty());
             return;
         }
-        if (gateway.map().away() && needsMap(accepted)) {
+        if (lacksMap(accepted)) {
             // The turn could not be granted or not be kept; run, its work would be lost.
-            Refusal refusal = elsewhere(request, ResultCode.LOG_UNAVAILABLE, "the shared map is away");
-            Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+            if (!waits(arrival, accepted.beginsProgram(), () -> !gateway.map().away(), () -> judge(arrival))) {
+                Refusal refusal = elsewhere(arrival, ResultCode.LOG_UNAVAILABLE, "the shared map is away");
+                Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+            }
             return;
         }
         Optional<BudgetKeeper.Verdict.Spent> spent = spent(accepted);
@@ -124,9 +166,14 @@
             run(accepted);
             return;
         }
-        gateway.rates().take(account.get(), mostWait(accepted, left), wait -> {
+        takeToken(arrival, accepted, account.get());
+    }
+
+    private void takeToken(Arrival arrival, Accepted accepted, AccountTerms account) {
+        long left = accepted.deadlineMillis() - gateway.clock().now();
+        gateway.rates().take(account, mostWait(accepted, left), wait -> {
             if (wait.isEmpty()) {
-                overRate(accepted, account.get());
+                noToken(arrival, accepted, account);
             } else if (wait.getAsLong() == 0) {
                 run(accepted);
             } else {
@@ -135,7 +182,10 @@
         });
     }
 
-    private boolean needsMap(Accepted accepted) {
+    private boolean lacksMap(Accepted accepted) {
+        if (!gateway.map().away()) {
+            return false;
+        }
         return accepted.keepsHistory()
                 || accepted.budgetedProgram()
                         .filter(program -> !gateway.budgets().covers(program, accepted.mostTokens()))
@@ -164,21 +214,33 @@
         }
     }
 
-    private void overRate(Accepted accepted, AccountTerms account) {
-        if (!gateway.rates().reachesHolder(account.name())) {
-            Refusal refusal =
-                    elsewhere(accepted.request(), ResultCode.NOT_READY, "no holder of the account is reached");
-            Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+    private void noToken(Arrival arrival, Accepted accepted, AccountTerms account) {
+        if (gateway.rates().reachesHolder(account.name())) {
+            overRate(accepted, account);
+            return;
+        }
+        BooleanSupplier reached = () -> gateway.rates().reachesHolder(account.name());
+        if (waits(arrival, accepted.beginsProgram(), reached, () -> judge(arrival))) {
             return;
         }
+        Refusal refusal =
+                Refusal.notRunRetryAfter(ResultCode.NOT_READY, "no holder of the account is reached", NO_HOLDER_MILLIS);
+        Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+    }
+
+    private void overRate(Accepted accepted, AccountTerms account) {
         long wait = Math.min(RATE_MOST_MILLIS, RATE_LEAST_MILLIS + (long) (RATE_TOKENS / account.ratePerSecond()));
         Refusal refusal = Refusal.notRunRetryAfter(ResultCode.RATE_EXCEEDED, "rate " + account.ratePerSecond(), wait);
         Outcome.refuse(gateway, accepted, refusal, Optional.empty());
     }
 
-    private Refusal elsewhere(CallerRequest request, ResultCode code, String detail) {
-        long left = request.deadlineMillis().orElse(DEADLINE_UNSAID_MILLIS);
-        return Refusal.notRunRetryAfter(code, detail, gateway.comeBackMillis(left));
+    private Refusal elsewhere(Arrival arrival, ResultCode code, String detail) {
+        long waited = gateway.clock().now() - arrival.arrivedMillis();
+        return Refusal.notRunRetryAfter(code, detail, gateway.comeBackMillis(arrival.leftMillis() - waited));
+    }
+
+    private void refuse(Arrival arrival, Refusal refusal) {
+        refuse(arrival.exchange(), arrival.request().id(), refusal);
     }
 
     private void refuse(HttpExchange exchange, String requestId, Refusal refusal) {
