Lines of turns have homes, and an endpoint's unread prompts count as a wait there

And an engine that had just been put in another's place looked idle and drew 21 turns with 12,600 tokens each in two seconds; their median was 1.4 s. Change: a part that is held nowhere by what is known goes by rendezvous hashing over the endpoints that hold what comes before it, so that gateways agree without memory or word; for 20 s after its start a gateway takes engines that are much older than itself to hold the common part. What an endpoint has still to read counts as a wait there, told between gateways. A VM that is alone without the map waits for the balancer like in an outage where no VM of its data centre is better off.

--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointCost.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointCost.java
@@ -47,8 +47,11 @@
         if (!row.registration.dataCentre().equals(dataCentre)) {
             cost += OTHER_DATA_CENTRE_MILLIS;
         }
-        // While an engine reads, the answers of its whole batch stand still.
-        return cost + speed.readMillis(missingTokens) * (1 + load);
+        if (policy.has(Mechanism.READ_BACKLOG)) {
+            cost += speed.readMillis(row.unreadTokens + row.othersUnreadTokens);
+        }
+        // While an engine reads, the answers of its whole batch stand still, and so does what comes next.
+        return cost + speed.readMillis(missingTokens) * (2 + load);
     }
 
     private double runMillis(EndpointRow row, EngineSpeed speed, int load) {
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
@@ -31,6 +31,10 @@
     int inFlight;
     int othersInFlight;
     double latencyMillis;
+    /** Tokens of prompts that were sent there and not read yet, by this VM and by others. */
+    long unreadTokens;
+
+    long othersUnreadTokens;
     /** Tokens that its memory holds; not known before its first prompt. */
     long memoryTokens = Long.MAX_VALUE;
 
@@ -119,6 +123,7 @@
     /** Forgets what its former life earned. */
     void restarted() {
         prompts.clear();
+        unreadTokens = 0;
         failureShare = 0;
         othersFailureShare = 0;
         failures = 0;
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import org.quetzalshunt.core.membership.Rendezvous;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 
@@ -28,24 +27,31 @@
     /** Places told to other VMs at once; the newest are worth most. */
     private static final int MOST_NEWS = 512;
 
+    private final PromptHomes homes;
     private final EndpointCost cost;
     private final Policy policy;
     private final SplittableRandom random;
     private final Map<String, EndpointRow> rows = new HashMap<>();
     private final Map<String, List<EndpointRow>> byService = new HashMap<>();
     private final Map<String, Map<String, Integer>> others = new HashMap<>();
+    private final Map<String, Map<String, Long>> othersUnread = new HashMap<>();
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
     private final ArrayDeque<PromptPlace> news = new ArrayDeque<>();
 
-    private EndpointTable(String dataCentre, long seed, Policy policy) {
+    private EndpointTable(String dataCentre, long startedMillis, Policy policy) {
+        this.homes = new PromptHomes(startedMillis);
         this.cost = new EndpointCost(dataCentre, policy);
         this.policy = policy;
-        this.random = new SplittableRandom(seed);
+        this.random = new SplittableRandom(startedMillis);
     }
 
-    /** Makes an empty table for a VM in a data centre. */
-    public static EndpointTable create(String dataCentre, long seed, Policy policy) {
-        return new EndpointTable(dataCentre, seed, policy);
+    /**
+     * Makes an empty table for a VM in a data centre.
+     *
+     * @param startedMillis when its process began, in Unix milliseconds
+     */
+    public static EndpointTable create(String dataCentre, long startedMillis, Policy policy) {
+        return new EndpointTable(dataCentre, startedMillis, policy);
     }
 
     /** Takes in what an endpoint said of itself. */
@@ -107,19 +113,24 @@
 
     /** The best endpoint for a request; empty when the service has none that takes work. */
     public Optional<Choice> choose(long nowMillis, Wish wish) {
-        Optional<String> home = home(wish);
+        List<EndpointRow> open = list(wish.service()).stream()
+                .filter(row -> !row.registration.leaving())
+                .toList();
+        boolean homed = policy.has(Mechanism.PROMPT_PLACES)
+                && policy.has(Mechanism.PROMPT_HOMES)
+                && !wish.prompt().isEmpty();
+        Optional<PromptHomes.Home> home = homed ? homes.find(nowMillis, open, wish.prompt()) : Optional.empty();
         EngineSpeed speed = speed(wish.service());
         Choice best = null;
-        for (EndpointRow row : list(wish.service())) {
-            if (row.registration.leaving()
-                    || row.inFlight >= wish.mostInFlight()
-                    || wish.excluded().contains(row.registration.id())) {
+        for (EndpointRow row : open) {
+            if (row.inFlight >= wish.mostInFlight() || wish.excluded().contains(row.registration.id())) {
                 continue;
             }
-            long missing = policy.has(Mechanism.PROMPT_PLACES) ? row.prompts.missingTokens(wish.prompt()) : 0;
-            boolean isHome = home.filter(row.registration.id()::equals).isPresent();
-            long counted = isHome ? missing - wish.prompt().get(0).tokens() : missing;
-            double millis = cost.millis(nowMillis, row, speed, counted) + random.nextDouble();
+            long missing = missingTokens(nowMillis, row, wish.prompt());
+            long spared = home.filter(each -> each.endpoint().equals(row.registration.id()))
+                    .map(PromptHomes.Home::sparedTokens)
+                    .orElse(0L);
+            double millis = cost.millis(nowMillis, row, speed, Math.max(0, missing - spared)) + random.nextDouble();
             if (best == null || millis < best.expectedMillis()) {
                 best = new Choice(row.registration, missing, millis);
             }
@@ -127,35 +138,26 @@
         return Optional.ofNullable(best);
     }
 
-    /**
-     * The endpoint that reads a prompt's first part when none holds it: all VMs take the same. Guards against a start of
-     * all, in which each VM has each common part read at another endpoint, as none has heard of the others yet.
-     */
-    private Optional<String> home(Wish wish) {
-        if (!policy.has(Mechanism.PROMPT_HOMES) || wish.prompt().size() < 2) {
-            return Optional.empty();
+    private long missingTokens(long nowMillis, EndpointRow row, List<PromptPart> prompt) {
+        if (!policy.has(Mechanism.PROMPT_PLACES)) {
+            return 0;
         }
-        PromptPart first = wish.prompt().get(0);
-        List<EndpointRow> open = list(wish.service()).stream()
-                .filter(row -> !row.registration.leaving())
-                .toList();
-        if (open.stream().anyMatch(row -> row.prompts.holds(first))) {
-            return Optional.empty();
-        }
-        return Rendezvous.winner(
-                first.id(), open.stream().map(row -> row.registration.id()).toList());
+        return policy.has(Mechanism.PROMPT_HOMES)
+                ? homes.missingTokens(nowMillis, row, prompt)
+                : row.prompts.missingTokens(prompt);
     }
 
     private EngineSpeed speed(String service) {
         return speeds.computeIfAbsent(service, ignored -> new EngineSpeed());
     }
 
-    /** An endpoint is about to read a prompt, and will hold it. */
-    public void prompted(String id, Wish wish) {
+    /** An endpoint is sent a prompt of which it has to read some tokens; it will hold all of it. */
+    public void prompted(String id, Wish wish, long missingTokens) {
         EndpointRow row = rows.get(id);
         if (row == null) {
             return;
         }
+        row.unreadTokens += missingTokens;
         row.memoryTokens = wish.memoryTokens();
         for (PromptPart part : wish.prompt()) {
             if (!row.prompts.holds(part)) {
@@ -193,6 +195,25 @@
         }
     }
 
+    /** An endpoint has read a prompt, or will not. */
+    public void promptDone(String id, long missingTokens) {
+        EndpointRow row = rows.get(id);
+        if (row != null) {
+            row.unreadTokens = Math.max(0, row.unreadTokens - missingTokens);
+        }
+    }
+
+    /** Tokens that this VM sent to endpoints and that they have not read yet, where there are any. */
+    public Map<String, Long> unread() {
+        Map<String, Long> unread = new HashMap<>();
+        rows.forEach((id, row) -> {
+            if (row.unreadTokens > 0) {
+                unread.put(id, row.unreadTokens);
+            }
+        });
+        return unread;
+    }
+
     /** An endpoint generated a whole answer; the time is that after its first event. */
     public void generated(String id, long tokensAfterFirst, long tookMillis) {
         EndpointRow row = rows.get(id);
@@ -261,15 +282,41 @@
         });
     }
 
+    /** Another VM said how many tokens it sent that are not read yet; endpoints left out have none of them. */
+    public void otherUnread(String vm, Map<String, Long> unread) {
+        forgetUnread(vm);
+        othersUnread.put(vm, unread);
+        unread.forEach((id, tokens) -> addUnread(id, tokens));
+    }
+
+    private void forgetUnread(String vm) {
+        Map<String, Long> former = othersUnread.remove(vm);
+        if (former != null) {
+            former.forEach((id, tokens) -> addUnread(id, -tokens));
+        }
+    }
+
+    private void addUnread(String id, long tokens) {
+        EndpointRow row = rows.get(id);
+        if (row != null) {
+            row.othersUnreadTokens = Math.max(0, row.othersUnreadTokens + tokens);
+        }
+    }
+
     /** Another VM said how much of its own runs where; endpoints left out have none of it. */
     public void otherRuns(String vm, Map<String, Integer> running) {
-        forgetOther(vm);
+        forgetRuns(vm);
         others.put(vm, running);
         running.forEach((id, count) -> addOthers(id, count));
     }
 
     /** Another VM is gone or silent. */
     public void forgetOther(String vm) {
+        forgetRuns(vm);
+        forgetUnread(vm);
+    }
+
+    private void forgetRuns(String vm) {
         Map<String, Integer> former = others.remove(vm);
         if (former != null) {
             former.forEach((id, count) -> addOthers(id, -count));
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/PromptMemory.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/PromptMemory.java
@@ -40,6 +40,15 @@
         return heldTokens(part) >= part.tokens();
     }
 
+    /** How many of a prompt's first parts it holds at all; the last of them may have grown since. */
+    int heldParts(List<PromptPart> prompt) {
+        int count = 0;
+        while (count < prompt.size() && heldTokens(prompt.get(count)) > 0) {
+            count++;
+        }
+        return count;
+    }
+
     private long heldTokens(PromptPart part) {
         return tokensByPart.getOrDefault(part.id(), 0L);
     }
--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -10,8 +10,10 @@
     PROMPT_PLACES,
     /** Gateways tell each other where prompts lie. Without it: each knows of its own turns only. */
     SHARED_PLACES,
-    /** A part that no endpoint holds is read first at one that all gateways agree on. Without it: anywhere. */
+    /** A part that no endpoint is known to hold goes where all gateways agree on. Without it: anywhere. */
     PROMPT_HOMES,
+    /** Prompts that an endpoint has still to read count as a wait there. Without it: an empty new one draws all at once. */
+    READ_BACKLOG,
     /** An endpoint's speed is its time for a token. Without it: the mean time of whole runs, long and short alike. */
     TOKEN_PACE,
     /** Rates are settled quickly after an outage or a restart. Without it: at the calm pace of one round a second. */
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/endpoint/EndpointTableTest.java
@@ -109,7 +109,7 @@
     @Test
     void cachedPromptDrawsWorkUnlessWaitingThereCostsMore() {
         Wish wish = new Wish("llm", Set.of(), List.of(new PromptPart("own", 1_200)), 90_000, 100);
-        table.prompted("e2", wish);
+        table.prompted("e2", wish, 1_200);
         assertThat(choose(0, wish)).isEqualTo("e2");
         for (int request = 0; request < 12; request++) {
             table.started("e2");
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/PromptPlacesTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/endpoint/PromptPlacesTest.java
@@ -52,9 +52,18 @@
     }
 
     private static String send(EndpointTable table, Wish wish) {
-        String id = table.choose(0, wish).orElseThrow().registration().id();
+        Choice choice = table.choose(0, wish).orElseThrow();
+        String id = choice.registration().id();
         table.started(id);
-        table.prompted(id, wish);
+        table.prompted(id, wish, choice.missingTokens());
+        return id;
+    }
+
+    private static String run(EndpointTable table, Wish wish) {
+        long missing = table.choose(0, wish).orElseThrow().missingTokens();
+        String id = send(table, wish);
+        table.promptDone(id, missing);
+        table.finished(0, id, Finish.ANSWERED, 400);
         return id;
     }
 
@@ -110,6 +119,51 @@
         assertThat(readAt).hasSize(1);
     }
 
+    /**
+     * All VMs are killed and start again; the engines live on. Every line of turns would go to an engine that does not hold
+     * it, all at once, and the first seconds after a kill were spent reading: turns took a second and more.
+     */
+    @Test
+    void linesFindTheirEnginesAgainAfterAllVmsWereKilled() {
+        EndpointTable restarted = table(1_000_000, Policy.whole());
+        for (int number = 0; number < ENGINES; number++) {
+            Wish warmUp = wish(List.of(COMMON));
+            first.prompted("e" + number, warmUp, 0);
+        }
+        int same = 0;
+        for (int line = 0; line < 60; line++) {
+            String before = run(first, turn("line-" + line, 4_000));
+            String after = run(restarted, turn("line-" + line, 5_000));
+            same += before.equals(after) ? 1 : 0;
+        }
+        assertThat(same).isAtLeast(48);
+    }
+
+    /**
+     * Engines are replaced, and a new one holds nothing. Idle as it looks, it drew a third of all turns in its first second,
+     * each with a long prompt to read, and all of them took three times as long as elsewhere.
+     */
+    @Test
+    void emptyEndpointIsNotSentMoreThanItCanRead() {
+        for (int part = 0; part < 16; part++) {
+            for (int number = 1; number < ENGINES; number++) {
+                first.prompted("e" + number, wish(List.of(new PromptPart("common-" + part, 12_600))), 0);
+            }
+        }
+        for (int number = 1; number < ENGINES; number++) {
+            for (int request = 0; request < 15; request++) {
+                first.started("e" + number);
+            }
+        }
+        int atEmpty = 0;
+        for (int request = 0; request < 30; request++) {
+            PromptPart common = new PromptPart("common-" + request % 16, 12_600);
+            String id = send(first, wish(List.of(common, new PromptPart("line-" + request, 1_000))));
+            atEmpty += id.equals("e0") ? 1 : 0;
+        }
+        assertThat(atEmpty).isAtMost(8);
+    }
+
     /** One common part alone must not gather the work of all at one engine: crowded enough, others read it too. */
     @Test
     void crowdedHomeIsRelieved() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -78,6 +78,7 @@
     private long sentMillis;
     private OptionalLong firstSentMillis = OptionalLong.empty();
     private boolean done;
+    private boolean promptDone = true;
     private int sends;
 
     EndpointCall(Gateway gateway, Accepted accepted, byte[] body, Listener listener) {
@@ -158,7 +159,8 @@
         sends++;
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
-        gateway.endpoints().prompted(endpoint.id(), wish);
+        gateway.endpoints().prompted(endpoint.id(), wish, choice.missingTokens());
+        promptDone = false;
         watchSilence();
         call = gateway.http().send(request(remaining), times(remaining), this::own, new Answer());
     }
@@ -235,10 +237,19 @@
         return gateway.dialect().answers(accepted.request().id(), headers);
     }
 
+    /** The endpoint has read the prompt of the present attempt, or will not. */
+    void promptDone() {
+        if (!promptDone) {
+            promptDone = true;
+            gateway.endpoints().promptDone(endpoint.id(), choice.missingTokens());
+        }
+    }
+
     private void ended(Finish finish) {
         call = null;
         silence.cancel(false);
         long now = gateway.clock().now();
+        promptDone();
         gateway.endpoints().finished(now, endpoint.id(), finish, now - sentMillis);
         gateway.measures().attempt(finish.name().toLowerCase(Locale.ROOT));
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -186,6 +186,7 @@
             EndpointLoads loads = new EndpointLoads(running, proofAgeMillis.getAsLong());
             loads.setFailing(endpoints.failing(now));
             loads.setPlaced(placed);
+            loads.setUnread(endpoints.unread());
             Message message = Message.endpointLoads(loads);
             links.values().stream().filter(PeerLink::isWritable).forEach(link -> link.send(message));
         }
@@ -229,6 +230,9 @@
         if (loads.isSetFailing()) {
             endpoints.othersFail(clock.now(), loads.getFailing());
         }
+        if (loads.isSetUnread()) {
+            endpoints.otherUnread(vm, loads.getUnread());
+        }
         if (loads.isSetPlaced()) {
             endpoints.othersPrompted(places(loads.getPlaced()));
         }
@@ -245,6 +249,14 @@
         return inTouchMillis.values().stream().anyMatch(told -> told >= since);
     }
 
+    /** Whether such a gateway is in the same data centre as this one, whose callers' next try it may get. */
+    boolean anyInTouchHere() {
+        long since = clock.now() - IN_TOUCH_MILLIS;
+        return links.entrySet().stream()
+                .filter(entry -> entry.getValue().remote().dataCentre().equals(settings.dataCentre()))
+                .anyMatch(entry -> inTouchMillis.getOrDefault(entry.getKey(), Long.MIN_VALUE) >= since);
+    }
+
     private void giveToken(PeerLink link, TokenRequest request) {
         if (request.getAccount() == null) {
             return;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -34,9 +34,13 @@
 
     private static final int LARGEST_PART_OF_LEFT = 3;
 
-    /** When a caller that this VM cannot serve should come back, in milliseconds. */
+    /**
+     * When a caller that this VM cannot serve should come back, in milliseconds. Where all VMs of the data centre have lost
+     * the map, that is as in an outage for all: until the balancer has noticed and chooses another data centre, the next
+     * tries come to the same VMs.
+     */
     long comeBackMillis(long leftMillis) {
-        if (links.anyInTouch()) {
+        if (links.anyInTouchHere() || (links.anyInTouch() && !map.away())) {
             return ELSEWHERE_MILLIS;
         }
         long wanted = settings.policy().has(Mechanism.LATE_RETURN)
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -185,6 +185,7 @@
 
     private void answerBegan() {
         firstMillis = gateway.clock().now();
+        call.promptDone();
         call.choice().ifPresent(choice -> gateway.endpoints()
                 .answerBegan(choice.registration().id(), choice.missingTokens(), firstMillis - call.sentMillis()));
     }
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -264,6 +264,8 @@
   2: i64 proofAgeMillis
   3: optional map<string, double> failing
   4: optional list<PromptPlaced> placed
+  /** Prompt tokens that the sender sent to endpoints and that they have not read yet. */
+  5: optional map<string, i64> unread
 }
 
 union Message {
