--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
@@ -53,7 +53,9 @@
     }
 
     private static final class Shard {
-        final Deque<Pending> waiting = new ArrayDeque<>();
+        /** Turns that wait for their grant, and allotments to be lowered, in order. */
+        final Deque<Runnable> tasks = new ArrayDeque<>();
+
         boolean busy;
         long end;
         long epoch;
@@ -140,51 +142,91 @@
         }
         MapShard key = Shards.ofProgram(program);
         Shard shard = shards.computeIfAbsent(key, ignored -> new Shard());
-        shard.waiting.addLast(new Pending(
+        Pending pending = new Pending(
                 program,
                 budget,
                 mostTokens,
                 keepMillis,
                 clock.now() + GIVE_UP_MILLIS,
                 new Backoff(program.hashCode()),
-                listener));
+                listener);
+        queue(shard, () -> step(key, shard, pending));
+    }
+
+    private void queue(Shard shard, Runnable task) {
+        shard.tasks.addLast(task);
         if (!shard.busy) {
-            next(key, shard);
+            next(shard);
         }
     }
 
-    /** A turn ended; what it did not hand out is free again. */
-    void release(String program, long mostTokens, long handedOut) {
+    /**
+     * A turn ended; what it did not hand out is free again, and given back to other VMs where the budget is tight.
+     *
+     * @param keepMillis how long the program's history is kept after its last turn
+     */
+    void release(String program, long budget, long mostTokens, long keepMillis, long handedOut) {
         Row row = rows.get(program);
-        if (row != null) {
-            row.allotment.ended(mostTokens, handedOut);
+        if (row == null) {
+            return;
+        }
+        row.allotment.ended(mostTokens, handedOut);
+        if (row.allotment.returnable(budget, mostTokens).isPresent()) {
+            MapShard key = Shards.ofProgram(program);
+            Shard shard = shards.computeIfAbsent(key, ignored -> new Shard());
+            queue(shard, () -> giveBack(key, shard, row, program, budget, mostTokens, keepMillis));
         }
     }
 
-    private void next(MapShard key, Shard shard) {
-        Pending pending = shard.waiting.pollFirst();
-        if (pending == null) {
-            shard.busy = false;
+    /** Needs no condition: only this life of this VM writes the record, and a lower one can break no budget. */
+    private void giveBack(
+            MapShard key, Shard shard, Row row, String program, long budget, long mostTokens, long keepMillis) {
+        OptionalLong lower = row.allotment.returnable(budget, mostTokens);
+        if (lower.isEmpty() || map.away()) {
+            next(shard);
             return;
         }
-        shard.busy = true;
-        step(key, shard, pending);
+        row.allotment.granted(lower.getAsLong());
+        map.append(key, List.of(entry(program, lower.getAsLong(), keepMillis)), OptionalLong.empty(), answer -> {
+            if (!(answer instanceof AppendAnswer.Appended appended)) {
+                // Whether it is kept is unknown; others count the higher one, which is safe.
+                shard.epoch++;
+            } else if (appended.end() == shard.end + 1) {
+                shard.end = appended.end();
+            } else {
+                shard.epoch++;
+            }
+            next(shard);
+        });
+    }
+
+    private MapEntry entry(String program, long tokens, long keepMillis) {
+        StoredRecords.Allotment allotment = new StoredRecords.Allotment(tokens, clock.wall() + keepMillis);
+        return MapEntry.of(program + SEPARATOR + holder, StoredRecords.encode(allotment));
+    }
+
+    private void next(Shard shard) {
+        Runnable task = shard.tasks.pollFirst();
+        shard.busy = task != null;
+        if (task != null) {
+            task.run();
+        }
     }
 
-    private void finish(MapShard key, Shard shard, Pending pending, Verdict verdict) {
+    private void finish(Shard shard, Pending pending, Verdict verdict) {
         pending.listener().accept(verdict);
-        next(key, shard);
+        next(shard);
     }
 
     private void step(MapShard key, Shard shard, Pending pending) {
         Row row = rows.computeIfAbsent(pending.program(), ignored -> new Row());
         if (row.allotment.covers(pending.mostTokens())) {
             row.allotment.started(pending.mostTokens());
-            finish(key, shard, pending, new Verdict.Granted());
+            finish(shard, pending, new Verdict.Granted());
             return;
         }
         if (clock.now() >= pending.giveUpMillis() || map.away()) {
-            finish(key, shard, pending, new Verdict.Unavailable("no grant in time"));
+            finish(shard, pending, new Verdict.Unavailable("no grant in time"));
             return;
         }
         if (row.readEpoch != shard.epoch) {
@@ -193,7 +235,7 @@
         }
         OptionalLong wanted = row.allotment.wanted(pending.budget(), pending.mostTokens());
         if (wanted.isEmpty()) {
-            finish(key, shard, pending, new Verdict.Spent(row.allotment.allotted(), row.allotment.others()));
+            finish(shard, pending, new Verdict.Spent(row.allotment.allotted(), row.allotment.others()));
             return;
         }
         raise(key, shard, pending, row, wanted.getAsLong());
@@ -244,8 +286,7 @@
     }
 
     private void raise(MapShard key, Shard shard, Pending pending, Row row, long tokens) {
-        StoredRecords.Allotment allotment = new StoredRecords.Allotment(tokens, clock.wall() + pending.keepMillis());
-        MapEntry entry = MapEntry.of(pending.program() + SEPARATOR + holder, StoredRecords.encode(allotment));
+        MapEntry entry = entry(pending.program(), tokens, pending.keepMillis());
         map.append(key, List.of(entry), OptionalLong.of(shard.end), answer -> {
             if (answer instanceof AppendAnswer.Appended appended) {
                 shard.end = appended.end();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -76,7 +76,7 @@
     private final BiFunction<String, Long, TokenOffer> giveToken;
     private final Map<String, PeerLink> links = new HashMap<>();
     private final LongSupplier proofAgeMillis;
-    /** When each peer last said that its configuration is proven current. */
+    /** When each peer last was in touch with the shared map, by its own word. */
     private final Map<String, Long> inTouchMillis = new HashMap<>();
 
     private final Map<Long, Consumer<TokenOffer>> waiting = new HashMap<>();
@@ -237,7 +237,7 @@
             endpoints.othersPrompted(places(loads.getPlaced()));
         }
         if (loads.getProofAgeMillis() < IN_TOUCH_MILLIS) {
-            inTouchMillis.put(vm, clock.now());
+            inTouchMillis.put(vm, clock.now() - loads.getProofAgeMillis());
         } else {
             inTouchMillis.remove(vm);
         }
@@ -245,16 +245,21 @@
 
     /** Whether another gateway lately said that it is in touch with the shared map. */
     boolean anyInTouch() {
-        long since = clock.now() - IN_TOUCH_MILLIS;
-        return inTouchMillis.values().stream().anyMatch(told -> told >= since);
+        return anyInTouchSince(clock.now() - IN_TOUCH_MILLIS);
+    }
+
+    /** Whether another gateway was in touch with the shared map after a moment on this VM's clock, by its own word. */
+    boolean anyInTouchSince(long sinceMillis) {
+        long recent = Math.max(sinceMillis, clock.now() - IN_TOUCH_MILLIS);
+        return inTouchMillis.values().stream().anyMatch(proven -> proven >= recent);
     }
 
     /** Whether such a gateway is in the same data centre as this one, whose callers' next try it may get. */
     boolean anyInTouchHere() {
-        long since = clock.now() - IN_TOUCH_MILLIS;
+        long recent = clock.now() - IN_TOUCH_MILLIS;
         return links.entrySet().stream()
                 .filter(entry -> entry.getValue().remote().dataCentre().equals(settings.dataCentre()))
-                .anyMatch(entry -> inTouchMillis.getOrDefault(entry.getKey(), Long.MIN_VALUE) >= since);
+                .anyMatch(entry -> inTouchMillis.getOrDefault(entry.getKey(), Long.MIN_VALUE) >= recent);
     }
 
     private void giveToken(PeerLink link, TokenRequest request) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -40,7 +40,8 @@
      * tries come to the same VMs.
      */
     long comeBackMillis(long leftMillis) {
-        if (links.anyInTouchHere() || (links.anyInTouch() && !map.away())) {
+        boolean better = map.away() ? cutOffAlone() && links.anyInTouchHere() : links.anyInTouch();
+        if (better) {
             return ELSEWHERE_MILLIS;
         }
         long wanted = settings.policy().has(Mechanism.LATE_RETURN)
@@ -53,9 +54,10 @@
     /**
      * Whether this VM has lost the shared map while another has not: callers are better off there. Guards against a
      * partial outage, in which this VM would refuse every turn, and stay in the balancer's choice, until its keys lapse
-     * several seconds later. In an outage for all there is no better place.
+     * several seconds later. In an outage for all there is no better place: another VM's word counts only if it reached the
+     * map after this one had lost it, or each VM would take the others for better off while the outage is young.
      */
     boolean cutOffAlone() {
-        return map.away() && links.anyInTouch();
+        return map.away() && links.anyInTouchSince(map.awaySinceMillis());
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/MapClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/MapClient.java
@@ -23,6 +23,7 @@
     private final NodeClock clock;
     private final AnswerLimit limit = AnswerLimit.create();
     private int failures;
+    private long failedSinceMillis;
 
     MapClient(SharedMap map, NodeClock clock) {
         this.map = map;
@@ -34,6 +35,11 @@
         return failures >= AWAY_FAILURES;
     }
 
+    /** When the first of those calls was sent, while the map is away. */
+    long awaySinceMillis() {
+        return failedSinceMillis;
+    }
+
     void range(MapShard shard, String after, Consumer<RangeAnswer> listener) {
         long sent = clock.now();
         map.range(shard, after, limit.millis(), answer -> {
@@ -60,6 +66,7 @@
 
     private void note(long sentMillis, long waitMillis, boolean answered) {
         if (!answered) {
+            failedSinceMillis = failures == 0 ? sentMillis : failedSinceMillis;
             failures++;
             limit.unanswered();
             return;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -119,7 +119,10 @@
                 resume.run();
             }
         };
-        return useful && gateway.recovery().offer(new RecoveryQueue.Waiting(beginning, until, ready, resumed));
+        return useful
+                && gateway.recovery()
+                        .offer(new RecoveryQueue.Waiting(
+                                beginning, until, () -> ready.getAsBoolean() || gateway.cutOffAlone(), resumed));
     }
 
     private void accept(
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -54,10 +54,14 @@
                         program.get(),
                         accepted.request().tokenBudget().getAsLong(),
                         accepted.mostTokens(),
-                        accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS,
+                        keepMillis(),
                         verdict -> decided(verdict, listener));
     }
 
+    private long keepMillis() {
+        return accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS;
+    }
+
     private void decided(BudgetKeeper.Verdict verdict, Consumer<BudgetKeeper.Verdict> listener) {
         reserved = verdict instanceof BudgetKeeper.Verdict.Granted;
         granted = reserved;
@@ -80,6 +84,12 @@
         }
         reserved = false;
         long handedOut = Math.min(accepted.mostTokens(), events * accepted.tokensPerEvent());
-        program.ifPresent(name -> gateway.budgets().release(name, accepted.mostTokens(), handedOut));
+        program.ifPresent(name -> gateway.budgets()
+                .release(
+                        name,
+                        accepted.request().tokenBudget().getAsLong(),
+                        accepted.mostTokens(),
+                        keepMillis(),
+                        handedOut));
     }
 }
