--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
@@ -151,6 +151,18 @@
         return speeds.computeIfAbsent(service, ignored -> new EngineSpeed());
     }
 
+    /**
+     * Whether some endpoint may hold the last part of a prompt, which belongs to one line of turns: a turn of it ran before.
+     * A process that began among running engines cannot tell for a while.
+     */
+    public boolean mayHold(long nowMillis, List<PromptPart> prompt) {
+        if (prompt.isEmpty()) {
+            return false;
+        }
+        List<PromptPart> last = prompt.subList(prompt.size() - 1, prompt.size());
+        return rows.values().stream().anyMatch(row -> row.prompts.heldParts(last) > 0 || homes.warm(nowMillis, row));
+    }
+
     /** An endpoint is sent a prompt of which it has to read some tokens; it will hold all of it. */
     public void prompted(String id, Wish wish, long missingTokens) {
         EndpointRow row = rows.get(id);
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/PromptHomes.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/PromptHomes.java
@@ -62,7 +62,8 @@
         return row.prompts.missingTokens(common ? prompt.subList(1, prompt.size()) : prompt);
     }
 
-    private boolean warm(long nowMillis, EndpointRow row) {
+    /** Whether an endpoint is taken to hold what is common, since it ran long before this process. */
+    boolean warm(long nowMillis, EndpointRow row) {
         if (trustedUntilMillis == Long.MAX_VALUE) {
             trustedUntilMillis = nowMillis + TRUST_MILLIS;
         }
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/PromptPlacesTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/endpoint/PromptPlacesTest.java
@@ -164,6 +164,21 @@
         assertThat(atEmpty).isAtMost(8);
     }
 
+    /**
+     * On routes without history each turn looks like a first one. An account at its rate had its programs' later turns
+     * refused as if they began new ones.
+     */
+    @Test
+    void laterTurnIsToldFromAFirstOneByItsPrompt() {
+        assertThat(first.mayHold(0, turn("line", 1_000).prompt())).isFalse();
+        send(first, turn("line", 1_000));
+        assertThat(first.mayHold(0, turn("line", 2_000).prompt())).isTrue();
+        assertThat(first.mayHold(0, turn("other", 2_000).prompt())).isFalse();
+        assertThat(table(1_000_000, Policy.whole())
+                        .mayHold(0, turn("line", 2_000).prompt()))
+                .isTrue();
+    }
+
     /** One common part alone must not gather the work of all at one engine: crowded enough, others read it too. */
     @Test
     void crowdedHomeIsRelieved() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
@@ -19,6 +19,7 @@
  * @param configurationVersion version that it was judged by
  * @param arrivedMillis when it had arrived whole
  * @param deadlineMillis when its final answer is due: the caller's time or the route's, whichever is over first
+ * @param lineUnderWay whether its line of turns may have run before, by where its prompt lies
  */
 record Accepted(
         HttpExchange exchange,
@@ -28,7 +29,8 @@
         Optional<AccountTerms> account,
         long configurationVersion,
         long arrivedMillis,
-        long deadlineMillis) {
+        long deadlineMillis,
+        boolean lineUnderWay) {
 
     /** Ranks that accounts and routes use: 0, 1 and 2. */
     private static final int RANKS = 3;
@@ -70,9 +72,13 @@
         return program();
     }
 
-    /** Whether this is the first turn of a program; a sub-agent's first turn is not. */
+    /**
+     * Whether this is the first turn of a program; a sub-agent's first turn is not. Where no history is kept, the turns of a
+     * line name none before them, and only their prompt tells.
+     */
     boolean beginsProgram() {
         return route.kind() == RequestKind.STREAM
+                && !lineUnderWay
                 && request.previousTurn().isEmpty()
                 && (request.line().isEmpty() || request.line().equals(request.program()));
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RecoveryQueue.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RecoveryQueue.java
@@ -16,12 +16,12 @@
     /**
      * A request that waits.
      *
-     * @param beginning whether it begins a program
+     * @param mayBegin whether it may begin a program
      * @param untilMillis when its wait is over
      * @param ready whether what it waits for is there
      * @param resume goes on with it, also when the wait is over
      */
-    record Waiting(boolean beginning, long untilMillis, BooleanSupplier ready, Runnable resume) {}
+    record Waiting(boolean mayBegin, long untilMillis, BooleanSupplier ready, Runnable resume) {}
 
     /** Well below what a caller notices. */
     private static final long CHECK_MILLIS = 20;
@@ -68,7 +68,7 @@
             }
             return ends;
         });
-        due.sort(Comparator.comparing(Waiting::beginning));
+        due.sort(Comparator.comparing(Waiting::mayBegin));
         due.forEach(each -> each.resume().run());
         if (!waiting.isEmpty()) {
             checkLater();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -67,7 +67,9 @@
         CallerRequest request = arrival.request();
         Optional<TrafficConfiguration> known = gateway.configuration().current();
         if (known.isEmpty()) {
-            if (!waits(arrival, false, () -> gateway.configuration().current().isPresent(), () -> judge(arrival))) {
+            if (!waits(arrival, arrival.leftMillis(), () -> gateway.configuration()
+                    .current()
+                    .isPresent())) {
                 refuse(arrival, elsewhere(arrival, ResultCode.NOT_READY, "no configuration yet"));
             }
             return;
@@ -76,7 +78,8 @@
         Optional<Route> route = configuration.routes().find(request.host(), request.path());
         boolean open = route.filter(Route::open).isPresent();
         if (!isCurrent() && configuration.keysRequired() && !open) {
-            if (!waits(arrival, false, this::isCurrent, () -> judge(arrival))) {
+            long whole = route.map(Route::timeoutMillis).orElse(0L);
+            if (!waits(arrival, whole, this::isCurrent)) {
                 refuse(arrival, elsewhere(arrival, ResultCode.CONFIGURATION_STALE, "the configuration is too old"));
             }
             return;
@@ -104,25 +107,28 @@
 
     /**
      * Lets a request wait for the end of an outage that no other VM is spared, for a part of its time; false when it has
-     * waited already, or a caller is better off at another VM.
+     * waited already, or a caller is better off at another VM or with a try anew.
      */
-    private boolean waits(Arrival arrival, boolean beginning, BooleanSupplier ready, Runnable resume) {
-        long until = arrival.arrivedMillis() + OutagePatience.mostWaitMillis(arrival.leftMillis());
+    private boolean waits(Arrival arrival, long wholeMillis, BooleanSupplier ready) {
+        long until = arrival.arrivedMillis() + OutagePatience.mostWaitMillis(arrival.leftMillis(), wholeMillis);
         boolean useful = gateway.settings().policy().has(Mechanism.OUTAGE_WAIT)
                 && !stopping.getAsBoolean()
                 && !gateway.cutOffAlone()
                 && gateway.clock().now() < until;
-        Runnable resumed = () -> {
-            if (arrival.exchange().finished()) {
-                refuse(arrival, Refusal.notRun(ResultCode.CANCELLED, "the caller left"));
-            } else {
-                resume.run();
-            }
-        };
-        return useful
-                && gateway.recovery()
-                        .offer(new RecoveryQueue.Waiting(
-                                beginning, until, () -> ready.getAsBoolean() || gateway.cutOffAlone(), resumed));
+        if (!useful) {
+            return false;
+        }
+        boolean mayBegin = arrival.request().previousTurn().isEmpty();
+        BooleanSupplier over = () -> ready.getAsBoolean() || gateway.cutOffAlone();
+        return gateway.recovery().offer(new RecoveryQueue.Waiting(mayBegin, until, over, () -> resume(arrival)));
+    }
+
+    private void resume(Arrival arrival) {
+        if (arrival.exchange().finished()) {
+            refuse(arrival, Refusal.notRun(ResultCode.CANCELLED, "the caller left"));
+            return;
+        }
+        judge(arrival);
     }
 
     private void accept(
@@ -144,7 +150,8 @@
                 account,
                 configuration.version(),
                 arrival.arrivedMillis(),
-                deadline);
+                deadline,
+                gateway.endpoints().mayHold(gateway.clock().now(), request.promptParts()));
         if (gateway.crashes().quarantined(accepted)) {
             Refusal refusal =
                     Refusal.notRun(ResultCode.CRASHES_ENDPOINTS, "it was running at three endpoints that crashed");
@@ -153,7 +160,7 @@
         }
         if (lacksMap(accepted)) {
             // The turn could not be granted or not be kept; run, its work would be lost.
-            if (!waits(arrival, accepted.beginsProgram(), () -> !gateway.map().away(), () -> judge(arrival))) {
+            if (!waits(arrival, route.timeoutMillis(), () -> !gateway.map().away())) {
                 Refusal refusal = elsewhere(arrival, ResultCode.LOG_UNAVAILABLE, "the shared map is away");
                 Outcome.refuse(gateway, accepted, refusal, Optional.empty());
             }
@@ -223,7 +230,7 @@
             return;
         }
         BooleanSupplier reached = () -> gateway.rates().reachesHolder(account.name());
-        if (waits(arrival, accepted.beginsProgram(), reached, () -> judge(arrival))) {
+        if (waits(arrival, accepted.route().timeoutMillis(), reached)) {
             return;
         }
         Refusal refusal =
