Beginnings beyond their account's rate come back late

Hypothesis: refused after 100 ms, a beginning uses up its tries within a second of a burst of its account that lasts three to eight. Change: it comes back after 0.4 to 1 of a third of its time, spread; requests of programs under way as soon as before. RequestGate's constants of it went to TokenPatience. Test: refusedBeginningsReachOverABurst.

--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -21,7 +21,9 @@
     /** Requests wait for a part of their time for an outage to end. Without it: refused at once. */
     OUTAGE_WAIT,
     /** Callers come back late enough to outlive an outage for all. Without it: after 0.9 s. */
-    LATE_RETURN;
+    LATE_RETURN,
+    /** Beginnings beyond their account's rate come back late. Without it: as soon as others. */
+    LATE_BEGINNINGS;
 
     /** Name in flags: lower case, with hyphens. */
     public String flag() {
--- a/core/src/main/java/org/quetzalshunt/core/share/TokenPatience.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/TokenPatience.java
@@ -9,10 +9,7 @@
  * at its rate begins more programs than it can carry, and all of them are late or fail.
  */
 public final class TokenPatience {
-    /**
-     * Part of its time that a request of a program under way may wait; the other half is for its run. With a quarter, 38
-     * of 190 urgent programs of a quiet day of 80 small accounts were refused, with half 27 of 192.
-     */
+    /** Part of its time that a request of a program under way may wait; the other half is for its run. */
     private static final double UNDER_WAY_PART = 0.5;
 
     /**
@@ -21,6 +18,19 @@
      */
     private static final double URGENT_BEGINNING_PART = 0.15;
 
+    /** For a refused request of a program under way, in tokens: the time in which its account earns them. */
+    private static final double SOON_TOKENS = 5;
+
+    private static final long SOON_LEAST_MILLIS = 100;
+    private static final long SOON_MOST_MILLIS = 1_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** Callers wait at most for this part of their time. */
+    private static final double LATEST_PART = 1 / 3.0;
+
+    /** A refused beginning comes back after this part of that, or later. */
+    private static final double EARLIEST = 0.4;
+
     private TokenPatience() {}
 
     /**
@@ -36,4 +46,21 @@
         }
         return mostUrgent ? (long) (URGENT_BEGINNING_PART * leftMillis) : 0;
     }
+
+    /**
+     * When the caller of a refused request should come back, in milliseconds. One of a program under way soon, since much
+     * would be lost with it. A beginning late: its few tries then reach over a burst of its account, and the tokens earned
+     * meanwhile are for what is under way. Spread, so that refused beginnings do not return as one.
+     *
+     * @param leftMillis time that its caller has left
+     * @param chance anything from 0 to 1, evenly
+     */
+    public static long comeBackMillis(boolean beginsProgram, double ratePerSecond, long leftMillis, double chance) {
+        if (!beginsProgram) {
+            long earned = (long) (SOON_TOKENS / ratePerSecond * MILLIS_PER_SECOND);
+            return Math.min(SOON_MOST_MILLIS, SOON_LEAST_MILLIS + earned);
+        }
+        double latest = LATEST_PART * leftMillis;
+        return Math.max(SOON_LEAST_MILLIS, (long) (latest * (EARLIEST + (1 - EARLIEST) * chance)));
+    }
 }
--- a/core/src/test/java/org/quetzalshunt/core/share/TokenPatienceTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/share/TokenPatienceTest.java
@@ -52,4 +52,25 @@
                         .taken())
                 .isEqualTo(taken);
     }
+
+    /**
+     * One account sends several times its usual for three seconds. Its beginnings beyond the rate were called back after a
+     * tenth of a second, and had used up their tries within one: refused for good while the burst still lasted.
+     */
+    @ParameterizedTest
+    @CsvSource({"0.0", "0.5", "1.0"})
+    void refusedBeginningsReachOverABurst(double chance) {
+        long sends = 3;
+        long pauses = sends * 250;
+        long back = TokenPatience.comeBackMillis(true, 100, 4_000, chance);
+        assertThat(sends * back + pauses).isAtLeast(2_000);
+        assertThat(back).isAtMost(4_000 / 3);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5, 1000", "50, 200", "500, 110"})
+    void refusedRequestsUnderWayComeBackAsTokensAreEarned(double ratePerSecond, long millis) {
+        assertThat(TokenPatience.comeBackMillis(false, ratePerSecond, 4_000, 0.5))
+                .isEqualTo(millis);
+    }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.gateway;
 
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.quetzalshunt.core.policy.Mechanism;
@@ -23,12 +24,6 @@
     /** Time that a caller is taken to wait when it does not say. */
     private static final long DEADLINE_UNSAID_MILLIS = 10_000;
 
-    /** For accounts without a token, in milliseconds: the time in which the fleet earns five, within bounds. */
-    private static final long RATE_LEAST_MILLIS = 100;
-
-    private static final double RATE_TOKENS = 5_000;
-    private static final long RATE_MOST_MILLIS = 1_000;
-
     /** A home that was lost is replaced, or found again, within about a second. */
     private static final long NO_HOLDER_MILLIS = 300;
 
@@ -239,7 +234,10 @@
     }
 
     private void overRate(Accepted accepted, AccountTerms account) {
-        long wait = Math.min(RATE_MOST_MILLIS, RATE_LEAST_MILLIS + (long) (RATE_TOKENS / account.ratePerSecond()));
+        boolean beginning = gateway.settings().policy().has(Mechanism.LATE_BEGINNINGS) && accepted.beginsProgram();
+        long left = accepted.deadlineMillis() - gateway.clock().now();
+        double chance = ThreadLocalRandom.current().nextDouble();
+        long wait = TokenPatience.comeBackMillis(beginning, account.ratePerSecond(), left, chance);
         Refusal refusal = Refusal.notRunRetryAfter(ResultCode.RATE_EXCEEDED, "rate " + account.ratePerSecond(), wait);
         Outcome.refuse(gateway, accepted, refusal, Optional.empty());
     }
