Reads and grants that the store turns away are tried again while a request can wait; no run ahead of a doubtful grant

Change: history and budget are tried again with pauses until the request's wait is over; callers whose request failed for the map come back as in an outage; nothing runs ahead while a call failed in the last half second. Also: waits are 0.3 of the time, 1.2 s at most, on every try again.

--- a/core/src/main/java/org/quetzalshunt/core/share/OutagePatience.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/OutagePatience.java
@@ -9,17 +9,11 @@
  * outages. A request that waits is served as soon as the outage ends.
  */
 public final class OutagePatience {
-    /** Part of its time that a request waits; the greater one is for its run. */
-    private static final double WAIT_PART = 0.45;
+    /** Part of its time that a request waits; the rest is for its run, or for its caller's next try. */
+    private static final double WAIT_PART = 0.3;
 
-    /** Callers take a stream that says nothing for two seconds for dead. */
-    private static final long MOST_WAIT_MILLIS = 1_800;
-
-    /**
-     * A caller that has less than this part of its time left does not wait: what would be left could not hold its run, while
-     * its program sends the turn anew, with all of its time.
-     */
-    private static final double FRESH_PART = 0.75;
+    /** Callers take a stream that says nothing for two seconds for dead, and an engine may need most of one to begin. */
+    private static final long MOST_WAIT_MILLIS = 1_200;
 
     /** Callers wait at most for this part of their time. */
     private static final double COME_BACK_PART = 1 / 3.0;
@@ -33,12 +27,8 @@
      * The longest wait.
      *
      * @param leftMillis time that the caller had left when the request arrived
-     * @param wholeMillis time that callers of its kind have at first
      */
-    public static long mostWaitMillis(long leftMillis, long wholeMillis) {
-        if (leftMillis < FRESH_PART * wholeMillis) {
-            return 0;
-        }
+    public static long mostWaitMillis(long leftMillis) {
         return Math.min(MOST_WAIT_MILLIS, (long) (WAIT_PART * leftMillis));
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
@@ -6,6 +6,7 @@
 import org.quetzalshunt.core.route.RequestKind;
 import org.quetzalshunt.core.route.Route;
 import org.quetzalshunt.core.route.ServiceEntry;
+import org.quetzalshunt.core.share.OutagePatience;
 import org.quetzalshunt.server.http.HttpExchange;
 
 /**
@@ -88,6 +89,11 @@
         return !route.stateful() || request.previousTurn().isEmpty();
     }
 
+    /** Until when it waits for an outage to end. */
+    long outageUntilMillis() {
+        return arrivedMillis + OutagePatience.mostWaitMillis(deadlineMillis - arrivedMillis);
+    }
+
     /** Whether the turn is kept, for turns that go on from it. */
     boolean keepsHistory() {
         return route.stateful();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.quetzalshunt.core.budget.ProgramAllotment;
 import org.quetzalshunt.core.store.AppendAnswer;
@@ -61,8 +62,8 @@
         long epoch;
     }
 
-    /** Longer than this a turn does not wait for its grant: its caller would rather come back. */
-    private static final long GIVE_UP_MILLIS = 900;
+    /** A conflict with another VM, or an answer that was lost, is no reason to give up. */
+    private static final long LEAST_WAIT_MILLIS = 300;
 
     /** Programs remembered; far more than run within one retention at one VM. */
     private static final int MOST_PROGRAMS = 20_000;
@@ -75,6 +76,7 @@
     private final EventExecutor executor;
     private final MapClient map;
     private final NodeClock clock;
+    private final BooleanSupplier hopeless;
     private final String holder;
     private final Map<MapShard, Shard> shards = new HashMap<>();
     private final LinkedHashMap<String, Row> rows = new LinkedHashMap<>(256, 0.75f, true) {
@@ -86,7 +88,18 @@
         }
     };
 
-    BudgetKeeper(EventExecutor executor, MapClient map, NodeClock clock, GatewaySettings settings) {
+    /**
+     * Makes a keeper that knows no program.
+     *
+     * @param hopeless whether callers are better off at another VM than with another try here
+     */
+    BudgetKeeper(
+            EventExecutor executor,
+            MapClient map,
+            NodeClock clock,
+            GatewaySettings settings,
+            BooleanSupplier hopeless) {
+        this.hopeless = hopeless;
         this.executor = executor;
         this.map = map;
         this.clock = clock;
@@ -127,8 +140,15 @@
      * Sets tokens aside for a turn.
      *
      * @param keepMillis how long the program's history is kept after its last turn
+     * @param untilMillis how long calls to the shared map that fail are tried again
      */
-    void reserve(String program, long budget, long mostTokens, long keepMillis, Consumer<Verdict> listener) {
+    void reserve(
+            String program,
+            long budget,
+            long mostTokens,
+            long keepMillis,
+            long untilMillis,
+            Consumer<Verdict> listener) {
         Row row = rows.computeIfAbsent(program, ignored -> new Row());
         if (row.allotment.covers(mostTokens)) {
             row.allotment.started(mostTokens);
@@ -147,7 +167,7 @@
                 budget,
                 mostTokens,
                 keepMillis,
-                clock.now() + GIVE_UP_MILLIS,
+                Math.max(untilMillis, clock.now() + LEAST_WAIT_MILLIS),
                 new Backoff(program.hashCode()),
                 listener);
         queue(shard, () -> step(key, shard, pending));
@@ -225,7 +245,7 @@
             finish(shard, pending, new Verdict.Granted());
             return;
         }
-        if (clock.now() >= pending.giveUpMillis() || map.away()) {
+        if (clock.now() >= pending.giveUpMillis() || hopeless.getAsBoolean()) {
             finish(shard, pending, new Verdict.Unavailable("no grant in time"));
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -34,14 +34,18 @@
 
     private static final int LARGEST_PART_OF_LEFT = 3;
 
+    /** When a caller should come back whom another VM may serve at once, in milliseconds. */
+    long comeBackMillis(long leftMillis) {
+        return links.anyInTouch() && !map.away() ? ELSEWHERE_MILLIS : outageReturnMillis(leftMillis);
+    }
+
     /**
-     * When a caller that this VM cannot serve should come back, in milliseconds. Where all VMs of the data centre have lost
-     * the map, that is as in an outage for all: until the balancer has noticed and chooses another data centre, the next
-     * tries come to the same VMs.
+     * When a caller should come back whose request failed for the shared map, in milliseconds. Where all VMs of the data
+     * centre have lost it, that is as in an outage for all: until the balancer has noticed and chooses another data centre,
+     * the next tries come to the same VMs.
      */
-    long comeBackMillis(long leftMillis) {
-        boolean better = map.away() ? cutOffAlone() && links.anyInTouchHere() : links.anyInTouch();
-        if (better) {
+    long outageReturnMillis(long leftMillis) {
+        if (cutOffAlone() && links.anyInTouchHere()) {
             return ELSEWHERE_MILLIS;
         }
         long wanted = settings.policy().has(Mechanism.LATE_RETURN)
--- a/server/src/main/java/org/quetzalshunt/server/gateway/MapClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/MapClient.java
@@ -19,10 +19,14 @@
     /** Fewer failures in a row may be lost answers; a map that is away fails every call of all three kinds. */
     private static final int AWAY_FAILURES = 3;
 
+    /** A map that turns away a part of its calls is in trouble for seconds. */
+    private static final long FAILING_MILLIS = 500;
+
     private final SharedMap map;
     private final NodeClock clock;
     private final AnswerLimit limit = AnswerLimit.create();
     private int failures;
+    private long lastFailureMillis = Long.MIN_VALUE / 2;
     private long failedSinceMillis;
 
     MapClient(SharedMap map, NodeClock clock) {
@@ -35,6 +39,11 @@
         return failures >= AWAY_FAILURES;
     }
 
+    /** Whether the last call had no answer: it may be away, or turn some calls away. */
+    boolean failing() {
+        return failures > 0 || clock.now() - lastFailureMillis < FAILING_MILLIS;
+    }
+
     /** When the first of those calls was sent, while the map is away. */
     long awaySinceMillis() {
         return failedSinceMillis;
@@ -68,6 +77,7 @@
         if (!answered) {
             failedSinceMillis = failures == 0 ? sentMillis : failedSinceMillis;
             failures++;
+            lastFailureMillis = clock.now();
             limit.unanswered();
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -62,9 +62,7 @@
         CallerRequest request = arrival.request();
         Optional<TrafficConfiguration> known = gateway.configuration().current();
         if (known.isEmpty()) {
-            if (!waits(arrival, arrival.leftMillis(), () -> gateway.configuration()
-                    .current()
-                    .isPresent())) {
+            if (!waits(arrival, () -> gateway.configuration().current().isPresent())) {
                 refuse(arrival, elsewhere(arrival, ResultCode.NOT_READY, "no configuration yet"));
             }
             return;
@@ -73,8 +71,7 @@
         Optional<Route> route = configuration.routes().find(request.host(), request.path());
         boolean open = route.filter(Route::open).isPresent();
         if (!isCurrent() && configuration.keysRequired() && !open) {
-            long whole = route.map(Route::timeoutMillis).orElse(0L);
-            if (!waits(arrival, whole, this::isCurrent)) {
+            if (!waits(arrival, this::isCurrent)) {
                 refuse(arrival, elsewhere(arrival, ResultCode.CONFIGURATION_STALE, "the configuration is too old"));
             }
             return;
@@ -102,10 +99,10 @@
 
     /**
      * Lets a request wait for the end of an outage that no other VM is spared, for a part of its time; false when it has
-     * waited already, or a caller is better off at another VM or with a try anew.
+     * waited already, or a caller is better off at another VM.
      */
-    private boolean waits(Arrival arrival, long wholeMillis, BooleanSupplier ready) {
-        long until = arrival.arrivedMillis() + OutagePatience.mostWaitMillis(arrival.leftMillis(), wholeMillis);
+    private boolean waits(Arrival arrival, BooleanSupplier ready) {
+        long until = arrival.arrivedMillis() + OutagePatience.mostWaitMillis(arrival.leftMillis());
         boolean useful = gateway.settings().policy().has(Mechanism.OUTAGE_WAIT)
                 && !stopping.getAsBoolean()
                 && !gateway.cutOffAlone()
@@ -146,7 +143,7 @@
                 configuration.version(),
                 arrival.arrivedMillis(),
                 deadline,
-                gateway.endpoints().mayHold(gateway.clock().now(), request.promptParts()));
+                gateway.endpoints().mayHold(gateway.clock().now(), service.name(), request.promptParts()));
         if (gateway.crashes().quarantined(accepted)) {
             Refusal refusal =
                     Refusal.notRun(ResultCode.CRASHES_ENDPOINTS, "it was running at three endpoints that crashed");
@@ -155,7 +152,7 @@
         }
         if (lacksMap(accepted)) {
             // The turn could not be granted or not be kept; run, its work would be lost.
-            if (!waits(arrival, route.timeoutMillis(), () -> !gateway.map().away())) {
+            if (!waits(arrival, () -> !gateway.map().away())) {
                 Refusal refusal = elsewhere(arrival, ResultCode.LOG_UNAVAILABLE, "the shared map is away");
                 Outcome.refuse(gateway, accepted, refusal, Optional.empty());
             }
@@ -225,7 +222,7 @@
             return;
         }
         BooleanSupplier reached = () -> gateway.rates().reachesHolder(account.name());
-        if (waits(arrival, accepted.route().timeoutMillis(), reached)) {
+        if (waits(arrival, reached)) {
             return;
         }
         Refusal refusal =
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
@@ -25,6 +25,7 @@
     private final Gateway gateway;
     private final Accepted accepted;
     private final TurnGrant grant;
+    private final AnswerPace pace;
     private final EventFrames frames = EventFrames.create();
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
@@ -40,16 +41,13 @@
     private boolean answerEnded;
     private boolean keeping;
     private boolean finished;
-    /** Events that came from the endpoint, and those that went on to the caller. */
-    private long made;
-
     private long events;
-    private long firstMillis;
 
     private StreamRun(Gateway gateway, Accepted accepted) {
         this.gateway = gateway;
         this.accepted = accepted;
         this.grant = new TurnGrant(gateway, accepted);
+        this.pace = new AnswerPace(gateway, accepted.tokensPerEvent());
     }
 
     /** Starts a run; it ends by itself. */
@@ -74,7 +72,7 @@
             return;
         }
         String previous = accepted.request().previousTurn().orElseThrow();
-        gateway.history().find(previous, accepted.accountName(), this::chainFound);
+        gateway.history().find(previous, accepted.accountName(), accepted.outageUntilMillis(), this::chainFound);
     }
 
     private void chainFound(TurnHistory.Chain answer) {
@@ -95,7 +93,7 @@
         end(Refusal.notRunRetryAfter(
                 ResultCode.LOG_UNAVAILABLE,
                 "history: " + reason,
-                gateway.comeBackMillis(
+                gateway.outageReturnMillis(
                         accepted.deadlineMillis() - gateway.clock().now())));
     }
 
@@ -126,7 +124,7 @@
         return Refusal.notRunRetryAfter(
                 ResultCode.LOG_UNAVAILABLE,
                 "budget: " + reason,
-                gateway.comeBackMillis(
+                gateway.outageReturnMillis(
                         accepted.deadlineMillis() - gateway.clock().now()));
     }
 
@@ -166,10 +164,7 @@
             return;
         }
         List<EventFrames.Frame> whole = frames.accept(data);
-        if (made == 0 && !whole.isEmpty()) {
-            answerBegan();
-        }
-        made += whole.size();
+        pace.events(call, whole.size());
         for (EventFrames.Frame frame : whole) {
             held.add(frame.octets());
             output.writeBytes(frame.data());
@@ -183,19 +178,6 @@
         pass();
     }
 
-    private void answerBegan() {
-        firstMillis = gateway.clock().now();
-        call.promptDone();
-        call.choice().ifPresent(choice -> gateway.endpoints()
-                .answerBegan(choice.registration().id(), choice.missingTokens(), firstMillis - call.sentMillis()));
-    }
-
-    private void generated() {
-        long tokens = Math.max(0, made - 1) * accepted.tokensPerEvent();
-        long took = gateway.clock().now() - firstMillis;
-        call.endpoint().ifPresent(endpoint -> gateway.endpoints().generated(endpoint.id(), tokens, took));
-    }
-
     private void pass() {
         if (!grant.granted() || finished || headers == null || head != AnswerHead.SUCCESS) {
             return;
@@ -228,7 +210,7 @@
             return;
         }
         answerEnded = true;
-        generated();
+        pace.ended(call);
         pass();
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -35,6 +35,10 @@
         if (program.isEmpty()) {
             return true;
         }
+        if (gateway.map().failing()) {
+            // The grant may not come, and then the run would be lost and its outcome unknown to the caller.
+            return false;
+        }
         long budget = accepted.request().tokenBudget().orElse(Long.MAX_VALUE);
         if (gateway.budgets().knows(program.get())) {
             return gateway.budgets().ample(program.get(), budget, accepted.mostTokens());
@@ -55,6 +59,7 @@
                         accepted.request().tokenBudget().getAsLong(),
                         accepted.mostTokens(),
                         keepMillis(),
+                        accepted.outageUntilMillis(),
                         verdict -> decided(verdict, listener));
     }
 
