--- a/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
@@ -20,8 +20,8 @@
  * on spending what another has taken over; shows as an account that gets more than its rate.
  *
  * <p>Load pattern: programs, which send a handful of calls at once through one VM and then none. With all parts dealt
- * over eight VMs by demand, a fifth of all tries of one quiet day were refused (863 of 4,000), since one VM's part holds
- * no such handful; with the homes, nearly the whole account's burst is behind each VM. Two homes, so that the loss of
+ * over the VMs by demand, one VM's part holds no such handful, and tries are refused though the account is within its rate;
+ * with the homes, nearly the whole account's burst is behind each VM. Two homes, so that the loss of
  * the first leaves some of the rate usable until its lease has run out.
  */
 public final class ShareLedger {
@@ -39,8 +39,7 @@
 
     /**
      * Dealt to all VMs evenly, so that one without links serves on. Little, since what lies at a VM where an account is
-     * quiet is of no use where it is not: with 0.4 dealt, 291 tries of one quiet day were refused, with 0.1 and tokens
-     * that are waited for 144. Where a VM's part of the burst would be less than one token, it could never be spent, and
+     * quiet is of no use where it is not. Where a VM's part of the burst would be less than one token, it could never be spent, and
      * a tenth of the rate would be lost: then the homes have it too.
      */
     private static final double DEALT = 0.1;
--- a/core/src/main/java/org/quetzalshunt/core/share/TokenPatience.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/TokenPatience.java
@@ -13,10 +13,10 @@
     private static final double UNDER_WAY_PART = 0.5;
 
     /**
-     * The same for the first turn of a program of the most urgent kind: little, since an account that is this far behind
-     * its rate cannot carry one more program without those under way being late.
+     * The same for the first turn of a program: little, since an account that is this far behind its rate cannot carry one
+     * more program without those under way being late; but a moment's shortage should not cost a program.
      */
-    private static final double URGENT_BEGINNING_PART = 0.15;
+    private static final double BEGINNING_PART = 0.15;
 
     /** For a refused request of a program under way, in tokens: the time in which its account earns them. */
     private static final double SOON_TOKENS = 5;
@@ -37,14 +37,10 @@
      * The longest wait.
      *
      * @param beginsProgram whether it is the first turn of a program
-     * @param mostUrgent whether it is of the most urgent kind
      * @param leftMillis time that its caller has left
      */
-    public static long mostWaitMillis(boolean beginsProgram, boolean mostUrgent, long leftMillis) {
-        if (!beginsProgram) {
-            return (long) (UNDER_WAY_PART * leftMillis);
-        }
-        return mostUrgent ? (long) (URGENT_BEGINNING_PART * leftMillis) : 0;
+    public static long mostWaitMillis(boolean beginsProgram, long leftMillis) {
+        return (long) ((beginsProgram ? BEGINNING_PART : UNDER_WAY_PART) * leftMillis);
     }
 
     /**
--- a/core/src/main/java/org/quetzalshunt/core/store/AnswerLimit.java
+++ b/core/src/main/java/org/quetzalshunt/core/store/AnswerLimit.java
@@ -14,7 +14,7 @@
     /** Answers that take longer are of no use to callers who wait three seconds for a whole turn. */
     private static final double MOST_MILLIS = 1_200;
 
-    /** Room above the average for answers that wait behind others; a guess. */
+    /** Room above the average for answers that wait behind others. */
     private static final double TIMES_AVERAGE = 5;
 
     /** Weight of the newest answer in the average: about the last ten count. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -39,7 +39,7 @@
 final class FleetLinks implements LinkListener {
     /**
      * Loads are told this often while eight VMs serve, and in proportion less often as there are more. A turn takes about
-     * this long; against every 100 ms, one quiet day of eight VMs took 16 instead of 20 core-seconds.
+     * this long.
      */
     private static final long LOADS_MILLIS = 250;
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PlainRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PlainRun.java
@@ -17,7 +17,7 @@
 final class PlainRun implements EndpointCall.Listener {
     /**
      * An endpoint that has said nothing for this many times the route's target is left for another one: late enough that
-     * most healthy ones have answered, early enough that another can within the caller's time. Not measured.
+     * most healthy ones have answered, early enough that another can within the caller's time.
      */
     private static final double SILENT_TARGETS = 1.5;
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
@@ -173,7 +173,8 @@
 
     private void takeToken(Arrival arrival, Accepted accepted, AccountTerms account) {
         long left = accepted.deadlineMillis() - gateway.clock().now();
-        gateway.rates().take(account, mostWait(accepted, left), wait -> {
+        long most = TokenPatience.mostWaitMillis(accepted.beginsProgram(), left);
+        gateway.rates().take(account, most, wait -> {
             if (wait.isEmpty()) {
                 noToken(arrival, accepted, account);
             } else if (wait.getAsLong() == 0) {
@@ -194,11 +195,6 @@
                         .isPresent();
     }
 
-    private static long mostWait(Accepted accepted, long leftMillis) {
-        boolean mostUrgent = accepted.route().priority() <= 0;
-        return TokenPatience.mostWaitMillis(accepted.beginsProgram(), mostUrgent, leftMillis);
-    }
-
     private Optional<BudgetKeeper.Verdict.Spent> spent(Accepted accepted) {
         return accepted.budgetedProgram().flatMap(program -> gateway.budgets()
                 .knownSpent(program, accepted.request().tokenBudget().getAsLong(), accepted.mostTokens()));
