The reading speed believed in follows a quantile, not the fastest reading

Cause, seen on reading the change: a prompt that an engine held although its gateway had no word of it seems to have been read in no time, and the speed believed in was that of the fastest reading of the last hundred: reading looked nearly free, and turns left their prompts for a little less load. Change: steps of fixed size towards the quantile that nine tenths fall short of.

--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EngineSpeed.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EngineSpeed.java
@@ -19,24 +19,27 @@
     /** Weight of the newest run: about the last hundred count. */
     private static final double RUN_WEIGHT = 0.01;
 
-    /**
-     * Part of the believed speed that it loses with each slower reading. Most readings share their engine with others
-     * and look slow; the fastest of about the last hundred is near the engine's own speed.
-     */
-    private static final double READ_DECAY = 0.005;
+    /** Part of all readings that are slower than the speed believed in: most share their engine with others. */
+    private static final double SLOWER_PART = 0.9;
+
+    /** How far one reading moves the speed, as a part of it. */
+    private static final double READ_STEP = 0.05;
 
     private double readTokensPerMilli = FIRST_READ_TOKENS_PER_MILLI;
     private double millisPerToken = FIRST_MILLIS_PER_TOKEN;
     private double tokensPerRun = FIRST_TOKENS_PER_RUN;
 
-    /** An engine read a prompt and began its answer. */
+    /**
+     * An engine read a prompt and began its answer. The speed follows a quantile of the readings by steps of fixed size, so
+     * that a prompt which the engine held against expectation, and so seems to have read in no time, counts as one reading.
+     */
     void read(long tokens, long tookMillis) {
         if (tokens < LEAST_READ_TOKENS) {
             return;
         }
         double seen = tokens / (double) Math.max(1, tookMillis);
-        double faded = readTokensPerMilli * (1 - READ_DECAY) + READ_DECAY * seen;
-        readTokensPerMilli = Math.max(seen, faded);
+        double step = seen > readTokensPerMilli ? SLOWER_PART : SLOWER_PART - 1;
+        readTokensPerMilli *= 1 + READ_STEP * step;
     }
 
     /** An engine generated an answer after its first event. */
