--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/policy/PolicyTest.java
@@ -0,0 +1,35 @@
+package org.quetzalshunt.core.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class PolicyTest {
+    @ParameterizedTest
+    @EnumSource(Mechanism.class)
+    void mechanismIsSwitchedOffByItsFlagAlone(Mechanism mechanism) {
+        Mechanism named = Mechanism.ofFlag(mechanism.flag()).orElseThrow();
+        Policy policy = Policy.without(List.of(named));
+
+        for (Mechanism each : Mechanism.values()) {
+            assertThat(policy.has(each)).isEqualTo(each != mechanism);
+            assertThat(Policy.whole().has(each)).isTrue();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "PROMPT_PLACES", "prompt_places", "prompt-places ", "everything"})
+    void otherNamesNameNoMechanism(String flag) {
+        assertThat(Mechanism.ofFlag(flag)).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void flagsAreLowerCaseWithHyphens() {
+        assertThat(Mechanism.PROMPT_PLACES.flag()).isEqualTo("prompt-places");
+    }
+}
