--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/endpoint/EnginePlay.java
@@ -0,0 +1,221 @@
+package org.quetzalshunt.core.endpoint;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.quetzalshunt.core.policy.Policy;
+
+/**
+ * A few gateways before a few engines in virtual time: programs whose turns arrive through any gateway and go on from a
+ * growing prompt, engines that read and generate in one batch, and word between gateways that comes late.
+ */
+final class EnginePlay {
+    /**
+     * What engines and traffic are like.
+     *
+     * @param engines how many
+     * @param slots requests that one generates for at once
+     * @param readTokensPerMilli speed of reading; everything else of the engine stands still meanwhile
+     * @param stepMillis time of a token for a batch of one; each request more adds a fiftieth
+     * @param commonTokens size of the part that programs share, of which there are eight
+     * @param memoryTokens what one engine holds
+     * @param programsPerSecond arrivals
+     */
+    record Shape(
+            int engines,
+            int slots,
+            double readTokensPerMilli,
+            double stepMillis,
+            long commonTokens,
+            long memoryTokens,
+            double programsPerSecond) {}
+
+    /** What came of a play. */
+    record Result(double meanTurnMillis, long tokensRead) {}
+
+    private static final int GATEWAYS = 6;
+    private static final int COMMON_PARTS = 8;
+    private static final int TURNS = 5;
+    private static final int TICK_MILLIS = 5;
+    private static final int WORD_MILLIS = 250;
+    private static final int LENGTH_MILLIS = 20_000;
+    private static final double CROWDING = 0.02;
+    private static final long TURN_TOKENS = 900;
+    private static final long MOST_GENERATED = 300;
+
+    private static final class Turn {
+        int number;
+        String line;
+        PromptPart common;
+        long lineTokens;
+        long arrivedMillis;
+        EndpointTable gateway;
+        Choice choice;
+        double unread;
+        double toGenerate;
+        long generated;
+        long sentMillis;
+        long firstMillis = -1;
+
+        List<PromptPart> prompt() {
+            PromptPart own = new PromptPart(line, lineTokens);
+            return common.tokens() == 0 ? List.of(own) : List.of(common, own);
+        }
+    }
+
+    private static final class Engine {
+        final PromptMemory memory = new PromptMemory();
+        final ArrayDeque<Turn> waiting = new ArrayDeque<>();
+        final List<Turn> running = new ArrayList<>();
+    }
+
+    private final Shape shape;
+    private final Random random;
+    private final List<Engine> engines = new ArrayList<>();
+    private final List<EndpointTable> gateways = new ArrayList<>();
+    private final PriorityQueue<Turn> arrivals =
+            new PriorityQueue<>((one, other) -> Long.compare(one.arrivedMillis, other.arrivedMillis));
+    private double millisInAll;
+    private long turns;
+    private double read;
+
+    private EnginePlay(Shape shape, Policy policy, long seed) {
+        this.shape = shape;
+        this.random = new Random(seed);
+        for (int number = 0; number < shape.engines(); number++) {
+            engines.add(new Engine());
+        }
+        for (int gateway = 0; gateway < GATEWAYS; gateway++) {
+            EndpointTable table = EndpointTable.create("a", gateway, policy);
+            for (int number = 0; number < shape.engines(); number++) {
+                table.registered(new Registration(
+                        Integer.toString(number), "llm", "10.0.0.1:" + (number + 1), "a", shape.slots(), false, 1));
+            }
+            gateways.add(table);
+        }
+    }
+
+    /** Plays twenty seconds of arrivals to their end. */
+    static Result play(Shape shape, Policy policy, long seed) {
+        EnginePlay play = new EnginePlay(shape, policy, seed);
+        play.arrive();
+        play.run();
+        return new Result(play.millisInAll / play.turns, Math.round(play.read));
+    }
+
+    private void arrive() {
+        double now = 0;
+        for (int program = 0; now < LENGTH_MILLIS; program++) {
+            now += -Math.log(1 - random.nextDouble()) * 1_000 / shape.programsPerSecond();
+            Turn first = new Turn();
+            first.line = "line-" + program;
+            first.common = new PromptPart("common-" + random.nextInt(COMMON_PARTS), shape.commonTokens());
+            first.lineTokens = TURN_TOKENS;
+            first.arrivedMillis = (long) now;
+            arrivals.add(first);
+        }
+    }
+
+    private void run() {
+        for (long now = 0; now < 6 * LENGTH_MILLIS; now += TICK_MILLIS) {
+            while (!arrivals.isEmpty() && arrivals.peek().arrivedMillis <= now) {
+                send(now, arrivals.poll());
+            }
+            for (Engine engine : engines) {
+                tick(now, engine);
+            }
+            if (now % WORD_MILLIS == 0) {
+                tell();
+            }
+        }
+    }
+
+    private void send(long now, Turn turn) {
+        turn.gateway = gateways.get(random.nextInt(GATEWAYS));
+        Wish wish = new Wish("llm", Set.of(), turn.prompt(), shape.memoryTokens(), Integer.MAX_VALUE);
+        turn.choice = turn.gateway.choose(now, wish).orElseThrow();
+        String id = turn.choice.registration().id();
+        turn.gateway.started(id);
+        turn.gateway.prompted(id, wish, turn.choice.missingTokens());
+        turn.sentMillis = now;
+        turn.generated = 16L + random.nextInt((int) MOST_GENERATED);
+        turn.toGenerate = turn.generated;
+        engines.get(Integer.parseInt(id)).waiting.add(turn);
+    }
+
+    private void tick(long now, Engine engine) {
+        while (engine.running.size() < shape.slots() && !engine.waiting.isEmpty()) {
+            admit(engine, engine.waiting.poll());
+        }
+        double left = TICK_MILLIS;
+        for (Turn turn : engine.running) {
+            double tokens = Math.min(turn.unread, left * shape.readTokensPerMilli());
+            turn.unread -= tokens;
+            left -= tokens / shape.readTokensPerMilli();
+        }
+        double tokens = left / (shape.stepMillis() * (1 + CROWDING * engine.running.size()));
+        for (Iterator<Turn> each = engine.running.iterator(); each.hasNext(); ) {
+            Turn turn = each.next();
+            if (turn.unread <= 0 && generate(now, turn, tokens)) {
+                each.remove();
+                ended(now, turn);
+            }
+        }
+    }
+
+    private void admit(Engine engine, Turn turn) {
+        turn.unread = engine.memory.missingTokens(turn.prompt());
+        read += turn.unread;
+        turn.prompt().forEach(part -> engine.memory.hold(part, shape.memoryTokens()));
+        engine.running.add(turn);
+    }
+
+    private static boolean generate(long now, Turn turn, double tokens) {
+        if (turn.firstMillis < 0) {
+            turn.firstMillis = now;
+            String id = turn.choice.registration().id();
+            turn.gateway.promptDone(id, turn.choice.missingTokens());
+            turn.gateway.answerBegan(id, turn.choice.missingTokens(), now - turn.sentMillis + TICK_MILLIS);
+        }
+        turn.toGenerate -= tokens;
+        return turn.toGenerate <= 0;
+    }
+
+    private void ended(long now, Turn turn) {
+        String id = turn.choice.registration().id();
+        turn.gateway.generated(id, turn.generated, now - turn.firstMillis);
+        turn.gateway.finished(now, id, Finish.ANSWERED, now - turn.sentMillis);
+        millisInAll += now - turn.arrivedMillis;
+        turns++;
+        if (turn.number + 1 < TURNS) {
+            Turn next = new Turn();
+            next.number = turn.number + 1;
+            next.line = turn.line;
+            next.common = turn.common;
+            next.lineTokens = turn.lineTokens + turn.generated + TURN_TOKENS;
+            next.arrivedMillis = now + 20 + random.nextInt(200);
+            arrivals.add(next);
+        }
+    }
+
+    private void tell() {
+        for (int one = 0; one < GATEWAYS; one++) {
+            EndpointTable teller = gateways.get(one);
+            List<PromptPlace> places = teller.placesToTell();
+            Map<String, Integer> running = teller.running();
+            Map<String, Long> unread = teller.unread();
+            for (int other = 0; other < GATEWAYS; other++) {
+                if (other != one) {
+                    gateways.get(other).othersPrompted(places);
+                    gateways.get(other).otherRuns("vm-" + one, running);
+                    gateways.get(other).otherUnread("vm-" + one, unread);
+                }
+            }
+        }
+    }
+}
