Allotments are never lowered: a give-back that lands late broke a budget

Cause, by the code: the give-back of a tight budget was an append without a condition. Its answer lost, the record was read again, still the higher one, and handed out; then the lower one landed, and other gateways granted what it seemed to leave. 496 tokens too many fit one turn of 592. The platform says that a call without an answer may run seconds later. Change: the give-back goes.

--- a/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
+++ b/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
@@ -7,10 +7,13 @@
  * shared map; the sum of all VMs' allotments is kept within the budget and the most of one turn by appends that expect
  * the shard as it was read. What a VM held that died counts as spent.
  *
- * <p>Load pattern: programs whose turns arrive through one VM after another, and VMs that die with what they hold. While a
- * budget has room for many turns, a VM to which the program came back takes one turn more than it needs, which saves a call
- * to the shared map; once it is tight, a VM gives back what a turn did not hand out. Without that each VM on the way keeps tokens that nobody will hand
- * out, and a program well within its budget is told that it is spent.
+ * <p>Load pattern: programs whose turns arrive through one VM after another. While a budget has room for many turns, a VM to
+ * which the program came back takes one turn more than it needs, which saves a call to the shared map. Beyond that it takes
+ * no spare: each VM on the way would keep tokens that nobody hands out, and a program well within its budget would be told
+ * that it is spent.
+ *
+ * <p>An allotment is never lowered. A lower record whose answer is lost may land after a later, higher one, and the other
+ * VMs would then count on tokens that this one hands out.
  */
 public final class ProgramAllotment {
     /** Turns that must still fit besides, for a turn to be sent ahead of its grant. */
@@ -19,12 +22,8 @@
     /** Room for this many turns besides makes a spare harmless. */
     private static final int SPARE_ROOM_TURNS = 8;
 
-    /** With room for fewer turns than this, what a VM holds in vain may be what another lacks. */
-    private static final int TIGHT_TURNS = 4;
-
     private long allotted;
     private long used;
-    private int running;
     private long others;
     private boolean known;
 
@@ -60,19 +59,11 @@
     /** A turn starts; it may hand out that many tokens. */
     public void started(long mostTokens) {
         used += mostTokens;
-        running++;
     }
 
     /** A turn ended, having handed out fewer tokens than it might have. */
     public void ended(long mostTokens, long handedOut) {
         used -= Math.max(0, mostTokens - handedOut);
-        running--;
-    }
-
-    /** The lower allotment that this VM should hold, where it runs nothing of a program whose budget is tight. */
-    public OptionalLong returnable(long budget, long mostTokens) {
-        boolean tight = budget - others - used < TIGHT_TURNS * mostTokens;
-        return known && running == 0 && tight && allotted > used ? OptionalLong.of(used) : OptionalLong.empty();
     }
 
     /**
@@ -90,7 +81,7 @@
         return OptionalLong.of(Math.max(allotted, used + mostTokens + spare));
     }
 
-    /** The allotment changes: a higher one is kept in the shared map, or a lower one is about to be. */
+    /** The wanted allotment is kept in the shared map. */
     public void granted(long tokens) {
         allotted = tokens;
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
@@ -54,7 +54,7 @@
     }
 
     private static final class Shard {
-        /** Turns that wait for their grant, and allotments to be lowered, in order. */
+        /** Turns that wait for their grant, in order. */
         final Deque<Runnable> tasks = new ArrayDeque<>();
 
         boolean busy;
@@ -180,44 +180,12 @@
         }
     }
 
-    /**
-     * A turn ended; what it did not hand out is free again, and given back to other VMs where the budget is tight.
-     *
-     * @param keepMillis how long the program's history is kept after its last turn
-     */
-    void release(String program, long budget, long mostTokens, long keepMillis, long handedOut) {
+    /** A turn ended; what it did not hand out is free again for this VM's next turns. */
+    void release(String program, long mostTokens, long handedOut) {
         Row row = rows.get(program);
-        if (row == null) {
-            return;
-        }
-        row.allotment.ended(mostTokens, handedOut);
-        if (row.allotment.returnable(budget, mostTokens).isPresent()) {
-            MapShard key = Shards.ofProgram(program);
-            Shard shard = shards.computeIfAbsent(key, ignored -> new Shard());
-            queue(shard, () -> giveBack(key, shard, row, program, budget, mostTokens, keepMillis));
-        }
-    }
-
-    /** Needs no condition: only this life of this VM writes the record, and a lower one can break no budget. */
-    private void giveBack(
-            MapShard key, Shard shard, Row row, String program, long budget, long mostTokens, long keepMillis) {
-        OptionalLong lower = row.allotment.returnable(budget, mostTokens);
-        if (lower.isEmpty() || map.away()) {
-            next(shard);
-            return;
+        if (row != null) {
+            row.allotment.ended(mostTokens, handedOut);
         }
-        row.allotment.granted(lower.getAsLong());
-        map.append(key, List.of(entry(program, lower.getAsLong(), keepMillis)), OptionalLong.empty(), answer -> {
-            if (!(answer instanceof AppendAnswer.Appended appended)) {
-                // Whether it is kept is unknown; others count the higher one, which is safe.
-                shard.epoch++;
-            } else if (appended.end() == shard.end + 1) {
-                shard.end = appended.end();
-            } else {
-                shard.epoch++;
-            }
-            next(shard);
-        });
     }
 
     private MapEntry entry(String program, long tokens, long keepMillis) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -89,12 +89,6 @@
         }
         reserved = false;
         long handedOut = Math.min(accepted.mostTokens(), events * accepted.tokensPerEvent());
-        program.ifPresent(name -> gateway.budgets()
-                .release(
-                        name,
-                        accepted.request().tokenBudget().getAsLong(),
-                        accepted.mostTokens(),
-                        keepMillis(),
-                        handedOut));
+        program.ifPresent(name -> gateway.budgets().release(name, accepted.mostTokens(), handedOut));
     }
 }
