--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
@@ -12,7 +12,8 @@
 import org.quetzalshunt.core.policy.Policy;
 
 /**
- * The endpoints of all services, and the choice among them: the one at which a request is expected to end soonest.
+ * The endpoints of all services, and the choice among them: the one at which a request costs least, by what is known of
+ * loads, failures, speeds and the prompts in engines' memory.
  */
 public final class EndpointTable {
     /** After an endpoint said that it is full, it is asked again only when nothing else is free. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
@@ -33,8 +33,9 @@
 import org.quetzalshunt.wire.generated.TokenRequest;
 
 /**
- * Links to the other gateways, for two things that are of use only at once: single tokens of a rate from an account's
- * home, and how much runs and fails where. Nothing that lasts goes over them, and each works on without them, only less well.
+ * Links to the other gateways, for what is of use only at once: single tokens of a rate from an account's home, how much runs
+ * and fails where, and where prompts lie in engines' memory. Nothing that lasts goes over them, and each gateway works on
+ * without them, only less well.
  */
 final class FleetLinks implements LinkListener {
     /**
