Unused code of the change goes; the recovery queue checks once at a time

Seen on reading the change: EngineSpeed kept a time for a token that nothing asks for, RecoveryQueue a size that nothing asks for. A request that went on and was offered again while the queue was empty started a second series of checks beside the first: twice the work, same outcomes.

--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
@@ -182,7 +182,7 @@
         double millisForToken = Math.max(1, tookMillis) / (double) tokensAfterFirst;
         rows.find(id).ifPresent(row -> {
             row.generated(millisForToken);
-            speed(row.registration.service()).generated(tokensAfterFirst, millisForToken);
+            speed(row.registration.service()).generated(tokensAfterFirst);
         });
     }
 
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EngineSpeed.java
+++ b/core/src/main/java/org/quetzalshunt/core/endpoint/EngineSpeed.java
@@ -9,8 +9,6 @@
     private static final double FIRST_READ_TOKENS_PER_MILLI = 100;
 
     /** Assumed before anything was generated. */
-    private static final double FIRST_MILLIS_PER_TOKEN = 2;
-
     private static final double FIRST_TOKENS_PER_RUN = 128;
 
     /** Prompts shorter than this say little: the way and the engine's first step outweigh their reading. */
@@ -26,7 +24,6 @@
     private static final double READ_STEP = 0.05;
 
     private double readTokensPerMilli = FIRST_READ_TOKENS_PER_MILLI;
-    private double millisPerToken = FIRST_MILLIS_PER_TOKEN;
     private double tokensPerRun = FIRST_TOKENS_PER_RUN;
 
     /**
@@ -43,19 +40,14 @@
     }
 
     /** An engine generated an answer after its first event. */
-    void generated(long tokens, double millisForToken) {
+    void generated(long tokens) {
         tokensPerRun += RUN_WEIGHT * (tokens - tokensPerRun);
-        millisPerToken += RUN_WEIGHT * (millisForToken - millisPerToken);
     }
 
     double readMillis(long tokens) {
         return tokens / readTokensPerMilli;
     }
 
-    double millisPerToken() {
-        return millisPerToken;
-    }
-
     double tokensPerRun() {
         return tokensPerRun;
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RecoveryQueue.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RecoveryQueue.java
@@ -32,6 +32,7 @@
     private final EventExecutor executor;
     private final NodeClock clock;
     private final List<Waiting> waiting = new ArrayList<>();
+    private boolean checking;
 
     RecoveryQueue(EventExecutor executor, NodeClock clock) {
         this.executor = executor;
@@ -44,21 +45,21 @@
             return false;
         }
         waiting.add(request);
-        if (waiting.size() == 1) {
-            checkLater();
-        }
+        checkLater();
         return true;
     }
 
-    int size() {
-        return waiting.size();
-    }
-
+    /** One check at a time: a request that goes on may be offered again, and would start a second series of checks. */
     private void checkLater() {
+        if (checking || waiting.isEmpty()) {
+            return;
+        }
+        checking = true;
         executor.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void check() {
+        checking = false;
         long now = clock.now();
         List<Waiting> due = new ArrayList<>();
         waiting.removeIf(each -> {
@@ -70,8 +71,6 @@
         });
         due.sort(Comparator.comparing(Waiting::mayBegin));
         due.forEach(each -> each.resume().run());
-        if (!waiting.isEmpty()) {
-            checkLater();
-        }
+        checkLater();
     }
 }
