--- a/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
+++ b/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
@@ -47,38 +47,38 @@
     }
 
     /** Whether a turn may start on what this VM holds. */
-    public boolean covers(long mostTokens) {
-        return known && allotted - used >= mostTokens;
+    public boolean covers(long maximumTokens) {
+        return known && allotted - used >= maximumTokens;
     }
 
     /** Whether, by what was last read, more turns fit than this one, so that its grant is almost sure to come. */
-    public boolean ample(long budget, long mostTokens) {
-        return known && budget - others - used >= (1 + AMPLE_TURNS) * mostTokens;
+    public boolean hasHeadroom(long budget, long maximumTokens) {
+        return known && budget - others - used >= (1 + AMPLE_TURNS) * maximumTokens;
     }
 
     /** A turn starts; it may hand out that many tokens. */
-    public void started(long mostTokens) {
-        used += mostTokens;
+    public void started(long maximumTokens) {
+        used += maximumTokens;
     }
 
     /** A turn ended, having handed out fewer tokens than it might have. */
-    public void ended(long mostTokens, long handedOut) {
-        used -= Math.max(0, mostTokens - handedOut);
+    public void ended(long maximumTokens, long handedOut) {
+        used -= Math.max(0, maximumTokens - handedOut);
     }
 
     /**
      * The allotment to ask for, so that one more turn may start; empty when the budget is spent.
      *
      * @param budget tokens that all turns of the program may generate
-     * @param mostTokens tokens that the turn may generate
+     * @param maximumTokens tokens that the turn may generate
      */
-    public OptionalLong wanted(long budget, long mostTokens) {
+    public OptionalLong wanted(long budget, long maximumTokens) {
         if (others + used > budget) {
             return OptionalLong.empty();
         }
-        boolean ample = budget - others - used >= (1 + SPARE_ROOM_TURNS) * mostTokens;
-        long spare = ample && used > 0 ? mostTokens : 0;
-        return OptionalLong.of(Math.max(allotted, used + mostTokens + spare));
+        boolean hasHeadroom = budget - others - used >= (1 + SPARE_ROOM_TURNS) * maximumTokens;
+        long spare = hasHeadroom && used > 0 ? maximumTokens : 0;
+        return OptionalLong.of(Math.max(allotted, used + maximumTokens + spare));
     }
 
     /** The wanted allotment is kept in the shared map. */
--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -7,23 +7,23 @@
 /** A rule of the policy that can be switched off; what stands in its place is said with each. */
 public enum Mechanism {
     /** Work goes where its prompt lies in memory. Without it: where least runs. */
-    PROMPT_PLACES,
+    PREFIX_AFFINITY,
     /** Gateways tell each other where prompts lie. Without it: each knows of its own turns only. */
-    SHARED_PLACES,
+    SHARED_PREFIX_LOCATIONS,
     /** A part that no endpoint is known to hold goes where all gateways agree on. Without it: anywhere. */
-    PROMPT_HOMES,
+    PREFIX_PLACEMENT,
     /** Prompts that an endpoint has still to read count as a wait there. Without it: an empty new one draws all at once. */
-    READ_BACKLOG,
+    PREFILL_BACKLOG,
     /** An endpoint's speed is its time for a token. Without it: the mean time of whole runs, long and short alike. */
-    TOKEN_PACE,
+    TOKEN_RATE,
     /** Rates are settled quickly after an outage or a restart. Without it: at the calm pace of one round a second. */
-    QUICK_RENEWAL,
+    FAST_RENEWAL,
     /** Requests wait for a part of their time for an outage to end. Without it: refused at once. */
     OUTAGE_WAIT,
     /** Callers come back late enough to outlive an outage for all. Without it: after 0.9 s. */
-    LATE_RETURN,
+    OUTAGE_RETRY_DELAY,
     /** Beginnings beyond their account's rate come back late. Without it: as soon as others. */
-    LATE_BEGINNINGS;
+    PROGRAM_START_DELAY;
 
     /** Name in flags: lower case, with hyphens. */
     public String flag() {
--- a/core/src/main/java/org/quetzalshunt/core/share/ShareRecord.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/LeaseRecord.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 import java.util.Map;
 
@@ -10,4 +10,4 @@
  * @param shares parts by account
  * @param linkAddress where other VMs reach it, as IP number, colon, port
  */
-public record ShareRecord(long incarnation, long sequence, Map<String, AccountShare> shares, String linkAddress) {}
+public record LeaseRecord(long incarnation, long sequence, Map<String, QuotaShare> shares, String linkAddress) {}
--- a/core/src/main/java/org/quetzalshunt/core/share/OutagePatience.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/OutageWaitPolicy.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 /**
  * How long a request waits in an outage that no other VM is spared, and when its caller should come back after that.
@@ -8,7 +8,7 @@
  * back early, they are used up in the first three seconds; spread over the time that callers have, they reach over most
  * outages. A request that waits is served as soon as the outage ends.
  */
-public final class OutagePatience {
+public final class OutageWaitPolicy {
     /** Part of its time that a request waits; the rest is for its run, or for its caller's next try. */
     private static final double WAIT_PART = 0.3;
 
@@ -21,14 +21,14 @@
     /** Part of that time over which callers are spread, so that they do not return as one. */
     private static final double SPREAD = 0.05;
 
-    private OutagePatience() {}
+    private OutageWaitPolicy() {}
 
     /**
      * The longest wait.
      *
      * @param leftMillis time that the caller had left when the request arrived
      */
-    public static long mostWaitMillis(long leftMillis) {
+    public static long maximumWaitMillis(long leftMillis) {
         return Math.min(MOST_WAIT_MILLIS, (long) (WAIT_PART * leftMillis));
     }
 
@@ -38,7 +38,7 @@
      * @param leftMillis time that the caller has left
      * @param chance anything from 0 to 1, evenly
      */
-    public static long comeBackMillis(long leftMillis, double chance) {
+    public static long retryAfterMillis(long leftMillis, double chance) {
         return (long) (COME_BACK_PART * leftMillis * (1 - SPREAD * chance));
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/share/ShareLedger.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/QuotaLeases.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,7 +24,7 @@
  * with the homes, nearly the whole account's burst is behind each VM. Two homes, so that the loss of
  * the first leaves some of the rate usable until its lease has run out.
  */
-public final class ShareLedger {
+public final class QuotaLeases {
     /** The whole of an account's rate. */
     public static final int ALL_PARTS = 10_000;
 
@@ -62,23 +62,23 @@
     private final Map<String, Holder> others = new HashMap<>();
     private final Map<String, List<String>> homes = new HashMap<>();
     private Map<String, Holder> live = Map.of();
-    private Map<String, AccountShare> held = Map.of();
+    private Map<String, QuotaShare> held = Map.of();
     private long sequence;
     private long sentMillis = Long.MIN_VALUE / 2;
 
-    private ShareLedger(String self, long incarnation, String linkAddress) {
+    private QuotaLeases(String self, long incarnation, String linkAddress) {
         this.self = self;
         this.incarnation = incarnation;
         this.linkAddress = linkAddress;
     }
 
     /** Makes a ledger that holds nothing. */
-    public static ShareLedger create(String self, long incarnation, String linkAddress) {
-        return new ShareLedger(self, incarnation, linkAddress);
+    public static QuotaLeases create(String self, long incarnation, String linkAddress) {
+        return new QuotaLeases(self, incarnation, linkAddress);
     }
 
     /** A record of the map was seen; records of this VM's former life are void, since that process is gone. */
-    public void seen(long nowMillis, String vm, ShareRecord record) {
+    public void seen(long nowMillis, String vm, LeaseRecord record) {
         if (vm.equals(self)) {
             return;
         }
@@ -97,8 +97,8 @@
     }
 
     /** Records of the other VMs whose leases may still be in use, by VM. */
-    public Map<String, ShareRecord> liveOthers(long nowMillis) {
-        Map<String, ShareRecord> records = new HashMap<>();
+    public Map<String, LeaseRecord> livePeers(long nowMillis) {
+        Map<String, LeaseRecord> records = new HashMap<>();
         liveAt(nowMillis).forEach((vm, holder) -> records.put(vm, holder.record));
         return records;
     }
@@ -121,7 +121,7 @@
     public List<String> holders(String account) {
         Map<String, Integer> parts = new HashMap<>();
         live.forEach((vm, holder) -> parts.put(vm, holder.share(account).parts()));
-        parts.put(self, held.getOrDefault(account, AccountShare.NONE).parts());
+        parts.put(self, held.getOrDefault(account, QuotaShare.NONE).parts());
         return parts.entrySet().stream()
                 .filter(entry -> entry.getValue() > 0)
                 .sorted(Map.Entry.<String, Integer>comparingByValue()
@@ -155,23 +155,23 @@
      *
      * @param bursts burst of each account, by its name
      */
-    public Optional<ShareRecord> propose(long nowMillis, Map<String, Double> bursts) {
+    public Optional<LeaseRecord> propose(long nowMillis, Map<String, Double> bursts) {
         refresh(nowMillis);
-        Map<String, AccountShare> base = leased(nowMillis) ? held : Map.of();
-        Map<String, AccountShare> wanted = new HashMap<>();
+        Map<String, QuotaShare> base = leased(nowMillis) ? held : Map.of();
+        Map<String, QuotaShare> wanted = new HashMap<>();
         boolean changed = nowMillis - sentMillis >= RENEW_MILLIS;
         for (Map.Entry<String, Double> burst : bursts.entrySet()) {
             String account = burst.getKey();
-            int before = base.getOrDefault(account, AccountShare.NONE).parts();
+            int before = base.getOrDefault(account, QuotaShare.NONE).parts();
             int parts = Math.min(target(account, burst.getValue()), room(account));
             boolean significant = Math.abs(parts - before) > WORTH_CHANGING * Math.max(before, 1);
             changed |= significant;
-            wanted.put(account, new AccountShare(significant ? parts : Math.min(before, room(account))));
+            wanted.put(account, new QuotaShare(significant ? parts : Math.min(before, room(account))));
         }
         if (!changed) {
             return Optional.empty();
         }
-        return Optional.of(new ShareRecord(incarnation, sequence + 1, Map.copyOf(wanted), linkAddress));
+        return Optional.of(new LeaseRecord(incarnation, sequence + 1, Map.copyOf(wanted), linkAddress));
     }
 
     private int target(String account, double burst) {
@@ -192,12 +192,12 @@
     }
 
     /** A proposal is about to be sent: what it gives up is not used from now on. */
-    public void sending(long nowMillis, ShareRecord record) {
-        Map<String, AccountShare> lower = new HashMap<>();
+    public void sending(long nowMillis, LeaseRecord record) {
+        Map<String, QuotaShare> lower = new HashMap<>();
         if (leased(nowMillis)) {
             record.shares().forEach((account, share) -> {
-                int before = held.getOrDefault(account, AccountShare.NONE).parts();
-                lower.put(account, new AccountShare(Math.min(before, share.parts())));
+                int before = held.getOrDefault(account, QuotaShare.NONE).parts();
+                lower.put(account, new QuotaShare(Math.min(before, share.parts())));
             });
         }
         held = Map.copyOf(lower);
@@ -205,7 +205,7 @@
     }
 
     /** A proposal is kept in the map: it holds from when it was sent. */
-    public void kept(long sentAtMillis, ShareRecord record) {
+    public void kept(long sentAtMillis, LeaseRecord record) {
         held = record.shares();
         sentMillis = sentAtMillis;
     }
@@ -218,7 +218,7 @@
 
     /** Parts of an account that this VM may use now. */
     public int parts(long nowMillis, String account) {
-        return leased(nowMillis) ? held.getOrDefault(account, AccountShare.NONE).parts() : 0;
+        return leased(nowMillis) ? held.getOrDefault(account, QuotaShare.NONE).parts() : 0;
     }
 
     /** Whether this VM's lease holds. */
@@ -226,13 +226,13 @@
         return nowMillis - sentMillis < LEASE_MILLIS;
     }
 
-    private record Holder(ShareRecord record, long seenMillis) {
+    private record Holder(LeaseRecord record, long seenMillis) {
         boolean live(long nowMillis) {
             return nowMillis - seenMillis < OBSERVED_MILLIS;
         }
 
-        AccountShare share(String account) {
-            return record.shares().getOrDefault(account, AccountShare.NONE);
+        QuotaShare share(String account) {
+            return record.shares().getOrDefault(account, QuotaShare.NONE);
         }
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/share/TokenPatience.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/QuotaWaitPolicy.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 /**
  * How long a request may wait for a token of its account's rate, before it hears that the account is over it.
@@ -8,7 +8,7 @@
  * done, while a new program has lost nothing yet: so those under way wait, and new ones make room. Without it an account
  * at its rate begins more programs than it can carry, and all of them are late or fail.
  */
-public final class TokenPatience {
+public final class QuotaWaitPolicy {
     /** Part of its time that a request of a program under way may wait; the other half is for its run. */
     private static final double UNDER_WAY_PART = 0.5;
 
@@ -31,7 +31,7 @@
     /** A refused beginning comes back after this part of that, or later. */
     private static final double EARLIEST = 0.4;
 
-    private TokenPatience() {}
+    private QuotaWaitPolicy() {}
 
     /**
      * The longest wait.
@@ -39,7 +39,7 @@
      * @param beginsProgram whether it is the first turn of a program
      * @param leftMillis time that its caller has left
      */
-    public static long mostWaitMillis(boolean beginsProgram, long leftMillis) {
+    public static long maximumWaitMillis(boolean beginsProgram, long leftMillis) {
         return (long) ((beginsProgram ? BEGINNING_PART : UNDER_WAY_PART) * leftMillis);
     }
 
@@ -51,7 +51,7 @@
      * @param leftMillis time that its caller has left
      * @param chance anything from 0 to 1, evenly
      */
-    public static long comeBackMillis(boolean beginsProgram, double ratePerSecond, long leftMillis, double chance) {
+    public static long retryAfterMillis(boolean beginsProgram, double ratePerSecond, long leftMillis, double chance) {
         if (!beginsProgram) {
             long earned = (long) (SOON_TOKENS / ratePerSecond * MILLIS_PER_SECOND);
             return Math.min(SOON_MOST_MILLIS, SOON_LEAST_MILLIS + earned);
--- a/core/src/main/java/org/quetzalshunt/core/share/ShareBucket.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/TokenBucket.java
@@ -1,10 +1,10 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 /**
  * A token bucket whose rate and room are a part of an account's. Starts empty, so that a restart earns no burst; a part
  * that grows brings no tokens, one that shrinks loses what no longer fits.
  */
-public final class ShareBucket {
+public final class TokenBucket {
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private double level;
@@ -12,13 +12,13 @@
     private double capacity;
     private long filledMillis;
 
-    private ShareBucket(long nowMillis) {
+    private TokenBucket(long nowMillis) {
         this.filledMillis = nowMillis;
     }
 
     /** An empty bucket. */
-    public static ShareBucket create(long nowMillis) {
-        return new ShareBucket(nowMillis);
+    public static TokenBucket create(long nowMillis) {
+        return new TokenBucket(nowMillis);
     }
 
     /** Puts another rate and room in force. */
@@ -56,7 +56,7 @@
         }
         long wait = (long) Math.ceil((1 - level) / ratePerSecond * MILLIS_PER_SECOND);
         if (wait > mostMillis) {
-            return TokenOffer.later(wait);
+            return TokenOffer.unavailableFor(wait);
         }
         level -= 1;
         return TokenOffer.taken(wait);
--- a/core/src/main/java/org/quetzalshunt/core/share/TokenOffer.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/TokenOffer.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 import java.util.OptionalLong;
 
@@ -22,7 +22,7 @@
     }
 
     /** No token within the wait that was asked for, but after this one. */
-    public static TokenOffer later(long waitMillis) {
+    public static TokenOffer unavailableFor(long waitMillis) {
         return new TokenOffer(false, waitMillis);
     }
 
--- a/core/src/main/java/org/quetzalshunt/core/share/TokenSearch.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/TokenSearch.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 import java.util.List;
 import java.util.OptionalLong;
@@ -17,19 +17,19 @@
     @FunctionalInterface
     public interface Asking {
         /** Asks; the answer comes now or later, once. */
-        void ask(String holder, long mostWaitMillis, Consumer<TokenOffer> answer);
+        void ask(String holder, long maximumWaitMillis, Consumer<TokenOffer> answer);
     }
 
     private final List<String> holders;
-    private final long mostWaitMillis;
+    private final long maximumWaitMillis;
     private final Asking asking;
     private final Consumer<OptionalLong> listener;
     private int best = -1;
     private long shortestMillis = TokenOffer.NEVER;
 
-    private TokenSearch(List<String> holders, long mostWaitMillis, Asking asking, Consumer<OptionalLong> listener) {
+    private TokenSearch(List<String> holders, long maximumWaitMillis, Asking asking, Consumer<OptionalLong> listener) {
         this.holders = holders;
-        this.mostWaitMillis = mostWaitMillis;
+        this.maximumWaitMillis = maximumWaitMillis;
         this.asking = asking;
         this.listener = listener;
     }
@@ -38,12 +38,12 @@
      * Starts a search.
      *
      * @param holders VMs to ask, those that hold most first
-     * @param mostWaitMillis longest wait that the request can bear
+     * @param maximumWaitMillis longest wait that the request can bear
      * @param listener hears how long the request must wait; empty when the account is over its rate
      */
     public static void start(
-            List<String> holders, long mostWaitMillis, Asking asking, Consumer<OptionalLong> listener) {
-        new TokenSearch(holders, mostWaitMillis, asking, listener).ask(0);
+            List<String> holders, long maximumWaitMillis, Asking asking, Consumer<OptionalLong> listener) {
+        new TokenSearch(holders, maximumWaitMillis, asking, listener).ask(0);
     }
 
     private void ask(int index) {
@@ -65,10 +65,10 @@
     }
 
     private void askBest() {
-        if (best < 0 || shortestMillis > mostWaitMillis) {
+        if (best < 0 || shortestMillis > maximumWaitMillis) {
             listener.accept(OptionalLong.empty());
             return;
         }
-        asking.ask(holders.get(best), mostWaitMillis, offer -> listener.accept(offer.granted()));
+        asking.ask(holders.get(best), maximumWaitMillis, offer -> listener.accept(offer.granted()));
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/Finish.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/AttemptOutcome.java
@@ -1,7 +1,7 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 /** How an attempt at an endpoint ended, as far as the choice of endpoints is concerned. */
-public enum Finish {
+public enum AttemptOutcome {
     /** It answered. */
     ANSWERED,
     /** It answered with a failure of its own, or took far longer than a sound one. */
@@ -17,7 +17,7 @@
      * The time of an attempt is over. Before its answer began, the endpoint was noted as silent already where it took
      * longer than a sound one, and a short time limit says nothing of it; after that, it stopped midway.
      */
-    public static Finish ofLate(boolean answerBegan) {
-        return answerBegan ? ERRORED : NEUTRAL;
+    public static AttemptOutcome ofLate(boolean onFirstEvent) {
+        return onFirstEvent ? ERRORED : NEUTRAL;
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointCost.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointCost.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
@@ -18,7 +18,7 @@
     private static final double OTHER_DATA_CENTRE_MILLIS = 8;
 
     private static final double FULL_COST_MILLIS = 500;
-    private static final double SUSPECT_COST_MILLIS = 10_000;
+    private static final double EJECTED_COST_MILLIS = 10_000;
 
     /**
      * What a failure costs its program: the time until its caller sends again and the work done anew, or the whole program
@@ -39,24 +39,24 @@
     /**
      * The cost of a run.
      *
-     * @param missingTokens tokens of the prompt that the endpoint would have to read
+     * @param uncachedTokens tokens of the prompt that the endpoint would have to read
      */
-    double millis(long nowMillis, EndpointRow row, EngineSpeed speed, long missingTokens) {
-        int load = row.inFlight + row.othersInFlight;
-        double cost = runMillis(row, speed, load) + trouble(nowMillis, row);
+    double millis(long nowMillis, EndpointRow row, EngineSpeed speed, long uncachedTokens) {
+        int load = row.inFlight + row.peersInFlight;
+        double cost = runMillis(row, speed, load) + penaltyMillis(nowMillis, row);
         if (!row.registration.dataCentre().equals(dataCentre)) {
             cost += OTHER_DATA_CENTRE_MILLIS;
         }
-        if (policy.has(Mechanism.READ_BACKLOG)) {
-            cost += speed.readMillis(row.unreadTokens + row.othersUnreadTokens);
+        if (policy.has(Mechanism.PREFILL_BACKLOG)) {
+            cost += speed.readMillis(row.prefillBacklogTokens + row.peersPrefillBacklogTokens);
         }
         // While an engine reads, the answers of its whole batch stand still, and so does what comes next.
-        return cost + speed.readMillis(missingTokens) * (2 + load);
+        return cost + speed.readMillis(uncachedTokens) * (2 + load);
     }
 
     private double runMillis(EndpointRow row, EngineSpeed speed, int load) {
         int slots = Math.max(1, row.registration.slots());
-        double alone = policy.has(Mechanism.TOKEN_PACE) && row.generates()
+        double alone = policy.has(Mechanism.TOKEN_RATE) && row.generates()
                 ? row.millisPerToken() * speed.tokensPerRun()
                 : row.latencyMillis;
         double cost = alone * (1 + CROWDING * Math.min(load, slots));
@@ -66,15 +66,15 @@
         return cost;
     }
 
-    private static double trouble(long nowMillis, EndpointRow row) {
+    private static double penaltyMillis(long nowMillis, EndpointRow row) {
         double cost = 0;
         if (row.fullUntilMillis > nowMillis) {
             cost += FULL_COST_MILLIS;
         }
-        if (row.suspectUntilMillis > nowMillis) {
-            cost += SUSPECT_COST_MILLIS;
+        if (row.ejectedUntilMillis > nowMillis) {
+            cost += EJECTED_COST_MILLIS;
         }
-        double failureShare = row.failureShare(nowMillis);
-        return cost + FAILURE_COST_MILLIS * failureShare * failureShare;
+        double failureRate = row.failureRate(nowMillis);
+        return cost + FAILURE_COST_MILLIS * failureRate * failureRate;
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 /** One endpoint: what it said, what runs there for this VM, and how it has done lately. */
 final class EndpointRow {
@@ -18,35 +18,35 @@
     private static final double FAILURE_HALF_LIFE_MILLIS = 2_000;
 
     /** A share below this costs less than a tenth of a millisecond, and is taken for none. */
-    private static final double NEGLIGIBLE_SHARE = 0.005;
+    private static final double NEGLIGIBLE_RATE = 0.005;
 
     /** What fails for others may serve here, as when a link between two data centres is bad: it costs about half. */
-    private static final double OTHERS_WEIGHT = 0.7;
+    private static final double PEERS_WEIGHT = 0.7;
 
     private static final long FIRST_PENALTY_MILLIS = 300;
     private static final long LONGEST_PENALTY_MILLIS = 4_000;
 
-    final PromptMemory prompts = new PromptMemory();
+    final PrefixCache prompts = new PrefixCache();
     Registration registration;
     int inFlight;
-    int othersInFlight;
+    int peersInFlight;
     double latencyMillis;
     /** Tokens of prompts that were sent there and not read yet, by this VM and by others. */
-    long unreadTokens;
+    long prefillBacklogTokens;
 
-    long othersUnreadTokens;
+    long peersPrefillBacklogTokens;
     /** Tokens that its memory holds; not known before its first prompt. */
     long memoryTokens = Long.MAX_VALUE;
 
-    long suspectUntilMillis = Long.MIN_VALUE / 2;
+    long ejectedUntilMillis = Long.MIN_VALUE / 2;
     long fullUntilMillis = Long.MIN_VALUE / 2;
     long removedMillis = Long.MAX_VALUE;
     private double millisPerToken;
     private int failures;
-    private double failureShare;
-    private long failureShareMillis;
-    private double othersFailureShare;
-    private long othersFailureMillis;
+    private double failureRate;
+    private long failureRateMillis;
+    private double peersFailureRate;
+    private long peersFailureMillis;
 
     EndpointRow(Registration registration, double latencyMillis) {
         this.registration = registration;
@@ -55,7 +55,7 @@
 
     void succeeded(long nowMillis, long tookMillis) {
         failures = 0;
-        suspectUntilMillis = Long.MIN_VALUE / 2;
+        ejectedUntilMillis = Long.MIN_VALUE / 2;
         latencyMillis += LATENCY_WEIGHT * (tookMillis - latencyMillis);
         outcome(nowMillis, 0);
     }
@@ -84,37 +84,37 @@
         outcome(nowMillis, 1);
         long penalty = Math.min(LONGEST_PENALTY_MILLIS, FIRST_PENALTY_MILLIS << Math.min(failures, 10));
         failures++;
-        suspectUntilMillis = nowMillis + penalty;
+        ejectedUntilMillis = nowMillis + penalty;
     }
 
     private void outcome(long nowMillis, double failed) {
-        double present = decayed(nowMillis, failureShare, failureShareMillis);
-        failureShare = present + OUTCOME_WEIGHT * (failed - present);
-        failureShareMillis = nowMillis;
+        double present = decayed(nowMillis, failureRate, failureRateMillis);
+        failureRate = present + OUTCOME_WEIGHT * (failed - present);
+        failureRateMillis = nowMillis;
     }
 
     /** Another VM said which share of its requests fails here; the worst that was said counts, and fades likewise. */
-    void othersFail(long nowMillis, double share) {
-        double present = decayed(nowMillis, othersFailureShare, othersFailureMillis);
+    void onPeerFailureRates(long nowMillis, double share) {
+        double present = decayed(nowMillis, peersFailureRate, peersFailureMillis);
         if (share > present) {
-            othersFailureShare = share;
-            othersFailureMillis = nowMillis;
+            peersFailureRate = share;
+            peersFailureMillis = nowMillis;
         }
     }
 
     /** Share of this VM's own requests that fail here, as seen lately. */
-    double ownFailureShare(long nowMillis) {
-        return decayed(nowMillis, failureShare, failureShareMillis);
+    double ownFailureRate(long nowMillis) {
+        return decayed(nowMillis, failureRate, failureRateMillis);
     }
 
     /** The same, or what another VM said where that weighs more. */
-    double failureShare(long nowMillis) {
-        double others = OTHERS_WEIGHT * decayed(nowMillis, othersFailureShare, othersFailureMillis);
-        return Math.max(ownFailureShare(nowMillis), others);
+    double failureRate(long nowMillis) {
+        double others = PEERS_WEIGHT * decayed(nowMillis, peersFailureRate, peersFailureMillis);
+        return Math.max(ownFailureRate(nowMillis), others);
     }
 
     private static double decayed(long nowMillis, double share, long sinceMillis) {
-        if (share < NEGLIGIBLE_SHARE) {
+        if (share < NEGLIGIBLE_RATE) {
             return 0;
         }
         return share * Math.pow(0.5, Math.max(0, nowMillis - sinceMillis) / FAILURE_HALF_LIFE_MILLIS);
@@ -123,11 +123,11 @@
     /** Forgets what its former life earned. */
     void restarted() {
         prompts.clear();
-        unreadTokens = 0;
-        failureShare = 0;
-        othersFailureShare = 0;
+        prefillBacklogTokens = 0;
+        failureRate = 0;
+        peersFailureRate = 0;
         failures = 0;
-        suspectUntilMillis = Long.MIN_VALUE / 2;
+        ejectedUntilMillis = Long.MIN_VALUE / 2;
         fullUntilMillis = Long.MIN_VALUE / 2;
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 import java.util.ArrayDeque;
 import java.util.Collection;
@@ -25,18 +25,18 @@
     /** Places told to other VMs at once; the newest are worth most. */
     private static final int MOST_NEWS = 512;
 
-    private final PromptHomes homes;
+    private final PrefixPlacement homes;
     private final EndpointCost cost;
     private final Policy policy;
     private final SplittableRandom random;
     private final EndpointRows rows = new EndpointRows();
-    private final ToldCounts othersRunning = new ToldCounts(this::addRunning);
-    private final ToldCounts othersUnread = new ToldCounts(this::addUnread);
+    private final PeerCounts peersRunning = new PeerCounts(this::addRunning);
+    private final PeerCounts peersPrefillBacklog = new PeerCounts(this::addUnread);
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
-    private final ArrayDeque<PromptPlace> news = new ArrayDeque<>();
+    private final ArrayDeque<PrefixLocation> news = new ArrayDeque<>();
 
     private EndpointTable(String dataCentre, long startedMillis, Policy policy) {
-        this.homes = new PromptHomes(startedMillis);
+        this.homes = new PrefixPlacement(startedMillis);
         this.cost = new EndpointCost(dataCentre, policy);
         this.policy = policy;
         this.random = new SplittableRandom(startedMillis);
@@ -82,37 +82,37 @@
     }
 
     /** The best endpoint for a request; empty when the service has none that takes work. */
-    public Optional<Choice> choose(long nowMillis, Wish wish) {
-        List<EndpointRow> open = rows.open(wish.service());
-        boolean homed = policy.has(Mechanism.PROMPT_PLACES)
-                && policy.has(Mechanism.PROMPT_HOMES)
-                && !wish.prompt().isEmpty();
-        Optional<PromptHomes.Home> home = homed ? homes.find(nowMillis, open, wish.prompt()) : Optional.empty();
-        EngineSpeed speed = speed(wish.service());
-        Choice best = null;
+    public Optional<Selection> select(long nowMillis, RoutingRequest request) {
+        List<EndpointRow> open = rows.open(request.service());
+        boolean homed = policy.has(Mechanism.PREFIX_AFFINITY)
+                && policy.has(Mechanism.PREFIX_PLACEMENT)
+                && !request.prompt().isEmpty();
+        Optional<PrefixPlacement.Home> home = homed ? homes.find(nowMillis, open, request.prompt()) : Optional.empty();
+        EngineSpeed speed = speed(request.service());
+        Selection best = null;
         for (EndpointRow row : open) {
-            if (row.inFlight >= wish.mostInFlight() || wish.excluded().contains(row.registration.id())) {
+            if (row.inFlight >= request.maximumInFlight() || request.excluded().contains(row.registration.id())) {
                 continue;
             }
-            long missing = missingTokens(nowMillis, row, wish.prompt());
+            long missing = uncachedTokens(nowMillis, row, request.prompt());
             long spared = home.filter(each -> each.endpoint().equals(row.registration.id()))
-                    .map(PromptHomes.Home::sparedTokens)
+                    .map(PrefixPlacement.Home::sparedTokens)
                     .orElse(0L);
             double millis = cost.millis(nowMillis, row, speed, Math.max(0, missing - spared)) + random.nextDouble();
             if (best == null || millis < best.expectedMillis()) {
-                best = new Choice(row.registration, missing, millis);
+                best = new Selection(row.registration, missing, millis);
             }
         }
         return Optional.ofNullable(best);
     }
 
-    private long missingTokens(long nowMillis, EndpointRow row, List<PromptPart> prompt) {
-        if (!policy.has(Mechanism.PROMPT_PLACES)) {
+    private long uncachedTokens(long nowMillis, EndpointRow row, List<PrefixPart> prompt) {
+        if (!policy.has(Mechanism.PREFIX_AFFINITY)) {
             return 0;
         }
-        return policy.has(Mechanism.PROMPT_HOMES)
-                ? homes.missingTokens(nowMillis, row, prompt)
-                : row.prompts.missingTokens(prompt);
+        return policy.has(Mechanism.PREFIX_PLACEMENT)
+                ? homes.uncachedTokens(nowMillis, row, prompt)
+                : row.prompts.uncachedTokens(prompt);
     }
 
     private EngineSpeed speed(String service) {
@@ -123,27 +123,27 @@
      * Whether some endpoint may hold the last part of a prompt, which belongs to one line of turns: a turn of it ran before.
      * A process that began among running engines cannot tell for a while.
      */
-    public boolean mayHold(long nowMillis, String service, List<PromptPart> prompt) {
+    public boolean mayCache(long nowMillis, String service, List<PrefixPart> prompt) {
         if (prompt.isEmpty()) {
             return false;
         }
-        List<PromptPart> last = prompt.subList(prompt.size() - 1, prompt.size());
+        List<PrefixPart> last = prompt.subList(prompt.size() - 1, prompt.size());
         return rows.open(service).stream()
                 .anyMatch(row -> row.prompts.heldParts(last) > 0 || homes.warm(nowMillis, row));
     }
 
     /** An endpoint is sent a prompt of which it has to read some tokens; it will hold all of it. */
-    public void prompted(String id, Wish wish, long missingTokens) {
+    public void prompted(String id, RoutingRequest request, long uncachedTokens) {
         rows.find(id).ifPresent(row -> {
-            row.unreadTokens += missingTokens;
-            row.memoryTokens = wish.memoryTokens();
-            wish.prompt().forEach(part -> hold(row, part));
+            row.prefillBacklogTokens += uncachedTokens;
+            row.memoryTokens = request.memoryTokens();
+            request.prompt().forEach(part -> hold(row, part));
         });
     }
 
-    private void hold(EndpointRow row, PromptPart part) {
+    private void hold(EndpointRow row, PrefixPart part) {
         if (!row.prompts.holds(part)) {
-            news.addLast(new PromptPlace(row.registration.id(), part));
+            news.addLast(new PrefixLocation(row.registration.id(), part));
         }
         if (news.size() > MOST_NEWS) {
             news.removeFirst();
@@ -152,26 +152,27 @@
     }
 
     /** What other VMs do not know yet of where prompts lie; each place is given out once. */
-    public List<PromptPlace> placesToTell() {
-        List<PromptPlace> places = List.copyOf(news);
+    public List<PrefixLocation> takeNewLocations() {
+        List<PrefixLocation> places = List.copyOf(news);
         news.clear();
-        return policy.has(Mechanism.SHARED_PLACES) ? places : List.of();
+        return policy.has(Mechanism.SHARED_PREFIX_LOCATIONS) ? places : List.of();
     }
 
     /** Another VM sent parts of prompts to endpoints. */
-    public void othersPrompted(List<PromptPlace> places) {
+    public void onPeerPrefixes(List<PrefixLocation> places) {
         places.forEach(place ->
                 rows.find(place.endpoint()).ifPresent(row -> row.prompts.hold(place.part(), row.memoryTokens)));
     }
 
     /** An endpoint sent the first event of an answer. */
-    public void answerBegan(String id, long missingTokens, long tookMillis) {
-        rows.find(id).ifPresent(row -> speed(row.registration.service()).read(missingTokens, tookMillis));
+    public void onFirstEvent(String id, long uncachedTokens, long tookMillis) {
+        rows.find(id).ifPresent(row -> speed(row.registration.service()).read(uncachedTokens, tookMillis));
     }
 
     /** An endpoint has read a prompt, or will not. */
-    public void promptDone(String id, long missingTokens) {
-        rows.find(id).ifPresent(row -> row.unreadTokens = Math.max(0, row.unreadTokens - missingTokens));
+    public void prefillDone(String id, long uncachedTokens) {
+        rows.find(id)
+                .ifPresent(row -> row.prefillBacklogTokens = Math.max(0, row.prefillBacklogTokens - uncachedTokens));
     }
 
     /** An endpoint generated a whole answer; the time is that after its first event. */
@@ -192,11 +193,11 @@
     }
 
     /** An attempt ended. */
-    public void finished(long nowMillis, String id, Finish finish, long tookMillis) {
+    public void finished(long nowMillis, String id, AttemptOutcome finish, long tookMillis) {
         rows.find(id).ifPresent(row -> finished(nowMillis, row, finish, tookMillis));
     }
 
-    private static void finished(long nowMillis, EndpointRow row, Finish finish, long tookMillis) {
+    private static void finished(long nowMillis, EndpointRow row, AttemptOutcome finish, long tookMillis) {
         row.inFlight = Math.max(0, row.inFlight - 1);
         switch (finish) {
             case ANSWERED -> row.succeeded(nowMillis, tookMillis);
@@ -219,7 +220,7 @@
     public Map<String, Double> failing(long nowMillis) {
         Map<String, Double> failing = new HashMap<>();
         for (EndpointRow row : rows.all()) {
-            double share = row.ownFailureShare(nowMillis);
+            double share = row.ownFailureRate(nowMillis);
             if (share >= FAILURE_WORTH_TELLING) {
                 failing.put(row.registration.id(), share);
             }
@@ -228,35 +229,36 @@
     }
 
     /** Another VM said which endpoints fail a part of its requests. */
-    public void othersFail(long nowMillis, Map<String, Double> shares) {
+    public void onPeerFailureRates(long nowMillis, Map<String, Double> shares) {
         shares.forEach((id, share) ->
-                rows.find(id).ifPresent(row -> row.othersFail(nowMillis, Math.min(1, Math.max(0, share)))));
+                rows.find(id).ifPresent(row -> row.onPeerFailureRates(nowMillis, Math.min(1, Math.max(0, share)))));
     }
 
     /** Another VM said how many tokens it sent that are not read yet; endpoints left out have none of them. */
-    public void otherUnread(String vm, Map<String, Long> unread) {
-        othersUnread.told(vm, unread);
+    public void onPeerPrefillBacklog(String vm, Map<String, Long> unread) {
+        peersPrefillBacklog.told(vm, unread);
     }
 
     private void addUnread(String id, long tokens) {
-        rows.find(id).ifPresent(row -> row.othersUnreadTokens = Math.max(0, row.othersUnreadTokens + tokens));
+        rows.find(id)
+                .ifPresent(row -> row.peersPrefillBacklogTokens = Math.max(0, row.peersPrefillBacklogTokens + tokens));
     }
 
     /** Another VM said how much of its own runs where; endpoints left out have none of it. */
-    public void otherRuns(String vm, Map<String, Integer> running) {
+    public void onPeerRunning(String vm, Map<String, Integer> running) {
         Map<String, Long> counts = new HashMap<>();
         running.forEach((id, count) -> counts.put(id, count.longValue()));
-        othersRunning.told(vm, counts);
+        peersRunning.told(vm, counts);
     }
 
     private void addRunning(String id, long count) {
-        rows.find(id).ifPresent(row -> row.othersInFlight = (int) Math.max(0, row.othersInFlight + count));
+        rows.find(id).ifPresent(row -> row.peersInFlight = (int) Math.max(0, row.peersInFlight + count));
     }
 
     /** Another VM is gone or silent. */
-    public void forgetOther(String vm) {
-        othersRunning.forget(vm);
-        othersUnread.forget(vm);
+    public void removePeer(String vm) {
+        peersRunning.forget(vm);
+        peersPrefillBacklog.forget(vm);
     }
 
     /** Requests that this VM has at each endpoint where it has any. */
@@ -266,7 +268,7 @@
 
     /** Tokens that this VM sent to endpoints and that they have not read yet, where there are any. */
     public Map<String, Long> unread() {
-        return told(row -> row.unreadTokens);
+        return told(row -> row.prefillBacklogTokens);
     }
 
     private <N extends Number> Map<String, N> told(Function<EndpointRow, N> count) {
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/EngineSpeed.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EngineSpeed.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 /**
  * How fast the engines of one service are, as seen lately: learnt from their answers, so that nothing is taken from a
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/ToldCounts.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/PeerCounts.java
@@ -1,11 +1,11 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.ObjLongConsumer;
 
 /** Counts by endpoint as other VMs tell them, each VM anew and whole; what it said before is taken back first. */
-final class ToldCounts {
+final class PeerCounts {
     private final Map<String, Map<String, Long>> byVm = new HashMap<>();
     private final ObjLongConsumer<String> add;
 
@@ -14,7 +14,7 @@
      *
      * @param add adds to the sum of an endpoint, or takes off
      */
-    ToldCounts(ObjLongConsumer<String> add) {
+    PeerCounts(ObjLongConsumer<String> add) {
         this.add = add;
     }
 
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/PromptPlace.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/PrefixLocation.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 /**
  * Where a part of a prompt lies.
@@ -6,4 +6,4 @@
  * @param endpoint id of the endpoint that it was sent to
  * @param part the part, with the tokens that were sent
  */
-public record PromptPlace(String endpoint, PromptPart part) {}
+public record PrefixLocation(String endpoint, PrefixPart part) {}
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/PromptHomes.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/PrefixPlacement.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 import java.util.List;
 import java.util.Optional;
@@ -12,7 +12,7 @@
  * between VMs faster than word of them; VMs that were killed and have forgotten where all lines ran, while the engines
  * still hold them.
  */
-final class PromptHomes {
+final class PrefixPlacement {
     /**
      * A home.
      *
@@ -31,12 +31,12 @@
     private long trustedUntilMillis = Long.MAX_VALUE;
 
     /** Makes the rule for a process that began at a Unix time in milliseconds. */
-    PromptHomes(long startedMillis) {
+    PrefixPlacement(long startedMillis) {
         this.startedMillis = startedMillis;
     }
 
     /** The home of the first part that is held nowhere; empty when some endpoint holds the whole prompt. */
-    Optional<Home> find(long nowMillis, List<EndpointRow> open, List<PromptPart> prompt) {
+    Optional<Home> find(long nowMillis, List<EndpointRow> open, List<PrefixPart> prompt) {
         int deepest = 0;
         for (EndpointRow row : open) {
             deepest = Math.max(deepest, heldParts(nowMillis, row, prompt));
@@ -51,15 +51,15 @@
         return home(holders, prompt.get(depth));
     }
 
-    private int heldParts(long nowMillis, EndpointRow row, List<PromptPart> prompt) {
+    private int heldParts(long nowMillis, EndpointRow row, List<PrefixPart> prompt) {
         int known = row.prompts.heldParts(prompt);
         return known == 0 && prompt.size() > 1 && warm(nowMillis, row) ? 1 : known;
     }
 
     /** Tokens to read at an endpoint, the common part left out where it is taken to be held. */
-    long missingTokens(long nowMillis, EndpointRow row, List<PromptPart> prompt) {
+    long uncachedTokens(long nowMillis, EndpointRow row, List<PrefixPart> prompt) {
         boolean common = prompt.size() > 1 && row.prompts.heldParts(prompt) == 0 && warm(nowMillis, row);
-        return row.prompts.missingTokens(common ? prompt.subList(1, prompt.size()) : prompt);
+        return row.prompts.uncachedTokens(common ? prompt.subList(1, prompt.size()) : prompt);
     }
 
     /** Whether an endpoint is taken to hold what is common, since it ran long before this process. */
@@ -71,7 +71,7 @@
         return nowMillis < trustedUntilMillis && born > 0 && born < startedMillis - WARM_MILLIS;
     }
 
-    private static Optional<Home> home(List<EndpointRow> among, PromptPart part) {
+    private static Optional<Home> home(List<EndpointRow> among, PrefixPart part) {
         List<String> ids = among.stream().map(row -> row.registration.id()).toList();
         return Rendezvous.winner(part.id(), ids).map(id -> new Home(id, part.tokens()));
     }
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/Registration.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/Registration.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 /**
  * What an endpoint says of itself.
--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/routing/RoutingRequest.java
@@ -0,0 +1,21 @@
+package org.quetzalshunt.core.routing;
+
+import java.util.List;
+import java.util.Set;
+
+/**
+ * What a request wants of an endpoint.
+ *
+ * @param service its service
+ * @param excluded ids that it was already sent to
+ * @param prompt parts of its prompt in order; empty for work that reads none
+ * @param memoryTokens tokens that an engine of the service holds in memory
+ * @param maximumInFlight requests that this VM may have at one endpoint
+ */
+public record RoutingRequest(
+        String service, Set<String> excluded, List<PrefixPart> prompt, long memoryTokens, int maximumInFlight) {
+    /** What a request without a prompt wants. */
+    public static RoutingRequest plain(String service, Set<String> excluded, int maximumInFlight) {
+        return new RoutingRequest(service, excluded, List.of(), 0, maximumInFlight);
+    }
+}
--- a/core/src/main/java/org/quetzalshunt/core/endpoint/package-info.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/package-info.java
@@ -1,2 +1,2 @@
 /** Endpoints as they register themselves, and the choice among them. */
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
--- a/core/src/main/java/org/quetzalshunt/core/store/AnswerLimit.java
+++ b/core/src/main/java/org/quetzalshunt/core/store/ResponseTimeout.java
@@ -7,7 +7,7 @@
  * first, since a lost answer costs its caller the whole limit; it would make every call of the second fail. So the limit
  * follows the answers seen, and doubles with each that does not come.
  */
-public final class AnswerLimit {
+public final class ResponseTimeout {
     /** Twenty times the usual answer, 7 ms for an append. */
     private static final double LEAST_MILLIS = 150;
 
@@ -23,11 +23,11 @@
     private double averageMillis;
     private double limitMillis = LEAST_MILLIS;
 
-    private AnswerLimit() {}
+    private ResponseTimeout() {}
 
     /** A limit for a map not yet asked. */
-    public static AnswerLimit create() {
-        return new AnswerLimit();
+    public static ResponseTimeout create() {
+        return new ResponseTimeout();
     }
 
     /** The limit for the next call, in milliseconds. */
--- a/core/src/test/java/org/quetzalshunt/core/budget/ProgramAllotmentTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/budget/ProgramAllotmentTest.java
@@ -58,11 +58,11 @@
 
     @ParameterizedTest
     @CsvSource({"840, 0, true", "840, 1, false", "279, 0, false"})
-    void ampleBudgetHasRoomForMoreThanTheTurn(long budget, long others, boolean ample) {
+    void ampleBudgetHasRoomForMoreThanTheTurn(long budget, long others, boolean hasHeadroom) {
         ProgramAllotment allotment = ProgramAllotment.unknown();
-        assertThat(allotment.ample(budget, MOST)).isFalse();
+        assertThat(allotment.hasHeadroom(budget, MOST)).isFalse();
         allotment.read(others, 0);
-        assertThat(allotment.ample(budget, MOST)).isEqualTo(ample);
+        assertThat(allotment.hasHeadroom(budget, MOST)).isEqualTo(hasHeadroom);
     }
 
     @Test
--- a/core/src/test/java/org/quetzalshunt/core/policy/PolicyTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/policy/PolicyTest.java
@@ -23,13 +23,13 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "PROMPT_PLACES", "prompt_places", "prompt-places ", "everything"})
+    @ValueSource(strings = {"", "PREFIX_AFFINITY", "prefix_affinity", "prefix-affinity ", "everything"})
     void otherNamesNameNoMechanism(String flag) {
         assertThat(Mechanism.ofFlag(flag)).isEqualTo(Optional.empty());
     }
 
     @Test
     void flagsAreLowerCaseWithHyphens() {
-        assertThat(Mechanism.PROMPT_PLACES.flag()).isEqualTo("prompt-places");
+        assertThat(Mechanism.PREFIX_AFFINITY.flag()).isEqualTo("prefix-affinity");
     }
 }
--- a/core/src/test/java/org/quetzalshunt/core/share/OutagePatienceTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/quota/OutageWaitPolicyTest.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -6,7 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-final class OutagePatienceTest {
+final class OutageWaitPolicyTest {
     /** Tries of one request of a caller, and how often a program sends a failed turn, as callers do it. */
     private static final int TRIES = 2;
 
@@ -25,10 +25,11 @@
         for (int send = 0; send < SENDS; send++) {
             double left = deadlineMillis;
             for (int attempt = 0; attempt < TRIES; attempt++) {
-                long wait = OutagePatience.mostWaitMillis((long) left);
+                long wait = OutageWaitPolicy.maximumWaitMillis((long) left);
                 now += wait;
                 left -= wait;
-                long back = attempt + 1 < TRIES ? OutagePatience.comeBackMillis((long) left, random.nextDouble()) : 0;
+                long back =
+                        attempt + 1 < TRIES ? OutageWaitPolicy.retryAfterMillis((long) left, random.nextDouble()) : 0;
                 now += back;
                 left -= back;
             }
@@ -40,6 +41,6 @@
     @ParameterizedTest
     @CsvSource({"10000, 1200", "1200, 360", "0, 0"})
     void waitIsPartOfTheTimeAndBelowWhatStreamsBear(long left, long most) {
-        assertThat(OutagePatience.mostWaitMillis(left)).isEqualTo(most);
+        assertThat(OutageWaitPolicy.maximumWaitMillis(left)).isEqualTo(most);
     }
 }
--- a/core/src/test/java/org/quetzalshunt/core/share/ShareLedgerTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/quota/QuotaLeasesTest.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -13,16 +13,16 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-final class ShareLedgerTest {
+final class QuotaLeasesTest {
     private static final List<String> ACCOUNTS = List.of("arusha", "moshi", "karatu");
     private static final Map<String, Double> BURSTS = Map.of("arusha", 200.0, "moshi", 20.0, "karatu", 20.0);
 
     /** The shared map as the ledgers see it: one order of records, and appends that expect its end. */
     private static final class Records {
-        final Map<String, ShareRecord> newest = new HashMap<>();
+        final Map<String, LeaseRecord> newest = new HashMap<>();
         long end;
 
-        boolean append(String vm, ShareRecord record, long expectedEnd) {
+        boolean append(String vm, LeaseRecord record, long expectedEnd) {
             if (expectedEnd != end) {
                 return false;
             }
@@ -35,7 +35,7 @@
     /** A VM with a clock of its own rate of progress. */
     private static final class Vm {
         final String name;
-        ShareLedger ledger;
+        QuotaLeases ledger;
         long incarnation;
         long readEnd;
 
@@ -48,7 +48,7 @@
             incarnation++;
             // A new process knows no end until it has read the records.
             readEnd = -1;
-            ledger = ShareLedger.create(name, incarnation, "10.0.0.1:1");
+            ledger = QuotaLeases.create(name, incarnation, "10.0.0.1:1");
         }
 
         void read(Records records, long now) {
@@ -58,7 +58,7 @@
 
         /** Proposes on what it read; the answer may be lost. */
         void propose(Records records, long now, boolean answerLost) {
-            Optional<ShareRecord> proposal = ledger.propose(now, BURSTS);
+            Optional<LeaseRecord> proposal = ledger.propose(now, BURSTS);
             if (proposal.isEmpty()) {
                 return;
             }
@@ -87,13 +87,13 @@
         for (String account : ACCOUNTS) {
             int parts =
                     vms.stream().mapToInt(vm -> vm.ledger.parts(5_500, account)).sum();
-            assertWithMessage(account).that(parts).isAtLeast(ShareLedger.ALL_PARTS * 95 / 100);
+            assertWithMessage(account).that(parts).isAtLeast(QuotaLeases.ALL_PARTS * 95 / 100);
             String home = vms.get(0).ledger.homes(account).get(0);
             int atHome = vms.stream()
                     .filter(vm -> vm.name.equals(home))
                     .mapToInt(vm -> vm.ledger.parts(5_500, account))
                     .sum();
-            assertWithMessage("home of " + account).that(atHome).isAtLeast(ShareLedger.ALL_PARTS / 2);
+            assertWithMessage("home of " + account).that(atHome).isAtLeast(QuotaLeases.ALL_PARTS / 2);
         }
     }
 
@@ -109,7 +109,7 @@
         for (Map.Entry<String, Double> burst : BURSTS.entrySet()) {
             for (Vm vm : vms) {
                 int parts = vm.ledger.parts(5_500, burst.getKey());
-                double tokens = burst.getValue() * parts / ShareLedger.ALL_PARTS;
+                double tokens = burst.getValue() * parts / QuotaLeases.ALL_PARTS;
                 assertWithMessage(burst.getKey() + " at " + vm.name)
                         .that(parts == 0 || tokens >= 1)
                         .isTrue();
@@ -132,10 +132,10 @@
             other.propose(records, now, false);
             for (String account : ACCOUNTS) {
                 int sum = silent.ledger.parts(now, account) + other.ledger.parts(now, account);
-                assertWithMessage("at " + now).that(sum).isAtMost(ShareLedger.ALL_PARTS);
+                assertWithMessage("at " + now).that(sum).isAtMost(QuotaLeases.ALL_PARTS);
             }
         }
-        assertThat(other.ledger.parts(19_900, "arusha")).isEqualTo(ShareLedger.ALL_PARTS);
+        assertThat(other.ledger.parts(19_900, "arusha")).isEqualTo(QuotaLeases.ALL_PARTS);
     }
 
     /** All VMs are killed at once. Their names come back at once, and with them the parts: no one waits for a lease. */
@@ -149,7 +149,7 @@
 
         int parts =
                 vms.stream().mapToInt(vm -> vm.ledger.parts(5_000, "arusha")).sum();
-        assertThat(parts).isAtLeast(ShareLedger.ALL_PARTS * 80 / 100);
+        assertThat(parts).isAtLeast(QuotaLeases.ALL_PARTS * 80 / 100);
     }
 
     @Test
@@ -192,7 +192,7 @@
                 int sum = vms.stream()
                         .mapToInt(each -> each.ledger.parts(moment, account))
                         .sum();
-                assertWithMessage("seed " + seed + " at " + now).that(sum).isAtMost(ShareLedger.ALL_PARTS);
+                assertWithMessage("seed " + seed + " at " + now).that(sum).isAtMost(QuotaLeases.ALL_PARTS);
             }
         }
     }
--- a/core/src/test/java/org/quetzalshunt/core/share/TokenPatienceTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/quota/QuotaWaitPolicyTest.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -6,7 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-final class TokenPatienceTest {
+final class QuotaWaitPolicyTest {
     private static final double RATE = 8;
     private static final long TURN_MILLIS = 3_000;
 
@@ -17,11 +17,11 @@
     @ParameterizedTest
     @CsvSource({"4", "8", "12"})
     void handfulOfAProgramUnderWayIsCarried(int requests) {
-        ShareBucket bucket = ShareBucket.create(0);
+        TokenBucket bucket = TokenBucket.create(0);
         bucket.limit(0, RATE, RATE);
         long longest = 0;
         for (int request = 0; request < requests; request++) {
-            TokenOffer offer = bucket.reserve(0, TokenPatience.mostWaitMillis(false, TURN_MILLIS));
+            TokenOffer offer = bucket.reserve(0, QuotaWaitPolicy.maximumWaitMillis(false, TURN_MILLIS));
             assertThat(offer.taken()).isTrue();
             longest = Math.max(longest, offer.waitMillis());
         }
@@ -31,12 +31,12 @@
     /** The same account is that far behind already: a new program would make those under way late, and gives way. */
     @Test
     void accountFarBehindBeginsNoMorePrograms() {
-        ShareBucket bucket = ShareBucket.create(0);
+        TokenBucket bucket = TokenBucket.create(0);
         bucket.limit(0, RATE, RATE);
         for (int request = 0; request < 4; request++) {
-            bucket.reserve(0, TokenPatience.mostWaitMillis(false, TURN_MILLIS));
+            bucket.reserve(0, QuotaWaitPolicy.maximumWaitMillis(false, TURN_MILLIS));
         }
-        assertThat(bucket.reserve(0, TokenPatience.mostWaitMillis(true, TURN_MILLIS))
+        assertThat(bucket.reserve(0, QuotaWaitPolicy.maximumWaitMillis(true, TURN_MILLIS))
                         .taken())
                 .isFalse();
     }
@@ -44,10 +44,10 @@
     /** A moment's shortage: a program begins a little later, and its caller need not come back. */
     @Test
     void momentsShortageDelaysBeginnings() {
-        ShareBucket bucket = ShareBucket.create(0);
+        TokenBucket bucket = TokenBucket.create(0);
         bucket.limit(0, RATE, RATE);
-        bucket.reserve(0, TokenPatience.mostWaitMillis(false, TURN_MILLIS));
-        assertThat(bucket.reserve(0, TokenPatience.mostWaitMillis(true, TURN_MILLIS))
+        bucket.reserve(0, QuotaWaitPolicy.maximumWaitMillis(false, TURN_MILLIS));
+        assertThat(bucket.reserve(0, QuotaWaitPolicy.maximumWaitMillis(true, TURN_MILLIS))
                         .taken())
                 .isTrue();
     }
@@ -61,7 +61,7 @@
     void refusedBeginningsReachOverABurst(double chance) {
         long sends = 3;
         long pauses = sends * 250;
-        long back = TokenPatience.comeBackMillis(true, 100, 4_000, chance);
+        long back = QuotaWaitPolicy.retryAfterMillis(true, 100, 4_000, chance);
         assertThat(sends * back + pauses).isAtLeast(2_000);
         assertThat(back).isAtMost(4_000 / 3);
     }
@@ -69,7 +69,7 @@
     @ParameterizedTest
     @CsvSource({"5, 1000", "50, 200", "500, 110"})
     void refusedRequestsUnderWayComeBackAsTokensAreEarned(double ratePerSecond, long millis) {
-        assertThat(TokenPatience.comeBackMillis(false, ratePerSecond, 4_000, 0.5))
+        assertThat(QuotaWaitPolicy.retryAfterMillis(false, ratePerSecond, 4_000, 0.5))
                 .isEqualTo(millis);
     }
 }
--- a/core/src/test/java/org/quetzalshunt/core/share/ShareBucketTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/quota/TokenBucketTest.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -10,16 +10,16 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-final class ShareBucketTest {
-    private static ShareBucket full(double rate, double capacity) {
-        ShareBucket bucket = ShareBucket.create(-100_000);
+final class TokenBucketTest {
+    private static TokenBucket full(double rate, double capacity) {
+        TokenBucket bucket = TokenBucket.create(-100_000);
         bucket.limit(-100_000, rate, capacity);
         return bucket;
     }
 
     @Test
     void restartEarnsNoBurst() {
-        ShareBucket bucket = ShareBucket.create(0);
+        TokenBucket bucket = TokenBucket.create(0);
         bucket.limit(0, 10, 100);
         assertThat(bucket.take(0)).isFalse();
         assertThat(bucket.take(100)).isTrue();
@@ -28,7 +28,7 @@
 
     @Test
     void partThatShrinksLosesWhatNoLongerFits() {
-        ShareBucket bucket = full(10, 100);
+        TokenBucket bucket = full(10, 100);
         bucket.limit(0, 1, 2);
         assertThat(bucket.take(0)).isTrue();
         assertThat(bucket.take(0)).isTrue();
@@ -37,7 +37,7 @@
 
     @Test
     void callsBeyondTheBurstWaitTheirTurn() {
-        ShareBucket bucket = full(10, 2);
+        TokenBucket bucket = full(10, 2);
         List<OptionalLong> waits = new ArrayList<>();
         for (int call = 0; call < 6; call++) {
             waits.add(bucket.reserve(0, 250).granted());
@@ -58,7 +58,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void noSpanHasMoreThanRateAndBurst(long seed) {
         Random random = new Random(seed);
-        ShareBucket bucket = full(20, 15);
+        TokenBucket bucket = full(20, 15);
         List<Long> starts = new ArrayList<>();
         for (long now = 0; now < 20_000; now += random.nextInt(random.nextInt(10) == 0 ? 400 : 25)) {
             long moment = now;
--- a/core/src/test/java/org/quetzalshunt/core/share/TokenSearchTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/quota/TokenSearchTest.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.share;
+package org.quetzalshunt.core.quota;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -13,24 +13,24 @@
 final class TokenSearchTest {
     private static final List<String> HOLDERS = List.of("first", "second");
 
-    private final Map<String, ShareBucket> buckets = new HashMap<>();
+    private final Map<String, TokenBucket> buckets = new HashMap<>();
 
     /** An account of 30 a second and a burst of 30, of which the homes hold two thirds and one third; both are full. */
     @BeforeEach
     void fill() {
         for (String holder : HOLDERS) {
             double part = holder.equals("first") ? 20 : 10;
-            ShareBucket bucket = ShareBucket.create(0);
+            TokenBucket bucket = TokenBucket.create(0);
             bucket.limit(0, part, part);
             buckets.put(holder, bucket);
         }
     }
 
-    private OptionalLong search(long now, long mostWaitMillis) {
+    private OptionalLong search(long now, long maximumWaitMillis) {
         List<OptionalLong> heard = new ArrayList<>();
         TokenSearch.start(
                 HOLDERS,
-                mostWaitMillis,
+                maximumWaitMillis,
                 (holder, most, answer) -> answer.accept(buckets.get(holder).reserve(now, most)),
                 heard::add);
         assertThat(heard).hasSize(1);
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EndpointTableTest.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -28,23 +28,23 @@
         return new Registration("e" + number, "llm", "10.0.0." + number + ":80", "a", 8, leaving, born);
     }
 
-    private static Wish wish() {
-        return Wish.plain("llm", Set.of(), 100);
+    private static RoutingRequest routingRequest() {
+        return RoutingRequest.plain("llm", Set.of(), 100);
     }
 
-    private String choose(long now) {
-        return choose(now, wish());
+    private String select(long now) {
+        return select(now, routingRequest());
     }
 
-    private String choose(long now, Wish wish) {
-        return table.choose(now, wish).orElseThrow().registration().id();
+    private String select(long now, RoutingRequest request) {
+        return table.select(now, request).orElseThrow().registration().id();
     }
 
     @Test
     void burstFillsAllEndpointsBeforeAnyQueues() {
         Map<String, Integer> given = new HashMap<>();
         for (int request = 0; request < 32; request++) {
-            String id = choose(0);
+            String id = select(0);
             table.started(id);
             given.merge(id, 1, Integer::sum);
         }
@@ -53,23 +53,23 @@
 
     @Test
     void workOfOtherVmsCounts() {
-        table.otherRuns("vm-2", Map.of("e0", 8, "e1", 8, "e2", 8));
-        assertThat(choose(0)).isEqualTo("e3");
-        table.otherRuns("vm-2", Map.of("e3", 8, "e1", 8, "e2", 8));
-        assertThat(choose(0)).isEqualTo("e0");
-        table.forgetOther("vm-2");
-        table.otherRuns("vm-3", Map.of("e0", 8, "e3", 8, "e2", 8));
-        assertThat(choose(0)).isEqualTo("e1");
+        table.onPeerRunning("vm-2", Map.of("e0", 8, "e1", 8, "e2", 8));
+        assertThat(select(0)).isEqualTo("e3");
+        table.onPeerRunning("vm-2", Map.of("e3", 8, "e1", 8, "e2", 8));
+        assertThat(select(0)).isEqualTo("e0");
+        table.removePeer("vm-2");
+        table.onPeerRunning("vm-3", Map.of("e0", 8, "e3", 8, "e2", 8));
+        assertThat(select(0)).isEqualTo("e1");
     }
 
     @Test
     void slowEndpointGetsLessOfTheWork() {
         for (int answer = 0; answer < 40; answer++) {
             table.started("e0");
-            table.finished(answer, "e0", Finish.ANSWERED, 600);
+            table.finished(answer, "e0", AttemptOutcome.ANSWERED, 600);
         }
         for (int request = 0; request < 12; request++) {
-            String id = choose(100);
+            String id = select(100);
             assertThat(id).isNotEqualTo("e0");
             table.started(id);
         }
@@ -79,49 +79,50 @@
     @Test
     void failingEndpointIsLeftAloneForAWhileAndTriedAgain() {
         table.started("e0");
-        table.finished(1_000, "e0", Finish.FAILED, 1);
+        table.finished(1_000, "e0", AttemptOutcome.FAILED, 1);
         for (int request = 0; request < 24; request++) {
-            String id = choose(1_100);
+            String id = select(1_100);
             assertThat(id).isNotEqualTo("e0");
             table.started(id);
         }
-        assertThat(choose(1_400)).isEqualTo("e0");
+        assertThat(select(1_400)).isEqualTo("e0");
     }
 
     @Test
     void onlyFailingEndpointsAreBetterThanNone() {
         for (int number = 0; number < 4; number++) {
             table.started("e" + number);
-            table.finished(0, "e" + number, Finish.FAILED, 1);
+            table.finished(0, "e" + number, AttemptOutcome.FAILED, 1);
         }
-        assertThat(table.choose(10, wish())).isPresent();
+        assertThat(table.select(10, routingRequest())).isPresent();
     }
 
     @Test
     void fullEndpointIsPassedOverWhileOthersHaveRoom() {
         table.started("e0");
-        table.finished(0, "e0", Finish.FULL, 1);
+        table.finished(0, "e0", AttemptOutcome.FULL, 1);
         for (int request = 0; request < 6; request++) {
-            assertThat(choose(10)).isNotEqualTo("e0");
+            assertThat(select(10)).isNotEqualTo("e0");
         }
     }
 
     @Test
     void cachedPromptDrawsWorkUnlessWaitingThereCostsMore() {
-        Wish wish = new Wish("llm", Set.of(), List.of(new PromptPart("own", 1_200)), 90_000, 100);
-        table.prompted("e2", wish, 1_200);
-        assertThat(choose(0, wish)).isEqualTo("e2");
-        for (int request = 0; request < 12; request++) {
+        RoutingRequest request =
+                new RoutingRequest("llm", Set.of(), List.of(new PrefixPart("own", 1_200)), 90_000, 100);
+        table.prompted("e2", request, 1_200);
+        assertThat(select(0, request)).isEqualTo("e2");
+        for (int started = 0; started < 12; started++) {
             table.started("e2");
         }
-        assertThat(choose(0, wish)).isNotEqualTo("e2");
+        assertThat(select(0, request)).isNotEqualTo("e2");
     }
 
     @Test
     void leavingEndpointGetsNothing() {
         table.registered(registration(0, true, 1));
         for (int request = 0; request < 30; request++) {
-            assertThat(choose(request)).isNotEqualTo("e0");
+            assertThat(select(request)).isNotEqualTo("e0");
         }
         assertThat(table.available("llm")).isEqualTo(3);
     }
@@ -129,10 +130,10 @@
     @Test
     void restartUnderTheSameIdStartsClean() {
         table.started("e0");
-        table.finished(0, "e0", Finish.FAILED, 1);
+        table.finished(0, "e0", AttemptOutcome.FAILED, 1);
         table.registered(registration(0, false, 2));
-        table.otherRuns("vm-2", Map.of("e1", 9, "e2", 9, "e3", 9));
-        assertThat(choose(10)).isEqualTo("e0");
+        table.onPeerRunning("vm-2", Map.of("e1", 9, "e2", 9, "e3", 9));
+        assertThat(select(10)).isEqualTo("e0");
     }
 
     /** Entries lapse while the store is away and come back: an endpoint that returned in time is not forgotten. */
@@ -157,11 +158,11 @@
         int atFailing = 0;
         for (int request = 0; request < 600; request++) {
             long now = request * 30L;
-            String id = choose(now);
+            String id = select(now);
             table.started(id);
             boolean fails = id.equals("e0") && random.nextInt(100) < 45;
             atFailing += id.equals("e0") ? 1 : 0;
-            table.finished(now, id, fails ? Finish.ERRORED : Finish.ANSWERED, fails ? 2 : 100);
+            table.finished(now, id, fails ? AttemptOutcome.ERRORED : AttemptOutcome.ANSWERED, fails ? 2 : 100);
         }
         assertThat(atFailing).isAtMost(60);
     }
@@ -175,23 +176,23 @@
             }
         }
         table.started("e0");
-        table.finished(0, "e0", Finish.ERRORED, 2);
-        assertThat(choose(10)).isEqualTo("e0");
+        table.finished(0, "e0", AttemptOutcome.ERRORED, 2);
+        assertThat(select(10)).isEqualTo("e0");
     }
 
     /** With many VMs each sees few requests of an endpoint: what fails for one must be avoided by all. */
     @Test
     void endpointThatFailsForAnotherVmIsAvoidedUntilTheWordFades() {
-        table.othersFail(0, Map.of("e0", 0.5, "gone", 1.0));
+        table.onPeerFailureRates(0, Map.of("e0", 0.5, "gone", 1.0));
         for (int request = 0; request < 12; request++) {
-            assertThat(choose(0)).isNotEqualTo("e0");
+            assertThat(select(0)).isNotEqualTo("e0");
         }
         for (int number = 1; number < 4; number++) {
             for (int request = 0; request < 8; request++) {
                 table.started("e" + number);
             }
         }
-        assertThat(choose(6_000)).isEqualTo("e0");
+        assertThat(select(6_000)).isEqualTo("e0");
         assertThat(table.failing(0)).isEmpty();
     }
 
@@ -203,7 +204,7 @@
             table.silent(1_000, "e0");
         }
         for (int request = 0; request < 20; request++) {
-            String id = choose(1_010);
+            String id = select(1_010);
             assertThat(id).isNotEqualTo("e0");
             table.started(id);
         }
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/EnginePlay.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EnginePlay.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -51,25 +51,25 @@
     private static final class Turn {
         int number;
         String line;
-        PromptPart common;
+        PrefixPart common;
         long lineTokens;
         long arrivedMillis;
         EndpointTable gateway;
-        Choice choice;
+        Selection choice;
         double unread;
         double toGenerate;
         long generated;
         long sentMillis;
         long firstMillis = -1;
 
-        List<PromptPart> prompt() {
-            PromptPart own = new PromptPart(line, lineTokens);
+        List<PrefixPart> prompt() {
+            PrefixPart own = new PrefixPart(line, lineTokens);
             return common.tokens() == 0 ? List.of(own) : List.of(common, own);
         }
     }
 
     private static final class Engine {
-        final PromptMemory memory = new PromptMemory();
+        final PrefixCache memory = new PrefixCache();
         final ArrayDeque<Turn> waiting = new ArrayDeque<>();
         final List<Turn> running = new ArrayList<>();
     }
@@ -114,7 +114,7 @@
             now += -Math.log(1 - random.nextDouble()) * 1_000 / shape.programsPerSecond();
             Turn first = new Turn();
             first.line = "line-" + program;
-            first.common = new PromptPart("common-" + random.nextInt(COMMON_PARTS), shape.commonTokens());
+            first.common = new PrefixPart("common-" + random.nextInt(COMMON_PARTS), shape.commonTokens());
             first.lineTokens = TURN_TOKENS;
             first.arrivedMillis = (long) now;
             arrivals.add(first);
@@ -137,11 +137,12 @@
 
     private void send(long now, Turn turn) {
         turn.gateway = gateways.get(random.nextInt(GATEWAYS));
-        Wish wish = new Wish("llm", Set.of(), turn.prompt(), shape.memoryTokens(), Integer.MAX_VALUE);
-        turn.choice = turn.gateway.choose(now, wish).orElseThrow();
+        RoutingRequest request =
+                new RoutingRequest("llm", Set.of(), turn.prompt(), shape.memoryTokens(), Integer.MAX_VALUE);
+        turn.choice = turn.gateway.select(now, request).orElseThrow();
         String id = turn.choice.registration().id();
         turn.gateway.started(id);
-        turn.gateway.prompted(id, wish, turn.choice.missingTokens());
+        turn.gateway.prompted(id, request, turn.choice.uncachedTokens());
         turn.sentMillis = now;
         turn.generated = 16L + random.nextInt((int) MOST_GENERATED);
         turn.toGenerate = turn.generated;
@@ -169,7 +170,7 @@
     }
 
     private void admit(Engine engine, Turn turn) {
-        turn.unread = engine.memory.missingTokens(turn.prompt());
+        turn.unread = engine.memory.uncachedTokens(turn.prompt());
         read += turn.unread;
         turn.prompt().forEach(part -> engine.memory.hold(part, shape.memoryTokens()));
         engine.running.add(turn);
@@ -179,8 +180,8 @@
         if (turn.firstMillis < 0) {
             turn.firstMillis = now;
             String id = turn.choice.registration().id();
-            turn.gateway.promptDone(id, turn.choice.missingTokens());
-            turn.gateway.answerBegan(id, turn.choice.missingTokens(), now - turn.sentMillis + TICK_MILLIS);
+            turn.gateway.prefillDone(id, turn.choice.uncachedTokens());
+            turn.gateway.onFirstEvent(id, turn.choice.uncachedTokens(), now - turn.sentMillis + TICK_MILLIS);
         }
         turn.toGenerate -= tokens;
         return turn.toGenerate <= 0;
@@ -189,7 +190,7 @@
     private void ended(long now, Turn turn) {
         String id = turn.choice.registration().id();
         turn.gateway.generated(id, turn.generated, now - turn.firstMillis);
-        turn.gateway.finished(now, id, Finish.ANSWERED, now - turn.sentMillis);
+        turn.gateway.finished(now, id, AttemptOutcome.ANSWERED, now - turn.sentMillis);
         millisInAll += now - turn.arrivedMillis;
         turns++;
         if (turn.number + 1 < TURNS) {
@@ -206,14 +207,14 @@
     private void tell() {
         for (int one = 0; one < GATEWAYS; one++) {
             EndpointTable teller = gateways.get(one);
-            List<PromptPlace> places = teller.placesToTell();
+            List<PrefixLocation> places = teller.takeNewLocations();
             Map<String, Integer> running = teller.running();
             Map<String, Long> unread = teller.unread();
             for (int other = 0; other < GATEWAYS; other++) {
                 if (other != one) {
-                    gateways.get(other).othersPrompted(places);
-                    gateways.get(other).otherRuns("vm-" + one, running);
-                    gateways.get(other).otherUnread("vm-" + one, unread);
+                    gateways.get(other).onPeerPrefixes(places);
+                    gateways.get(other).onPeerRunning("vm-" + one, running);
+                    gateways.get(other).onPeerPrefillBacklog("vm-" + one, unread);
                 }
             }
         }
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/EngineShapesTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EngineShapesTest.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -40,11 +40,11 @@
         EnginePlay.Shape shape = new EnginePlay.Shape(
                 engines, slots, readTokensPerMilli, stepMillis, commonTokens, memoryTokens, programsPerSecond);
         Policy plain = Policy.without(EnumSet.of(
-                Mechanism.PROMPT_PLACES,
-                Mechanism.SHARED_PLACES,
-                Mechanism.PROMPT_HOMES,
-                Mechanism.READ_BACKLOG,
-                Mechanism.TOKEN_PACE));
+                Mechanism.PREFIX_AFFINITY,
+                Mechanism.SHARED_PREFIX_LOCATIONS,
+                Mechanism.PREFIX_PLACEMENT,
+                Mechanism.PREFILL_BACKLOG,
+                Mechanism.TOKEN_RATE));
         double whole = 0;
         double byLoad = 0;
         long read = 0;
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/EngineSpeedTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EngineSpeedTest.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/core/src/test/java/org/quetzalshunt/core/endpoint/PromptPlacesTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/PrefixLocationsTest.java
@@ -1,4 +1,4 @@
-package org.quetzalshunt.core.endpoint;
+package org.quetzalshunt.core.routing;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -16,10 +16,10 @@
 import org.quetzalshunt.core.policy.Policy;
 
 /** Where turns with long common prompts go: at one VM, at several that hear of each other, and at a start of all. */
-final class PromptPlacesTest {
+final class PrefixLocationsTest {
     private static final int ENGINES = 6;
     private static final long MEMORY_TOKENS = 1_000_000;
-    private static final PromptPart COMMON = new PromptPart("common", 12_600);
+    private static final PrefixPart COMMON = new PrefixPart("common", 12_600);
 
     private final EndpointTable first = table(1, Policy.whole());
     private final EndpointTable second = table(2, Policy.whole());
@@ -37,33 +37,33 @@
     void engineSpeedsAreKnown() {
         for (EndpointTable table : List.of(first, second)) {
             for (int number = 0; number < ENGINES; number++) {
-                table.answerBegan("e" + number, 12_000, 80);
+                table.onFirstEvent("e" + number, 12_000, 80);
                 table.generated("e" + number, 250, 400);
             }
         }
     }
 
-    private static Wish turn(String line, long tokens) {
-        return wish(List.of(COMMON, new PromptPart(line, tokens)));
+    private static RoutingRequest turn(String line, long tokens) {
+        return routingRequest(List.of(COMMON, new PrefixPart(line, tokens)));
     }
 
-    private static Wish wish(List<PromptPart> prompt) {
-        return new Wish("llm", Set.of(), prompt, MEMORY_TOKENS, 1_000);
+    private static RoutingRequest routingRequest(List<PrefixPart> prompt) {
+        return new RoutingRequest("llm", Set.of(), prompt, MEMORY_TOKENS, 1_000);
     }
 
-    private static String send(EndpointTable table, Wish wish) {
-        Choice choice = table.choose(0, wish).orElseThrow();
+    private static String send(EndpointTable table, RoutingRequest request) {
+        Selection choice = table.select(0, request).orElseThrow();
         String id = choice.registration().id();
         table.started(id);
-        table.prompted(id, wish, choice.missingTokens());
+        table.prompted(id, request, choice.uncachedTokens());
         return id;
     }
 
-    private static String run(EndpointTable table, Wish wish) {
-        long missing = table.choose(0, wish).orElseThrow().missingTokens();
-        String id = send(table, wish);
-        table.promptDone(id, missing);
-        table.finished(0, id, Finish.ANSWERED, 400);
+    private static String run(EndpointTable table, RoutingRequest request) {
+        long missing = table.select(0, request).orElseThrow().uncachedTokens();
+        String id = send(table, request);
+        table.prefillDone(id, missing);
+        table.finished(0, id, AttemptOutcome.ANSWERED, 400);
         return id;
     }
 
@@ -74,8 +74,8 @@
     @Test
     void turnFollowsItsProgramThroughAnotherVm() {
         String ran = send(first, turn("line", 2_000));
-        first.finished(0, ran, Finish.ANSWERED, 400);
-        second.othersPrompted(first.placesToTell());
+        first.finished(0, ran, AttemptOutcome.ANSWERED, 400);
+        second.onPeerPrefixes(first.takeNewLocations());
 
         assertThat(send(second, turn("line", 3_500))).isEqualTo(ran);
     }
@@ -83,9 +83,9 @@
     @Test
     void subAgentFollowsTheProgramWhosePromptItGoesOnFrom() {
         String ran = send(first, turn("line", 2_000));
-        PromptPart parent = new PromptPart("line", 2_000);
+        PrefixPart parent = new PrefixPart("line", 2_000);
 
-        assertThat(send(first, wish(List.of(COMMON, parent, new PromptPart("helper", 800)))))
+        assertThat(send(first, routingRequest(List.of(COMMON, parent, new PrefixPart("helper", 800)))))
                 .isEqualTo(ran);
     }
 
@@ -100,7 +100,7 @@
             long tokens = 16L * (1 + random.nextInt(37));
             first.started(id);
             first.generated(id, tokens, (long) (tokens * 1.6));
-            first.finished(run, id, Finish.ANSWERED, (long) (tokens * 1.6));
+            first.finished(run, id, AttemptOutcome.ANSWERED, (long) (tokens * 1.6));
         }
 
         assertThat(send(first, turn("line", 3_000))).isEqualTo(ran);
@@ -127,7 +127,7 @@
     void linesFindTheirEnginesAgainAfterAllVmsWereKilled() {
         EndpointTable restarted = table(1_000_000, Policy.whole());
         for (int number = 0; number < ENGINES; number++) {
-            Wish warmUp = wish(List.of(COMMON));
+            RoutingRequest warmUp = routingRequest(List.of(COMMON));
             first.prompted("e" + number, warmUp, 0);
         }
         int same = 0;
@@ -147,7 +147,7 @@
     void emptyEndpointIsNotSentMoreThanItCanRead() {
         for (int part = 0; part < 16; part++) {
             for (int number = 1; number < ENGINES; number++) {
-                first.prompted("e" + number, wish(List.of(new PromptPart("common-" + part, 12_600))), 0);
+                first.prompted("e" + number, routingRequest(List.of(new PrefixPart("common-" + part, 12_600))), 0);
             }
         }
         for (int number = 1; number < ENGINES; number++) {
@@ -157,8 +157,8 @@
         }
         int atEmpty = 0;
         for (int request = 0; request < 30; request++) {
-            PromptPart common = new PromptPart("common-" + request % 16, 12_600);
-            String id = send(first, wish(List.of(common, new PromptPart("line-" + request, 1_000))));
+            PrefixPart common = new PrefixPart("common-" + request % 16, 12_600);
+            String id = send(first, routingRequest(List.of(common, new PrefixPart("line-" + request, 1_000))));
             atEmpty += id.equals("e0") ? 1 : 0;
         }
         assertThat(atEmpty).isAtMost(8);
@@ -170,12 +170,12 @@
      */
     @Test
     void laterTurnIsToldFromAFirstOneByItsPrompt() {
-        assertThat(first.mayHold(0, "llm", turn("line", 1_000).prompt())).isFalse();
+        assertThat(first.mayCache(0, "llm", turn("line", 1_000).prompt())).isFalse();
         send(first, turn("line", 1_000));
-        assertThat(first.mayHold(0, "llm", turn("line", 2_000).prompt())).isTrue();
-        assertThat(first.mayHold(0, "llm", turn("other", 2_000).prompt())).isFalse();
+        assertThat(first.mayCache(0, "llm", turn("line", 2_000).prompt())).isTrue();
+        assertThat(first.mayCache(0, "llm", turn("other", 2_000).prompt())).isFalse();
         assertThat(table(1_000_000, Policy.whole())
-                        .mayHold(0, "llm", turn("line", 2_000).prompt()))
+                        .mayCache(0, "llm", turn("line", 2_000).prompt()))
                 .isTrue();
     }
 
@@ -192,13 +192,13 @@
     /** Memory for a few prompts only: what was sent long ago is gone there, and must not draw a turn to a busy engine. */
     @Test
     void smallMemoryForgetsTheLeastRecentPrompt() {
-        PromptMemory memory = new PromptMemory();
+        PrefixCache memory = new PrefixCache();
         for (int number = 0; number < 10; number++) {
-            memory.hold(new PromptPart("p" + number, 10_000), 50_000);
+            memory.hold(new PrefixPart("p" + number, 10_000), 50_000);
         }
-        assertThat(memory.missingTokens(List.of(new PromptPart("p9", 11_000)))).isEqualTo(1_000);
-        assertThat(memory.missingTokens(List.of(new PromptPart("p4", 10_000)))).isEqualTo(10_000);
-        assertThat(memory.missingTokens(List.of(new PromptPart("p4", 10_000), new PromptPart("p9", 10_000))))
+        assertThat(memory.uncachedTokens(List.of(new PrefixPart("p9", 11_000)))).isEqualTo(1_000);
+        assertThat(memory.uncachedTokens(List.of(new PrefixPart("p4", 10_000)))).isEqualTo(10_000);
+        assertThat(memory.uncachedTokens(List.of(new PrefixPart("p4", 10_000), new PrefixPart("p9", 10_000))))
                 .isEqualTo(20_000);
     }
 
@@ -207,21 +207,21 @@
         String ran = send(first, turn("line", 2_000));
         first.registered(new Registration(ran, "llm", "10.0.0.9:80", "a", 48, false, 2));
 
-        assertThat(first.choose(0, turn("line", 2_000)).orElseThrow().missingTokens())
+        assertThat(first.select(0, turn("line", 2_000)).orElseThrow().uncachedTokens())
                 .isEqualTo(14_600);
     }
 
     @ParameterizedTest
     @EnumSource(
             value = Mechanism.class,
-            names = {"PROMPT_PLACES", "SHARED_PLACES"})
+            names = {"PREFIX_AFFINITY", "SHARED_PREFIX_LOCATIONS"})
     void withoutTheMechanismTheSecondVmKnowsOfNothing(Mechanism mechanism) {
         EndpointTable plain = table(1, Policy.without(List.of(mechanism)));
         send(plain, turn("line", 2_000));
-        second.othersPrompted(plain.placesToTell());
+        second.onPeerPrefixes(plain.takeNewLocations());
 
-        Choice choice = second.choose(0, turn("line", 2_000)).orElseThrow();
+        Selection choice = second.select(0, turn("line", 2_000)).orElseThrow();
 
-        assertThat(choice.missingTokens()).isEqualTo(mechanism == Mechanism.SHARED_PLACES ? 14_600 : 0);
+        assertThat(choice.uncachedTokens()).isEqualTo(mechanism == Mechanism.SHARED_PREFIX_LOCATIONS ? 14_600 : 0);
     }
 }
--- a/core/src/test/java/org/quetzalshunt/core/store/AnswerLimitTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/store/AnswerLimitTest.java
@@ -8,7 +8,7 @@
     /** A map that loses a third of its answers: the limit comes back down with the next answer. */
     @Test
     void lostAnswersCostLittle() {
-        AnswerLimit limit = AnswerLimit.create();
+        ResponseTimeout limit = ResponseTimeout.create();
         for (int call = 0; call < 30; call++) {
             if (call % 3 == 0) {
                 limit.unanswered();
@@ -24,7 +24,7 @@
     /** A map that answers after 240 ms: two calls fail, and from then on each is waited for. */
     @Test
     void slowMapIsWaitedFor() {
-        AnswerLimit limit = AnswerLimit.create();
+        ResponseTimeout limit = ResponseTimeout.create();
         limit.unanswered();
         assertThat(limit.millis()).isGreaterThan(240);
         for (int call = 0; call < 20; call++) {
@@ -35,7 +35,7 @@
 
     @Test
     void limitIsBounded() {
-        AnswerLimit limit = AnswerLimit.create();
+        ResponseTimeout limit = ResponseTimeout.create();
         for (int call = 0; call < 20; call++) {
             limit.unanswered();
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestGate.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.quetzalshunt.core.policy.Mechanism;
+import org.quetzalshunt.core.quota.OutageWaitPolicy;
+import org.quetzalshunt.core.quota.QuotaWaitPolicy;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.core.route.AccountTerms;
@@ -12,15 +14,13 @@
 import org.quetzalshunt.core.route.Route;
 import org.quetzalshunt.core.route.ServiceEntry;
 import org.quetzalshunt.core.route.TrafficConfiguration;
-import org.quetzalshunt.core.share.OutagePatience;
-import org.quetzalshunt.core.share.TokenPatience;
 import org.quetzalshunt.server.http.HttpExchange;
 
 /**
  * Judges each request that arrived whole, in this order: is what this VM knows current, is there a route, whose key is
  * it, has its account a token left. Nothing is said of a route or key on knowledge that may be out of date.
  */
-final class RequestGate {
+final class AdmissionPipeline {
     /** Time that a caller is taken to wait when it does not say. */
     private static final long DEADLINE_UNSAID_MILLIS = 10_000;
 
@@ -38,7 +38,7 @@
     private final Gateway gateway;
     private final BooleanSupplier stopping;
 
-    RequestGate(Gateway gateway, BooleanSupplier stopping) {
+    AdmissionPipeline(Gateway gateway, BooleanSupplier stopping) {
         this.gateway = gateway;
         this.stopping = stopping;
     }
@@ -46,7 +46,7 @@
     /** Takes a request; its answer comes now or later. */
     void handle(HttpExchange exchange) {
         gateway.clock().check();
-        if (stopping.getAsBoolean() || gateway.cutOffAlone()) {
+        if (stopping.getAsBoolean() || gateway.isolatedFromStore()) {
             // A kept connection stays with this VM; the next one that its caller opens goes to a VM that is ready.
             exchange.closeAfterAnswer();
         }
@@ -102,16 +102,16 @@
      * waited already, or a caller is better off at another VM.
      */
     private boolean waits(Arrival arrival, BooleanSupplier ready) {
-        long until = arrival.arrivedMillis() + OutagePatience.mostWaitMillis(arrival.leftMillis());
+        long until = arrival.arrivedMillis() + OutageWaitPolicy.maximumWaitMillis(arrival.leftMillis());
         boolean useful = gateway.settings().policy().has(Mechanism.OUTAGE_WAIT)
                 && !stopping.getAsBoolean()
-                && !gateway.cutOffAlone()
+                && !gateway.isolatedFromStore()
                 && gateway.clock().now() < until;
         if (!useful) {
             return false;
         }
         boolean mayBegin = arrival.request().previousTurn().isEmpty();
-        BooleanSupplier over = () -> ready.getAsBoolean() || gateway.cutOffAlone();
+        BooleanSupplier over = () -> ready.getAsBoolean() || gateway.isolatedFromStore();
         return gateway.recovery().offer(new RecoveryQueue.Waiting(mayBegin, until, over, () -> resume(arrival)));
     }
 
@@ -134,7 +134,7 @@
             return;
         }
         long deadline = arrival.arrivedMillis() + Math.min(route.timeoutMillis(), arrival.leftMillis());
-        Accepted accepted = new Accepted(
+        AdmittedRequest accepted = new AdmittedRequest(
                 arrival.exchange(),
                 request,
                 route,
@@ -143,7 +143,7 @@
                 configuration.version(),
                 arrival.arrivedMillis(),
                 deadline,
-                gateway.endpoints().mayHold(gateway.clock().now(), service.name(), request.promptParts()));
+                gateway.endpoints().mayCache(gateway.clock().now(), service.name(), request.prefixParts()));
         if (gateway.crashes().quarantined(accepted)) {
             Refusal refusal =
                     Refusal.notRun(ResultCode.CRASHES_ENDPOINTS, "it was running at three endpoints that crashed");
@@ -152,16 +152,16 @@
         }
         if (lacksMap(accepted)) {
             // The turn could not be granted or not be kept; run, its work would be lost.
-            if (!waits(arrival, () -> !gateway.map().away())) {
+            if (!waits(arrival, () -> !gateway.map().unavailable())) {
                 Refusal refusal = elsewhere(arrival, ResultCode.LOG_UNAVAILABLE, "the shared map is away");
                 Outcome.refuse(gateway, accepted, refusal, Optional.empty());
             }
             return;
         }
-        Optional<BudgetKeeper.Verdict.Spent> spent = spent(accepted);
+        Optional<BudgetManager.Verdict.Exhausted> spent = spent(accepted);
         if (spent.isPresent()) {
             // Before a token of the rate is taken: a program that loops must not spend its account's rate as well.
-            Outcome.refuse(gateway, accepted, StreamRun.spentRefusal(spent.get()), Optional.empty());
+            Outcome.refuse(gateway, accepted, StreamForwarder.exhaustedRefusal(spent.get()), Optional.empty());
             return;
         }
         if (account.isEmpty()) {
@@ -171,9 +171,9 @@
         takeToken(arrival, accepted, account.get());
     }
 
-    private void takeToken(Arrival arrival, Accepted accepted, AccountTerms account) {
+    private void takeToken(Arrival arrival, AdmittedRequest accepted, AccountTerms account) {
         long left = accepted.deadlineMillis() - gateway.clock().now();
-        long most = TokenPatience.mostWaitMillis(accepted.beginsProgram(), left);
+        long most = QuotaWaitPolicy.maximumWaitMillis(accepted.beginsProgram(), left);
         gateway.rates().take(account, most, wait -> {
             if (wait.isEmpty()) {
                 noToken(arrival, accepted, account);
@@ -185,39 +185,39 @@
         });
     }
 
-    private boolean lacksMap(Accepted accepted) {
-        if (!gateway.map().away()) {
+    private boolean lacksMap(AdmittedRequest accepted) {
+        if (!gateway.map().unavailable()) {
             return false;
         }
         return accepted.keepsHistory()
                 || accepted.budgetedProgram()
-                        .filter(program -> !gateway.budgets().covers(program, accepted.mostTokens()))
+                        .filter(program -> !gateway.budgets().covers(program, accepted.maximumTokens()))
                         .isPresent();
     }
 
-    private Optional<BudgetKeeper.Verdict.Spent> spent(Accepted accepted) {
+    private Optional<BudgetManager.Verdict.Exhausted> spent(AdmittedRequest accepted) {
         return accepted.budgetedProgram().flatMap(program -> gateway.budgets()
-                .knownSpent(program, accepted.request().tokenBudget().getAsLong(), accepted.mostTokens()));
+                .knownExhausted(program, accepted.request().tokenBudget().getAsLong(), accepted.maximumTokens()));
     }
 
-    private void run(Accepted accepted) {
+    private void run(AdmittedRequest accepted) {
         if (accepted.exchange().finished()) {
             Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.empty());
             return;
         }
         if (accepted.route().kind() == RequestKind.STREAM) {
-            StreamRun.start(gateway, accepted);
+            StreamForwarder.start(gateway, accepted);
         } else {
-            PlainRun.start(gateway, accepted);
+            BufferedForwarder.start(gateway, accepted);
         }
     }
 
-    private void noToken(Arrival arrival, Accepted accepted, AccountTerms account) {
-        if (gateway.rates().reachesHolder(account.name())) {
+    private void noToken(Arrival arrival, AdmittedRequest accepted, AccountTerms account) {
+        if (gateway.rates().reachesLeaseHolder(account.name())) {
             overRate(accepted, account);
             return;
         }
-        BooleanSupplier reached = () -> gateway.rates().reachesHolder(account.name());
+        BooleanSupplier reached = () -> gateway.rates().reachesLeaseHolder(account.name());
         if (waits(arrival, reached)) {
             return;
         }
@@ -226,18 +226,18 @@
         Outcome.refuse(gateway, accepted, refusal, Optional.empty());
     }
 
-    private void overRate(Accepted accepted, AccountTerms account) {
-        boolean beginning = gateway.settings().policy().has(Mechanism.LATE_BEGINNINGS) && accepted.beginsProgram();
+    private void overRate(AdmittedRequest accepted, AccountTerms account) {
+        boolean beginning = gateway.settings().policy().has(Mechanism.PROGRAM_START_DELAY) && accepted.beginsProgram();
         long left = accepted.deadlineMillis() - gateway.clock().now();
         double chance = ThreadLocalRandom.current().nextDouble();
-        long wait = TokenPatience.comeBackMillis(beginning, account.ratePerSecond(), left, chance);
+        long wait = QuotaWaitPolicy.retryAfterMillis(beginning, account.ratePerSecond(), left, chance);
         Refusal refusal = Refusal.notRunRetryAfter(ResultCode.RATE_EXCEEDED, "rate " + account.ratePerSecond(), wait);
         Outcome.refuse(gateway, accepted, refusal, Optional.empty());
     }
 
     private Refusal elsewhere(Arrival arrival, ResultCode code, String detail) {
         long waited = gateway.clock().now() - arrival.arrivedMillis();
-        return Refusal.notRunRetryAfter(code, detail, gateway.comeBackMillis(arrival.leftMillis() - waited));
+        return Refusal.notRunRetryAfter(code, detail, gateway.retryAfterMillis(arrival.leftMillis() - waited));
     }
 
     private void refuse(Arrival arrival, Refusal refusal) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Accepted.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
@@ -1,12 +1,12 @@
 package org.quetzalshunt.server.gateway;
 
 import java.util.Optional;
+import org.quetzalshunt.core.quota.OutageWaitPolicy;
 import org.quetzalshunt.core.route.AccountTerms;
 import org.quetzalshunt.core.route.EngineShape;
 import org.quetzalshunt.core.route.RequestKind;
 import org.quetzalshunt.core.route.Route;
 import org.quetzalshunt.core.route.ServiceEntry;
-import org.quetzalshunt.core.share.OutagePatience;
 import org.quetzalshunt.server.http.HttpExchange;
 
 /**
@@ -20,9 +20,9 @@
  * @param configurationVersion version that it was judged by
  * @param arrivedMillis when it had arrived whole
  * @param deadlineMillis when its final answer is due: the caller's time or the route's, whichever is over first
- * @param lineUnderWay whether its line of turns may have run before, by where its prompt lies
+ * @param conversationUnderWay whether its line of turns may have run before, by where its prompt lies
  */
-record Accepted(
+record AdmittedRequest(
         HttpExchange exchange,
         CallerRequest request,
         Route route,
@@ -31,7 +31,7 @@
         long configurationVersion,
         long arrivedMillis,
         long deadlineMillis,
-        boolean lineUnderWay) {
+        boolean conversationUnderWay) {
 
     /** Ranks that accounts and routes use: 0, 1 and 2. */
     private static final int RANKS = 3;
@@ -54,8 +54,8 @@
     }
 
     /** Tokens that a turn may generate, in whole events. */
-    long mostTokens() {
-        long said = request.mostTokens().orElse(TOKENS_UNSAID);
+    long maximumTokens() {
+        long said = request.maximumTokens().orElse(TOKENS_UNSAID);
         int each = tokensPerEvent();
         return (said + each - 1) / each * each;
     }
@@ -79,7 +79,7 @@
      */
     boolean beginsProgram() {
         return route.kind() == RequestKind.STREAM
-                && !lineUnderWay
+                && !conversationUnderWay
                 && request.previousTurn().isEmpty()
                 && (request.line().isEmpty() || request.line().equals(request.program()));
     }
@@ -91,7 +91,7 @@
 
     /** Until when it waits for an outage to end. */
     long outageUntilMillis() {
-        return arrivedMillis + OutagePatience.mostWaitMillis(deadlineMillis - arrivedMillis);
+        return arrivedMillis + OutageWaitPolicy.maximumWaitMillis(deadlineMillis - arrivedMillis);
     }
 
     /** Whether the turn is kept, for turns that go on from it. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
@@ -24,14 +24,14 @@
  * append that expects the shard as it was read. Appends of one shard run one after the other, so that this VM never
  * conflicts with itself.
  */
-final class BudgetKeeper {
+final class BudgetManager {
     /** Whether a turn may run. */
     sealed interface Verdict {
         /** It may, and its tokens are set aside. */
         record Granted() implements Verdict {}
 
         /** The budget is spent. */
-        record Spent(long allotted, long others) implements Verdict {}
+        record Exhausted(long allotted, long others) implements Verdict {}
 
         /** The shared map cannot be asked. */
         record Unavailable(String reason) implements Verdict {}
@@ -41,7 +41,7 @@
     private record Pending(
             String program,
             long budget,
-            long mostTokens,
+            long maximumTokens,
             long keepMillis,
             long giveUpMillis,
             Backoff backoff,
@@ -74,9 +74,9 @@
     private static final char SEPARATOR = '/';
 
     private final EventExecutor executor;
-    private final MapClient map;
+    private final StoreClient map;
     private final NodeClock clock;
-    private final BooleanSupplier hopeless;
+    private final BooleanSupplier isolated;
     private final String holder;
     private final Map<MapShard, Shard> shards = new HashMap<>();
     private final LinkedHashMap<String, Row> rows = new LinkedHashMap<>(256, 0.75f, true) {
@@ -91,15 +91,15 @@
     /**
      * Makes a keeper that knows no program.
      *
-     * @param hopeless whether callers are better off at another VM than with another try here
+     * @param isolated whether callers are better off at another VM than with another try here
      */
-    BudgetKeeper(
+    BudgetManager(
             EventExecutor executor,
-            MapClient map,
+            StoreClient map,
             NodeClock clock,
             GatewaySettings settings,
-            BooleanSupplier hopeless) {
-        this.hopeless = hopeless;
+            BooleanSupplier isolated) {
+        this.isolated = isolated;
         this.executor = executor;
         this.map = map;
         this.clock = clock;
@@ -113,27 +113,27 @@
     }
 
     /** Whether this VM can grant a turn of the program without asking the shared map. */
-    boolean covers(String program, long mostTokens) {
+    boolean covers(String program, long maximumTokens) {
         Row row = rows.get(program);
-        return row != null && row.allotment.covers(mostTokens);
+        return row != null && row.allotment.covers(maximumTokens);
     }
 
     /** Whether a turn's grant is almost sure to come, by what this VM last read of its program. */
-    boolean ample(String program, long budget, long mostTokens) {
+    boolean hasHeadroom(String program, long budget, long maximumTokens) {
         Row row = rows.get(program);
-        return row != null && row.allotment.ample(budget, mostTokens);
+        return row != null && row.allotment.hasHeadroom(budget, maximumTokens);
     }
 
     /** Whether what this VM knows already says that the budget is spent: allotments of others never shrink. */
-    Optional<Verdict.Spent> knownSpent(String program, long budget, long mostTokens) {
+    Optional<Verdict.Exhausted> knownExhausted(String program, long budget, long maximumTokens) {
         Row row = rows.get(program);
-        if (row == null || !row.allotment.known() || row.allotment.covers(mostTokens)) {
+        if (row == null || !row.allotment.known() || row.allotment.covers(maximumTokens)) {
             return Optional.empty();
         }
-        if (row.allotment.wanted(budget, mostTokens).isPresent()) {
+        if (row.allotment.wanted(budget, maximumTokens).isPresent()) {
             return Optional.empty();
         }
-        return Optional.of(new Verdict.Spent(row.allotment.allotted(), row.allotment.others()));
+        return Optional.of(new Verdict.Exhausted(row.allotment.allotted(), row.allotment.others()));
     }
 
     /**
@@ -145,17 +145,17 @@
     void reserve(
             String program,
             long budget,
-            long mostTokens,
+            long maximumTokens,
             long keepMillis,
             long untilMillis,
             Consumer<Verdict> listener) {
         Row row = rows.computeIfAbsent(program, ignored -> new Row());
-        if (row.allotment.covers(mostTokens)) {
-            row.allotment.started(mostTokens);
+        if (row.allotment.covers(maximumTokens)) {
+            row.allotment.started(maximumTokens);
             listener.accept(new Verdict.Granted());
             return;
         }
-        Optional<Verdict.Spent> spent = knownSpent(program, budget, mostTokens);
+        Optional<Verdict.Exhausted> spent = knownExhausted(program, budget, maximumTokens);
         if (spent.isPresent()) {
             listener.accept(spent.get());
             return;
@@ -165,7 +165,7 @@
         Pending pending = new Pending(
                 program,
                 budget,
-                mostTokens,
+                maximumTokens,
                 keepMillis,
                 Math.max(untilMillis, clock.now() + LEAST_WAIT_MILLIS),
                 new Backoff(program.hashCode()),
@@ -181,10 +181,10 @@
     }
 
     /** A turn ended; what it did not hand out is free again for this VM's next turns. */
-    void release(String program, long mostTokens, long handedOut) {
+    void release(String program, long maximumTokens, long handedOut) {
         Row row = rows.get(program);
         if (row != null) {
-            row.allotment.ended(mostTokens, handedOut);
+            row.allotment.ended(maximumTokens, handedOut);
         }
     }
 
@@ -208,12 +208,12 @@
 
     private void step(MapShard key, Shard shard, Pending pending) {
         Row row = rows.computeIfAbsent(pending.program(), ignored -> new Row());
-        if (row.allotment.covers(pending.mostTokens())) {
-            row.allotment.started(pending.mostTokens());
+        if (row.allotment.covers(pending.maximumTokens())) {
+            row.allotment.started(pending.maximumTokens());
             finish(shard, pending, new Verdict.Granted());
             return;
         }
-        if (clock.now() >= pending.giveUpMillis() || hopeless.getAsBoolean()) {
+        if (clock.now() >= pending.giveUpMillis() || isolated.getAsBoolean()) {
             finish(shard, pending, new Verdict.Unavailable("no grant in time"));
             return;
         }
@@ -221,9 +221,9 @@
             read(key, shard, pending, row);
             return;
         }
-        OptionalLong wanted = row.allotment.wanted(pending.budget(), pending.mostTokens());
+        OptionalLong wanted = row.allotment.wanted(pending.budget(), pending.maximumTokens());
         if (wanted.isEmpty()) {
-            finish(shard, pending, new Verdict.Spent(row.allotment.allotted(), row.allotment.others()));
+            finish(shard, pending, new Verdict.Exhausted(row.allotment.allotted(), row.allotment.others()));
             return;
         }
         raise(key, shard, pending, row, wanted.getAsLong());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PlainRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
@@ -5,16 +5,16 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import org.quetzalshunt.core.endpoint.Finish;
 import org.quetzalshunt.core.result.Execution;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.core.routing.AttemptOutcome;
 
 /**
  * A request whose answer is read whole before its first octet goes to the caller, so that a broken one can be replaced:
  * by another endpoint's where the request may run again, by a status that says so where it may not.
  */
-final class PlainRun implements EndpointCall.Listener {
+final class BufferedForwarder implements EndpointCall.Listener {
     /**
      * An endpoint that has said nothing for this many times the route's target is left for another one: late enough that
      * most healthy ones have answered, early enough that another can within the caller's time.
@@ -25,7 +25,7 @@
     private static final int GATEWAY_TIMEOUT = 504;
 
     private final Gateway gateway;
-    private final Accepted accepted;
+    private final AdmittedRequest accepted;
     private final EndpointCall call;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private ScheduledFuture<?> deadline;
@@ -35,15 +35,15 @@
     private int runs;
     private boolean finished;
 
-    private PlainRun(Gateway gateway, Accepted accepted) {
+    private BufferedForwarder(Gateway gateway, AdmittedRequest accepted) {
         this.gateway = gateway;
         this.accepted = accepted;
         this.call = new EndpointCall(gateway, accepted, accepted.exchange().body(), this);
     }
 
     /** Starts a run; it ends by itself. */
-    static void start(Gateway gateway, Accepted accepted) {
-        PlainRun run = new PlainRun(gateway, accepted);
+    static void start(Gateway gateway, AdmittedRequest accepted) {
+        BufferedForwarder run = new BufferedForwarder(gateway, accepted);
         accepted.exchange().onClose(run::callerLeft);
         long left = Math.max(1, accepted.deadlineMillis() - gateway.clock().now());
         run.deadline = gateway.executor().schedule(run::deadlinePassed, left, TimeUnit.MILLISECONDS);
@@ -69,12 +69,12 @@
         if (finished) {
             return;
         }
-        call.cancel(Finish.ERRORED);
+        call.cancel(AttemptOutcome.ERRORED);
         attempt();
     }
 
     @Override
-    public void onHead(AnswerHead head, int answerStatus, HttpHeaders answerHeaders) {
+    public void onHead(ResponseKind head, int answerStatus, HttpHeaders answerHeaders) {
         status = answerStatus;
         headers = answerHeaders;
     }
@@ -124,7 +124,7 @@
 
     private void deadlinePassed() {
         boolean ran = call.running() || runs > 1;
-        call.cancel(Finish.ofLate(headers != null));
+        call.cancel(AttemptOutcome.ofLate(headers != null));
         end(
                 ran
                         ? Refusal.after(ResultCode.DEADLINE_PASSED_RUNNING, Execution.UNKNOWN, "no answer in time")
@@ -132,7 +132,7 @@
     }
 
     private void callerLeft() {
-        call.cancel(Finish.NEUTRAL);
+        call.cancel(AttemptOutcome.NEUTRAL);
         if (finish()) {
             Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.of(call));
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.quetzalshunt.core.endpoint.PromptPart;
+import org.quetzalshunt.core.routing.PrefixPart;
 
 /**
  * What a caller's request says, in this system's words.
@@ -18,8 +18,8 @@
  * @param previousTurn id of the turn that this one goes on from
  * @param tokenBudget tokens that all turns of the program may generate
  * @param promptTokens tokens of the whole prompt
- * @param promptParts parts of the prompt in order; requests with equal first parts share them in an engine's memory
- * @param mostTokens tokens that this turn may generate
+ * @param prefixParts parts of the prompt in order; requests with equal first parts share them in an engine's memory
+ * @param maximumTokens tokens that this turn may generate
  */
 public record CallerRequest(
         String id,
@@ -32,5 +32,5 @@
         Optional<String> previousTurn,
         OptionalLong tokenBudget,
         OptionalLong promptTokens,
-        List<PromptPart> promptParts,
-        OptionalLong mostTokens) {}
+        List<PrefixPart> prefixParts,
+        OptionalLong maximumTokens) {}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
@@ -28,7 +28,7 @@
     private static final long POLL_MILLIS = 1_000;
 
     private final EventExecutor executor;
-    private final MapClient map;
+    private final StoreClient map;
     private final Dialect dialect;
     private final NodeClock clock;
     private final DecisionLog log;
@@ -41,7 +41,7 @@
 
     ConfigurationFollower(
             EventExecutor executor,
-            MapClient map,
+            StoreClient map,
             Dialect dialect,
             NodeClock clock,
             DecisionLog log,
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CrashWatch.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
@@ -7,9 +7,9 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import org.quetzalshunt.core.endpoint.Registration;
 import org.quetzalshunt.core.program.Digests;
 import org.quetzalshunt.core.quarantine.CrashTable;
+import org.quetzalshunt.core.routing.Registration;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapName;
 import org.quetzalshunt.core.store.MapShard;
@@ -19,7 +19,7 @@
  * Finds out which requests were running where an endpoint crashed, and tells the other VMs through the shared map. A
  * broken connection alone is no crash, since answers get lost too: the endpoint must also refuse a new connection.
  */
-final class CrashWatch {
+final class CrashReporter {
     static final String KEY_PREFIX = "crash/";
 
     private static final MapShard SHARD = MapShard.only(MapName.FLEET);
@@ -35,17 +35,17 @@
 
     private final EventExecutor executor;
     private final HttpClient http;
-    private final MapClient map;
+    private final StoreClient map;
     private final NodeClock clock;
     private final DecisionLog log;
     private final String life;
     private final CrashTable table = CrashTable.create();
     private long crashes;
 
-    CrashWatch(
+    CrashReporter(
             EventExecutor executor,
             HttpClient http,
-            MapClient map,
+            StoreClient map,
             NodeClock clock,
             DecisionLog log,
             GatewaySettings settings) {
@@ -58,19 +58,19 @@
     }
 
     /** Whether the request must not run. */
-    boolean quarantined(Accepted accepted) {
+    boolean quarantined(AdmittedRequest accepted) {
         return !table.isEmpty() && table.quarantined(clock.now(), fingerprint(accepted));
     }
 
     /** The request was answered whole. */
-    void answered(Accepted accepted) {
+    void answered(AdmittedRequest accepted) {
         if (!table.isEmpty()) {
             table.answered(fingerprint(accepted));
         }
     }
 
     /** The connection broke while an endpoint may have been running the request. */
-    void broke(Accepted accepted, Registration endpoint) {
+    void broke(AdmittedRequest accepted, Registration endpoint) {
         InetSocketAddress address = EndpointCall.address(endpoint.address());
         executor.schedule(
                 () -> http.probe(address, PROBE_MILLIS, reachable -> {
@@ -82,7 +82,7 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private void crashed(Accepted accepted, Registration endpoint) {
+    private void crashed(AdmittedRequest accepted, Registration endpoint) {
         String fingerprint = fingerprint(accepted);
         String crash = life + "-" + crashes++;
         log.line(log.event("endpoint-crashed")
@@ -118,7 +118,7 @@
     }
 
     /** What stays the same when a caller sends a request again: method, path, account and body. */
-    private static String fingerprint(Accepted accepted) {
+    private static String fingerprint(AdmittedRequest accepted) {
         String head = accepted.exchange().method() + ' ' + accepted.exchange().uri() + ' ' + accepted.accountName();
         byte[] digest = Digests.sha256(
                 head.getBytes(StandardCharsets.UTF_8), accepted.exchange().body());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
@@ -2,9 +2,9 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import org.quetzalshunt.core.endpoint.Registration;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.route.TrafficConfiguration;
+import org.quetzalshunt.core.routing.Registration;
 import org.quetzalshunt.server.http.HttpExchange;
 
 /** How the platform's callers, endpoints and operators say things; implementations decide nothing. */
@@ -19,7 +19,7 @@
     boolean answers(String requestId, HttpHeaders answerHeaders);
 
     /** What the head of an endpoint's answer tells. */
-    AnswerHead head(int status, HttpHeaders answerHeaders);
+    ResponseKind head(int status, HttpHeaders answerHeaders);
 
     /** Headers of an endpoint's answer as the caller gets them. */
     HttpHeaders inbound(HttpHeaders answerHeaders);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -9,14 +9,14 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import org.quetzalshunt.core.endpoint.Choice;
-import org.quetzalshunt.core.endpoint.Finish;
-import org.quetzalshunt.core.endpoint.Registration;
-import org.quetzalshunt.core.endpoint.Wish;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.core.route.EngineShape;
 import org.quetzalshunt.core.route.RequestKind;
+import org.quetzalshunt.core.routing.AttemptOutcome;
+import org.quetzalshunt.core.routing.Registration;
+import org.quetzalshunt.core.routing.RoutingRequest;
+import org.quetzalshunt.core.routing.Selection;
 import org.quetzalshunt.server.http.CallTimes;
 import org.quetzalshunt.server.http.HttpCall;
 import org.quetzalshunt.server.http.HttpResponseListener;
@@ -30,7 +30,7 @@
 final class EndpointCall {
     /** Hears one answer: a head with its data and end, or that it broke off, or that nothing ran. */
     interface Listener {
-        void onHead(AnswerHead head, int status, HttpHeaders headers);
+        void onHead(ResponseKind head, int status, HttpHeaders headers);
 
         void onData(byte[] data);
 
@@ -66,22 +66,22 @@
     private static final double SILENT_TARGETS = 2;
 
     private final Gateway gateway;
-    private final Accepted accepted;
+    private final AdmittedRequest accepted;
     private final byte[] body;
     private final Listener listener;
     private final Set<String> excluded = new HashSet<>();
     private Registration endpoint;
-    private Choice choice;
+    private Selection choice;
     private HttpCall call;
     private ScheduledFuture<?> pause;
     private ScheduledFuture<?> silence;
     private long sentMillis;
     private OptionalLong firstSentMillis = OptionalLong.empty();
     private boolean done;
-    private boolean promptDone = true;
+    private boolean prefillDone = true;
     private int sends;
 
-    EndpointCall(Gateway gateway, Accepted accepted, byte[] body, Listener listener) {
+    EndpointCall(Gateway gateway, AdmittedRequest accepted, byte[] body, Listener listener) {
         this.gateway = gateway;
         this.accepted = accepted;
         this.body = body;
@@ -95,7 +95,7 @@
     }
 
     /** Gives up the present attempt; its endpoint is not chosen again. The listener hears no more of it. */
-    void cancel(Finish finish) {
+    void cancel(AttemptOutcome finish) {
         if (done) {
             return;
         }
@@ -120,7 +120,7 @@
     }
 
     /** What was believed of that endpoint when it was chosen. */
-    Optional<Choice> choice() {
+    Optional<Selection> choice() {
         return Optional.ofNullable(choice);
     }
 
@@ -146,8 +146,8 @@
             refuse(Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, "no time left"));
             return;
         }
-        Wish wish = wish();
-        Optional<Choice> chosen = gateway.endpoints().choose(now, wish);
+        RoutingRequest request = routingRequest();
+        Optional<Selection> chosen = gateway.endpoints().select(now, request);
         if (chosen.isEmpty()) {
             noEndpoint(remaining);
             return;
@@ -159,8 +159,8 @@
         sends++;
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
-        gateway.endpoints().prompted(endpoint.id(), wish, choice.missingTokens());
-        promptDone = false;
+        gateway.endpoints().prompted(endpoint.id(), request, choice.uncachedTokens());
+        prefillDone = false;
         watchSilence();
         call = gateway.http().send(request(remaining), times(remaining), this::own, new Answer());
     }
@@ -172,7 +172,7 @@
                 .schedule(() -> gateway.endpoints().silent(gateway.clock().now(), id), millis, TimeUnit.MILLISECONDS);
     }
 
-    private Wish wish() {
+    private RoutingRequest routingRequest() {
         int vms = Math.max(1, gateway.rates().liveVms());
         int most = Math.max(2, accepted.service().maximumConnections() / vms);
         long memory = accepted.service()
@@ -180,7 +180,8 @@
                 .map(EngineShape::cacheTokens)
                 .filter(tokens -> tokens > 0)
                 .orElse(Long.MAX_VALUE);
-        return new Wish(accepted.service().name(), excluded, accepted.request().promptParts(), memory, most);
+        return new RoutingRequest(
+                accepted.service().name(), excluded, accepted.request().prefixParts(), memory, most);
     }
 
     private void noEndpoint(long remaining) {
@@ -238,25 +239,25 @@
     }
 
     /** The endpoint has read the prompt of the present attempt, or will not. */
-    void promptDone() {
-        if (!promptDone) {
-            promptDone = true;
-            gateway.endpoints().promptDone(endpoint.id(), choice.missingTokens());
+    void prefillDone() {
+        if (!prefillDone) {
+            prefillDone = true;
+            gateway.endpoints().prefillDone(endpoint.id(), choice.uncachedTokens());
         }
     }
 
-    private void ended(Finish finish) {
+    private void ended(AttemptOutcome finish) {
         call = null;
         silence.cancel(false);
         long now = gateway.clock().now();
-        promptDone();
+        prefillDone();
         gateway.endpoints().finished(now, endpoint.id(), finish, now - sentMillis);
         gateway.measures().attempt(finish.name().toLowerCase(Locale.ROOT));
     }
 
     /** What the HTTP client says of the present attempt. */
     private final class Answer implements HttpResponseListener {
-        private AnswerHead head;
+        private ResponseKind head;
 
         @Override
         public void onHead(int status, HttpHeaders headers) {
@@ -266,20 +267,20 @@
                 listener.onHead(head, status, headers);
                 return;
             }
-            if (head == AnswerHead.INVALID) {
+            if (head == ResponseKind.INVALID) {
                 call.cancel();
-                ended(Finish.FAILED);
+                ended(AttemptOutcome.FAILED);
                 done = true;
                 listener.onBroken("no answer in the protocol, status " + status);
             }
         }
 
         private boolean passes() {
-            return head == AnswerHead.SUCCESS || head == AnswerHead.FAILURE;
+            return head == ResponseKind.SUCCESS || head == ResponseKind.FAILURE;
         }
 
         private boolean notRun() {
-            return head == AnswerHead.NOT_RUN_FULL || head == AnswerHead.NOT_RUN_MOVED;
+            return head == ResponseKind.NOT_RUN_FULL || head == ResponseKind.NOT_RUN_MOVED;
         }
 
         @Override
@@ -292,11 +293,11 @@
         @Override
         public void onEnd() {
             if (notRun()) {
-                ended(head == AnswerHead.NOT_RUN_FULL ? Finish.FULL : Finish.FAILED);
+                ended(head == ResponseKind.NOT_RUN_FULL ? AttemptOutcome.FULL : AttemptOutcome.FAILED);
                 send();
                 return;
             }
-            ended(head == AnswerHead.SUCCESS ? Finish.ANSWERED : Finish.ERRORED);
+            ended(head == ResponseKind.SUCCESS ? AttemptOutcome.ANSWERED : AttemptOutcome.ERRORED);
             done = true;
             gateway.crashes().answered(accepted);
             listener.onEnd();
@@ -304,7 +305,7 @@
 
         @Override
         public void onFailure(String reason, boolean requestMayHaveArrived) {
-            ended(Finish.FAILED);
+            ended(AttemptOutcome.FAILED);
             if (notRun() || !requestMayHaveArrived) {
                 send();
                 return;
@@ -316,7 +317,7 @@
     }
 
     /** Whether the request may run again after an unknown outcome, by its kind alone. */
-    static boolean repeatable(Accepted accepted) {
+    static boolean repeatable(AdmittedRequest accepted) {
         return accepted.route().kind() == RequestKind.IDEMPOTENT;
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -2,9 +2,9 @@
 
 import io.netty.util.concurrent.EventExecutor;
 import java.util.concurrent.ThreadLocalRandom;
-import org.quetzalshunt.core.endpoint.EndpointTable;
 import org.quetzalshunt.core.policy.Mechanism;
-import org.quetzalshunt.core.share.OutagePatience;
+import org.quetzalshunt.core.quota.OutageWaitPolicy;
+import org.quetzalshunt.core.routing.EndpointTable;
 import org.quetzalshunt.server.http.HttpClient;
 
 /** What the parts of one gateway share. All of it is used on one event loop. */
@@ -13,18 +13,18 @@
         EventExecutor executor,
         NodeClock clock,
         DecisionLog log,
-        GatewayMeasures measures,
+        GatewayMetrics measures,
         Dialect dialect,
         HttpClient http,
         EndpointTable endpoints,
         ConfigurationFollower configuration,
         RegistrationFollower registrations,
-        RateKeeper rates,
+        QuotaManager rates,
         TurnHistory history,
-        BudgetKeeper budgets,
-        MapClient map,
-        FleetLinks links,
-        CrashWatch crashes,
+        BudgetManager budgets,
+        StoreClient map,
+        PeerConnections links,
+        CrashReporter crashes,
         RecoveryQueue recovery) {
     /** For callers whom this VM cannot serve but another can: at once, since a retry reaches another VM. */
     private static final long ELSEWHERE_MILLIS = 100;
@@ -35,8 +35,10 @@
     private static final int LARGEST_PART_OF_LEFT = 3;
 
     /** When a caller should come back whom another VM may serve at once, in milliseconds. */
-    long comeBackMillis(long leftMillis) {
-        return links.anyInTouch() && !map.away() ? ELSEWHERE_MILLIS : outageReturnMillis(leftMillis);
+    long retryAfterMillis(long leftMillis) {
+        return links.anyPeerReachesStore() && !map.unavailable()
+                ? ELSEWHERE_MILLIS
+                : outageRetryAfterMillis(leftMillis);
     }
 
     /**
@@ -44,12 +46,12 @@
      * centre have lost it, that is as in an outage for all: until the balancer has noticed and chooses another data centre,
      * the next tries come to the same VMs.
      */
-    long outageReturnMillis(long leftMillis) {
-        if (cutOffAlone() && links.anyInTouchHere()) {
+    long outageRetryAfterMillis(long leftMillis) {
+        if (isolatedFromStore() && links.anyLocalPeerReachesStore()) {
             return ELSEWHERE_MILLIS;
         }
-        long wanted = settings.policy().has(Mechanism.LATE_RETURN)
-                ? OutagePatience.comeBackMillis(
+        long wanted = settings.policy().has(Mechanism.OUTAGE_RETRY_DELAY)
+                ? OutageWaitPolicy.retryAfterMillis(
                         leftMillis, ThreadLocalRandom.current().nextDouble())
                 : Math.min(NOWHERE_MILLIS, leftMillis / LARGEST_PART_OF_LEFT);
         return Math.max(ELSEWHERE_MILLIS, wanted);
@@ -61,7 +63,7 @@
      * several seconds later. In an outage for all there is no better place: another VM's word counts only if it reached the
      * map after this one had lost it, or each VM would take the others for better off while the outage is young.
      */
-    boolean cutOffAlone() {
-        return map.away() && links.anyInTouchSince(map.awaySinceMillis());
+    boolean isolatedFromStore() {
+        return map.unavailable() && links.anyPeerReachedStoreSince(map.unavailableSinceMillis());
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMeasures.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
@@ -11,7 +11,7 @@
 import java.util.function.Supplier;
 
 /** What a gateway counts, in Prometheus' format. Labels are kinds of requests and numbered codes, both bounded. */
-final class GatewayMeasures {
+final class GatewayMetrics {
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
     private final Map<String, Map<Integer, Timer>> requests = new HashMap<>();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.quetzalshunt.core.endpoint.EndpointTable;
 import org.quetzalshunt.core.route.TrafficConfiguration;
+import org.quetzalshunt.core.routing.EndpointTable;
 import org.quetzalshunt.core.store.SharedMap;
 import org.quetzalshunt.server.http.HttpClient;
 import org.quetzalshunt.server.http.HttpExchange;
@@ -36,7 +36,7 @@
     private HttpServer callers;
     private HttpServer probes;
     private Gateway gateway;
-    private RequestGate gate;
+    private AdmissionPipeline gate;
     private boolean stopping;
 
     private GatewayProcess(GatewaySettings settings) {
@@ -60,24 +60,24 @@
     private void assemble(Dialect dialect, Function<HttpClient, SharedMap> maps) {
         NodeClock clock = new NodeClock(this::clockJumped);
         HttpClient http = HttpClient.create(group);
-        MapClient map = new MapClient(maps.apply(http), clock);
+        StoreClient map = new StoreClient(maps.apply(http), clock);
         EndpointTable endpoints =
                 EndpointTable.create(settings.dataCentre(), settings.incarnation(), settings.policy());
-        GatewayMeasures measures = new GatewayMeasures();
+        GatewayMetrics measures = new GatewayMetrics();
         ConfigurationFollower configuration =
                 new ConfigurationFollower(group.next(), map, dialect, clock, log, this::configurationChanged);
         RegistrationFollower registrations =
                 new RegistrationFollower(group.next(), map, dialect, clock, log, endpoints);
-        RateKeeper rates = new RateKeeper(group.next(), map, clock, log, settings, configuration::current);
-        FleetLinks links = new FleetLinks(
+        QuotaManager rates = new QuotaManager(group.next(), map, clock, log, settings, configuration::current);
+        PeerConnections links = new PeerConnections(
                 group,
                 settings,
                 endpoints,
                 clock,
                 log,
                 rates::reserveHere,
-                () -> map.away() ? FleetLinks.LOST_MILLIS : configuration.ageMillis());
-        CrashWatch crashes = new CrashWatch(group.next(), http, map, clock, log, settings);
+                () -> map.unavailable() ? PeerConnections.LOST_MILLIS : configuration.ageMillis());
+        CrashReporter crashes = new CrashReporter(group.next(), http, map, clock, log, settings);
         gateway = new Gateway(
                 settings,
                 group.next(),
@@ -90,13 +90,13 @@
                 configuration,
                 registrations,
                 rates,
-                new TurnHistory(group.next(), map, clock, () -> gateway.cutOffAlone()),
-                new BudgetKeeper(group.next(), map, clock, settings, () -> gateway.cutOffAlone()),
+                new TurnHistory(group.next(), map, clock, () -> gateway.isolatedFromStore()),
+                new BudgetManager(group.next(), map, clock, settings, () -> gateway.isolatedFromStore()),
                 map,
                 links,
                 crashes,
                 new RecoveryQueue(group.next(), clock));
-        gate = new RequestGate(gateway, () -> stopping);
+        gate = new AdmissionPipeline(gateway, () -> stopping);
         gauges(measures);
         log.line(log.event("start")
                 .put("incarnation", settings.incarnation())
@@ -109,7 +109,7 @@
         group.next().scheduleWithFixedDelay(clock::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void gauges(GatewayMeasures measures) {
+    private void gauges(GatewayMetrics measures) {
         measures.gauge(
                 "quetzalshunt.configuration.age.millis",
                 "age of the proof that the configuration is current",
@@ -162,12 +162,12 @@
 
     private boolean isReady() {
         return !stopping
-                && !gateway.cutOffAlone()
+                && !gateway.isolatedFromStore()
                 && gateway.configuration().current().isPresent()
                 && gateway.configuration().ageMillis() < settings.keyAgeMillis()
                 && gateway.registrations().everRead()
                 && gateway.rates().leased()
-                && gateway.rates().reachesHolders();
+                && gateway.rates().reachesAllLeaseHolders();
     }
 
     /** Port for callers in use, also when port 0 was asked for. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AnswerPace.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GenerationMeter.java
@@ -1,13 +1,13 @@
 package org.quetzalshunt.server.gateway;
 
 /** What one streamed answer tells of its endpoint: how long it read the prompt, and how long a token took after that. */
-final class AnswerPace {
+final class GenerationMeter {
     private final Gateway gateway;
     private final int tokensPerEvent;
     private long events;
     private long firstMillis;
 
-    AnswerPace(Gateway gateway, int tokensPerEvent) {
+    GenerationMeter(Gateway gateway, int tokensPerEvent) {
         this.gateway = gateway;
         this.tokensPerEvent = tokensPerEvent;
     }
@@ -16,9 +16,10 @@
     void events(EndpointCall call, int count) {
         if (events == 0 && count > 0) {
             firstMillis = gateway.clock().now();
-            call.promptDone();
+            call.prefillDone();
             call.choice().ifPresent(choice -> gateway.endpoints()
-                    .answerBegan(choice.registration().id(), choice.missingTokens(), firstMillis - call.sentMillis()));
+                    .onFirstEvent(
+                            choice.registration().id(), choice.uncachedTokens(), firstMillis - call.sentMillis()));
         }
         events += count;
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import org.quetzalshunt.core.endpoint.Registration;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.core.routing.Registration;
 import org.quetzalshunt.server.http.ErrorBodies;
 import org.quetzalshunt.server.http.HttpExchange;
 
@@ -27,7 +27,7 @@
     }
 
     /** Refuses a request that was judged, or tells that its outcome is unknown. */
-    static void refuse(Gateway gateway, Accepted accepted, Refusal refusal, Optional<EndpointCall> call) {
+    static void refuse(Gateway gateway, AdmittedRequest accepted, Refusal refusal, Optional<EndpointCall> call) {
         send(gateway, accepted.exchange(), accepted.request().id(), refusal);
         log(gateway, accepted, refusal.code(), refusal.detail(), call);
     }
@@ -39,7 +39,8 @@
     }
 
     /** Writes the line of a request that got its final answer. */
-    static void log(Gateway gateway, Accepted accepted, ResultCode code, String detail, Optional<EndpointCall> call) {
+    static void log(
+            Gateway gateway, AdmittedRequest accepted, ResultCode code, String detail, Optional<EndpointCall> call) {
         long now = gateway.clock().now();
         long took = now - accepted.arrivedMillis();
         gateway.measures().ended(accepted.route().kind().name(), code.number(), took);
@@ -61,7 +62,7 @@
             each.firstSentMillis().ifPresent(sent -> line.put("sentAfterMillis", sent - accepted.arrivedMillis()));
             each.endpoint().map(Registration::id).ifPresent(id -> line.put("endpoint", id));
             each.choice().ifPresent(choice -> line.put("expectedMillis", Math.round(choice.expectedMillis()))
-                    .put("missingTokens", choice.missingTokens()));
+                    .put("uncachedTokens", choice.uncachedTokens()));
         });
         if (!detail.isEmpty()) {
             line.put("detail", detail);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetLinks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -12,11 +12,11 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.quetzalshunt.core.endpoint.EndpointTable;
-import org.quetzalshunt.core.endpoint.PromptPart;
-import org.quetzalshunt.core.endpoint.PromptPlace;
-import org.quetzalshunt.core.share.ShareRecord;
-import org.quetzalshunt.core.share.TokenOffer;
+import org.quetzalshunt.core.quota.LeaseRecord;
+import org.quetzalshunt.core.quota.TokenOffer;
+import org.quetzalshunt.core.routing.EndpointTable;
+import org.quetzalshunt.core.routing.PrefixLocation;
+import org.quetzalshunt.core.routing.PrefixPart;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.core.vm.VmRole;
 import org.quetzalshunt.server.http.IpPort;
@@ -37,7 +37,7 @@
  * and fails where, and where prompts lie in engines' memory. Nothing that lasts goes over them, and each gateway works on
  * without them, only less well.
  */
-final class FleetLinks implements LinkListener {
+final class PeerConnections implements LinkListener {
     /**
      * Loads are told this often while eight VMs serve, and in proportion less often as there are more. A turn takes about
      * this long.
@@ -56,7 +56,7 @@
     private static final long TOKEN_MILLIS = 25;
 
     /** Proofs are renewed every second or two; one that is older was missed. */
-    private static final long IN_TOUCH_MILLIS = 2_600;
+    private static final long STORE_REACHED_MILLIS = 2_600;
 
     /**
      * Told in place of a proof's age by a VM that finds the shared map away. Guards against an outage for all in which
@@ -74,11 +74,11 @@
     private final EndpointTable endpoints;
     private final NodeClock clock;
     private final DecisionLog log;
-    private final BiFunction<String, Long, TokenOffer> giveToken;
+    private final BiFunction<String, Long, TokenOffer> grantToken;
     private final Map<String, PeerLink> links = new HashMap<>();
     private final LongSupplier proofAgeMillis;
     /** When each peer last was in touch with the shared map, by its own word. */
-    private final Map<String, Long> inTouchMillis = new HashMap<>();
+    private final Map<String, Long> storeReachedMillis = new HashMap<>();
 
     private final Map<Long, Consumer<TokenOffer>> waiting = new HashMap<>();
     private LinkConnector connector;
@@ -91,15 +91,15 @@
      *
      * @param proofAgeMillis age of this VM's proof that its configuration is current, {@link #LOST_MILLIS} as soon as it
      *     finds the shared map away
-     * @param giveToken takes a token of an account from this VM's part, for another VM: the wait until it may be used
+     * @param grantToken takes a token of an account from this VM's part, for another VM: the wait until it may be used
      */
-    FleetLinks(
+    PeerConnections(
             EventLoopGroup group,
             GatewaySettings settings,
             EndpointTable endpoints,
             NodeClock clock,
             DecisionLog log,
-            BiFunction<String, Long, TokenOffer> giveToken,
+            BiFunction<String, Long, TokenOffer> grantToken,
             LongSupplier proofAgeMillis) {
         this.group = group;
         this.executor = group.next();
@@ -107,7 +107,7 @@
         this.endpoints = endpoints;
         this.clock = clock;
         this.log = log;
-        this.giveToken = giveToken;
+        this.grantToken = grantToken;
         this.proofAgeMillis = proofAgeMillis;
     }
 
@@ -121,14 +121,14 @@
         LinkSettings linkSettings = new LinkSettings(self, secret, SILENCE_MILLIS);
         LinkServer.startLater(group, settings.links(), linkSettings, this);
         connector = LinkConnector.create(group, linkSettings, this);
-        tellLoads();
+        broadcastLoads();
     }
 
     /**
      * The other gateways. Of two, the one that started later connects, since it knows of the other first: it has links
      * before it takes its first request.
      */
-    void want(Map<String, ShareRecord> others) {
+    void setPeers(Map<String, LeaseRecord> others) {
         if (connector == null) {
             return;
         }
@@ -145,20 +145,20 @@
     }
 
     /** Whether there is an open link to another gateway. */
-    boolean reaches(String vm) {
+    boolean isConnected(String vm) {
         PeerLink link = links.get(vm);
         return link != null && link.isOpen();
     }
 
     /** Asks another gateway for a token; one that does not answer has none. */
-    void askToken(String vm, String account, long mostWaitMillis, Consumer<TokenOffer> listener) {
-        if (!reaches(vm)) {
+    void requestToken(String vm, String account, long maximumWaitMillis, Consumer<TokenOffer> listener) {
+        if (!isConnected(vm)) {
             listener.accept(TokenOffer.NONE);
             return;
         }
         long id = nextId++;
         waiting.put(id, listener);
-        links.get(vm).send(Message.tokenRequest(new TokenRequest(id, account, mostWaitMillis)));
+        links.get(vm).send(Message.tokenRequest(new TokenRequest(id, account, maximumWaitMillis)));
         executor.schedule(() -> answered(id, TokenOffer.NONE), TOKEN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -174,10 +174,10 @@
             return TokenOffer.taken(answer.getWaitMillis());
         }
         boolean later = answer.isSetShortestMillis() && answer.getShortestMillis() >= 0;
-        return later ? TokenOffer.later(answer.getShortestMillis()) : TokenOffer.NONE;
+        return later ? TokenOffer.unavailableFor(answer.getShortestMillis()) : TokenOffer.NONE;
     }
 
-    private void tellLoads() {
+    private void broadcastLoads() {
         long now = clock.now();
         Map<String, Integer> running = endpoints.running();
         List<PromptPlaced> placed = placed();
@@ -192,20 +192,20 @@
             links.values().stream().filter(PeerLink::isWritable).forEach(link -> link.send(message));
         }
         long pace = LOADS_MILLIS * Math.max(1, links.size() / VMS_AT_FULL_PACE);
-        executor.schedule(this::tellLoads, pace, TimeUnit.MILLISECONDS);
+        executor.schedule(this::broadcastLoads, pace, TimeUnit.MILLISECONDS);
     }
 
     private List<PromptPlaced> placed() {
-        return endpoints.placesToTell().stream()
+        return endpoints.takeNewLocations().stream()
                 .map(place -> new PromptPlaced(
                         place.endpoint(), place.part().id(), place.part().tokens()))
                 .toList();
     }
 
-    private static List<PromptPlace> places(List<PromptPlaced> placed) {
+    private static List<PrefixLocation> places(List<PromptPlaced> placed) {
         return placed.stream()
                 .filter(each -> each.getEndpoint() != null && each.getPart() != null)
-                .map(each -> new PromptPlace(each.getEndpoint(), new PromptPart(each.getPart(), each.getTokens())))
+                .map(each -> new PrefixLocation(each.getEndpoint(), new PrefixPart(each.getPart(), each.getTokens())))
                 .toList();
     }
 
@@ -218,56 +218,56 @@
     @Override
     public void onMessage(PeerLink link, Message message) {
         if (message.isSetTokenRequest()) {
-            giveToken(link, message.getTokenRequest());
+            grantToken(link, message.getTokenRequest());
         } else if (message.isSetTokenAnswer()) {
             answered(message.getTokenAnswer().getId(), offer(message.getTokenAnswer()));
         } else if (message.isSetEndpointLoads() && message.getEndpointLoads().getRunning() != null) {
-            loadsTold(link.remote().id().name(), message.getEndpointLoads());
+            onPeerLoads(link.remote().id().name(), message.getEndpointLoads());
         }
     }
 
-    private void loadsTold(String vm, EndpointLoads loads) {
-        endpoints.otherRuns(vm, loads.getRunning());
+    private void onPeerLoads(String vm, EndpointLoads loads) {
+        endpoints.onPeerRunning(vm, loads.getRunning());
         if (loads.isSetFailing()) {
-            endpoints.othersFail(clock.now(), loads.getFailing());
+            endpoints.onPeerFailureRates(clock.now(), loads.getFailing());
         }
         if (loads.isSetUnread()) {
-            endpoints.otherUnread(vm, loads.getUnread());
+            endpoints.onPeerPrefillBacklog(vm, loads.getUnread());
         }
         if (loads.isSetPlaced()) {
-            endpoints.othersPrompted(places(loads.getPlaced()));
+            endpoints.onPeerPrefixes(places(loads.getPlaced()));
         }
-        if (loads.getProofAgeMillis() < IN_TOUCH_MILLIS) {
-            inTouchMillis.put(vm, clock.now() - loads.getProofAgeMillis());
+        if (loads.getProofAgeMillis() < STORE_REACHED_MILLIS) {
+            storeReachedMillis.put(vm, clock.now() - loads.getProofAgeMillis());
         } else {
-            inTouchMillis.remove(vm);
+            storeReachedMillis.remove(vm);
         }
     }
 
     /** Whether another gateway lately said that it is in touch with the shared map. */
-    boolean anyInTouch() {
-        return anyInTouchSince(clock.now() - IN_TOUCH_MILLIS);
+    boolean anyPeerReachesStore() {
+        return anyPeerReachedStoreSince(clock.now() - STORE_REACHED_MILLIS);
     }
 
     /** Whether another gateway was in touch with the shared map after a moment on this VM's clock, by its own word. */
-    boolean anyInTouchSince(long sinceMillis) {
-        long recent = Math.max(sinceMillis, clock.now() - IN_TOUCH_MILLIS);
-        return inTouchMillis.values().stream().anyMatch(proven -> proven >= recent);
+    boolean anyPeerReachedStoreSince(long sinceMillis) {
+        long recent = Math.max(sinceMillis, clock.now() - STORE_REACHED_MILLIS);
+        return storeReachedMillis.values().stream().anyMatch(proven -> proven >= recent);
     }
 
     /** Whether such a gateway is in the same data centre as this one, whose callers' next try it may get. */
-    boolean anyInTouchHere() {
-        long recent = clock.now() - IN_TOUCH_MILLIS;
+    boolean anyLocalPeerReachesStore() {
+        long recent = clock.now() - STORE_REACHED_MILLIS;
         return links.entrySet().stream()
                 .filter(entry -> entry.getValue().remote().dataCentre().equals(settings.dataCentre()))
-                .anyMatch(entry -> inTouchMillis.getOrDefault(entry.getKey(), Long.MIN_VALUE) >= recent);
+                .anyMatch(entry -> storeReachedMillis.getOrDefault(entry.getKey(), Long.MIN_VALUE) >= recent);
     }
 
-    private void giveToken(PeerLink link, TokenRequest request) {
+    private void grantToken(PeerLink link, TokenRequest request) {
         if (request.getAccount() == null) {
             return;
         }
-        TokenOffer offer = giveToken.apply(request.getAccount(), request.getMostWaitMillis());
+        TokenOffer offer = grantToken.apply(request.getAccount(), request.getMostWaitMillis());
         TokenAnswer answer = new TokenAnswer(request.getId(), offer.taken() ? offer.waitMillis() : NO_TOKEN);
         if (!offer.taken() && offer.waitMillis() != TokenOffer.NEVER) {
             answer.setShortestMillis(offer.waitMillis());
@@ -279,8 +279,8 @@
     public void onClose(PeerLink link) {
         String vm = link.remote().id().name();
         if (links.remove(vm, link)) {
-            endpoints.forgetOther(vm);
-            inTouchMillis.remove(vm);
+            endpoints.removePeer(vm);
+            storeReachedMillis.remove(vm);
         }
         log.line(log.event("link-closed").put("peer", link.remote().id().toString()));
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateKeeper.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/QuotaManager.java
@@ -13,14 +13,14 @@
 import java.util.function.Supplier;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
+import org.quetzalshunt.core.quota.LeaseRecord;
+import org.quetzalshunt.core.quota.QuotaLeases;
+import org.quetzalshunt.core.quota.RenewalInterval;
+import org.quetzalshunt.core.quota.TokenBucket;
+import org.quetzalshunt.core.quota.TokenOffer;
+import org.quetzalshunt.core.quota.TokenSearch;
 import org.quetzalshunt.core.route.AccountTerms;
 import org.quetzalshunt.core.route.TrafficConfiguration;
-import org.quetzalshunt.core.share.RenewalPace;
-import org.quetzalshunt.core.share.ShareBucket;
-import org.quetzalshunt.core.share.ShareLedger;
-import org.quetzalshunt.core.share.ShareRecord;
-import org.quetzalshunt.core.share.TokenOffer;
-import org.quetzalshunt.core.share.TokenSearch;
 import org.quetzalshunt.core.store.AppendAnswer;
 import org.quetzalshunt.core.store.ChangesAnswer;
 import org.quetzalshunt.core.store.MapEntry;
@@ -33,7 +33,7 @@
  * Holds this VM's parts of the accounts' rates: keeps its record in the shared map and spends what it says. The records
  * also tell who else serves and where, and the secret of the links between them.
  */
-final class RateKeeper {
+final class QuotaManager {
     private static final MapShard SHARD = MapShard.only(MapName.FLEET);
     private static final String SECRET_KEY = "secret";
     private static final String VM_PREFIX = "vm/";
@@ -43,25 +43,25 @@
     private static final int MOST_TRIES = 6;
 
     private final EventExecutor executor;
-    private final MapClient map;
+    private final StoreClient map;
     private final NodeClock clock;
     private final DecisionLog log;
     private final Policy policy;
     private final String key;
     private final String self;
     private final Supplier<Optional<TrafficConfiguration>> configuration;
-    private final ShareLedger ledger;
-    private final Map<String, ShareBucket> buckets = new HashMap<>();
-    private FleetLinks links;
-    private CrashWatch crashes;
+    private final QuotaLeases ledger;
+    private final Map<String, TokenBucket> buckets = new HashMap<>();
+    private PeerConnections links;
+    private CrashReporter crashes;
     private boolean secretSeen;
     private long next = -1;
     private int tries;
     private boolean stopping;
 
-    RateKeeper(
+    QuotaManager(
             EventExecutor executor,
-            MapClient map,
+            StoreClient map,
             NodeClock clock,
             DecisionLog log,
             GatewaySettings settings,
@@ -75,7 +75,7 @@
         this.key = VM_PREFIX + settings.vm();
         this.configuration = configuration;
         InetSocketAddress address = settings.links();
-        this.ledger = ShareLedger.create(
+        this.ledger = QuotaLeases.create(
                 settings.vm(), settings.incarnation(), address.getHostString() + ":" + address.getPort());
     }
 
@@ -83,26 +83,26 @@
      * Takes a token of an account's rate: from this VM's part, or from one of the account's homes. The listener hears how
      * long the request must wait; empty when the account is over its rate.
      *
-     * @param mostWaitMillis longest time for which the request may wait for a token that is still to be earned
+     * @param maximumWaitMillis longest time for which the request may wait for a token that is still to be earned
      */
-    void take(AccountTerms account, long mostWaitMillis, Consumer<OptionalLong> listener) {
+    void take(AccountTerms account, long maximumWaitMillis, Consumer<OptionalLong> listener) {
         if (!account.limited() || takeHere(account.name())) {
             listener.accept(OptionalLong.of(0));
             return;
         }
         TokenSearch.start(
                 ledger.holders(account.name()),
-                mostWaitMillis,
+                maximumWaitMillis,
                 (holder, most, answer) -> ask(holder, account.name(), most, answer),
                 listener);
     }
 
-    private void ask(String holder, String account, long mostWaitMillis, Consumer<TokenOffer> answer) {
+    private void ask(String holder, String account, long maximumWaitMillis, Consumer<TokenOffer> answer) {
         if (holder.equals(self)) {
-            answer.accept(reserveHere(account, mostWaitMillis));
+            answer.accept(reserveHere(account, maximumWaitMillis));
             return;
         }
-        links.askToken(holder, account, mostWaitMillis, answer);
+        links.requestToken(holder, account, maximumWaitMillis, answer);
     }
 
     private boolean takeHere(String account) {
@@ -111,12 +111,12 @@
     }
 
     /** Takes a token from this VM's part, for itself or for another VM, that may still have to be earned. */
-    TokenOffer reserveHere(String account, long mostWaitMillis) {
+    TokenOffer reserveHere(String account, long maximumWaitMillis) {
         long now = clock.now();
         if (stopping || !ledger.leased(now)) {
             return TokenOffer.NONE;
         }
-        return bucket(account).reserve(now, mostWaitMillis);
+        return bucket(account).reserve(now, maximumWaitMillis);
     }
 
     /** Whether this VM holds its parts by a lease that is in force. */
@@ -128,21 +128,21 @@
      * Whether a VM that holds parts of the account can be asked: with none, a lack of tokens here says nothing of the
      * account, and its caller must not hear that it is over its rate.
      */
-    boolean reachesHolder(String account) {
-        return ledger.holders(account).stream().anyMatch(holder -> holder.equals(self) || links.reaches(holder));
+    boolean reachesLeaseHolder(String account) {
+        return ledger.holders(account).stream().anyMatch(holder -> holder.equals(self) || links.isConnected(holder));
     }
 
     /** Whether that is so for every account. */
-    boolean reachesHolders() {
+    boolean reachesAllLeaseHolders() {
         return configuration
                 .get()
-                .filter(current -> current.accounts().keySet().stream().allMatch(this::reachesHolder))
+                .filter(current -> current.accounts().keySet().stream().allMatch(this::reachesLeaseHolder))
                 .isPresent();
     }
 
     /** VMs that serve, this one included. */
     int liveVms() {
-        return ledger.liveOthers(clock.now()).size() + 1;
+        return ledger.livePeers(clock.now()).size() + 1;
     }
 
     /** The lease no longer counts, after a pause of unknown length. */
@@ -167,7 +167,7 @@
     }
 
     /** Begins to read and to keep this VM's record. */
-    void start(FleetLinks fleetLinks, CrashWatch crashWatch) {
+    void start(PeerConnections fleetLinks, CrashReporter crashWatch) {
         links = fleetLinks;
         crashes = crashWatch;
         round();
@@ -188,14 +188,14 @@
     }
 
     private long paceMillis() {
-        if (!policy.has(Mechanism.QUICK_RENEWAL)) {
-            return RenewalPace.nextMillis(true, true);
+        if (!policy.has(Mechanism.FAST_RENEWAL)) {
+            return RenewalInterval.nextMillis(true, true);
         }
-        return RenewalPace.nextMillis(leased(), reachesHolders());
+        return RenewalInterval.nextMillis(leased(), reachesAllLeaseHolders());
     }
 
     private void wantLinks() {
-        links.want(ledger.liveOthers(clock.now()));
+        links.setPeers(ledger.livePeers(clock.now()));
     }
 
     private void read() {
@@ -239,7 +239,7 @@
             });
             return;
         }
-        if (entry.key().startsWith(CrashWatch.KEY_PREFIX)) {
+        if (entry.key().startsWith(CrashReporter.KEY_PREFIX)) {
             crashes.heard(entry);
             return;
         }
@@ -263,7 +263,7 @@
         long now = clock.now();
         Map<String, Double> bursts = new HashMap<>();
         current.get().accounts().forEach((name, account) -> bursts.put(name, account.burst()));
-        Optional<ShareRecord> proposal = ledger.propose(now, bursts);
+        Optional<LeaseRecord> proposal = ledger.propose(now, bursts);
         if (proposal.isEmpty()) {
             again();
             return;
@@ -271,7 +271,7 @@
         send(now, proposal.get());
     }
 
-    private void send(long sentMillis, ShareRecord record) {
+    private void send(long sentMillis, LeaseRecord record) {
         ledger.sending(sentMillis, record);
         limitBuckets();
         List<MapEntry> entries = secretSeen
@@ -306,12 +306,12 @@
     private void limitBuckets() {
         long now = clock.now();
         configuration.get().ifPresent(current -> current.accounts().values().forEach(account -> {
-            double part = (double) ledger.parts(now, account.name()) / ShareLedger.ALL_PARTS;
+            double part = (double) ledger.parts(now, account.name()) / QuotaLeases.ALL_PARTS;
             bucket(account.name()).limit(now, account.ratePerSecond() * part, account.burst() * part);
         }));
     }
 
-    private ShareBucket bucket(String account) {
-        return buckets.computeIfAbsent(account, ignored -> ShareBucket.create(clock.now()));
+    private TokenBucket bucket(String account) {
+        return buckets.computeIfAbsent(account, ignored -> TokenBucket.create(clock.now()));
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
@@ -8,8 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.quetzalshunt.core.endpoint.EndpointTable;
-import org.quetzalshunt.core.endpoint.Registration;
+import org.quetzalshunt.core.routing.EndpointTable;
+import org.quetzalshunt.core.routing.Registration;
 import org.quetzalshunt.core.store.ChangesAnswer;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapName;
@@ -36,7 +36,7 @@
     private static final long RETURN_MILLIS = 2_200;
 
     private final EventExecutor executor;
-    private final MapClient map;
+    private final StoreClient map;
     private final Dialect dialect;
     private final NodeClock clock;
     private final DecisionLog log;
@@ -49,7 +49,7 @@
 
     RegistrationFollower(
             EventExecutor executor,
-            MapClient map,
+            StoreClient map,
             Dialect dialect,
             NodeClock clock,
             DecisionLog log,
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AnswerHead.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResponseKind.java
@@ -1,7 +1,7 @@
 package org.quetzalshunt.server.gateway;
 
 /** What the head of an endpoint's answer tells. */
-public enum AnswerHead {
+public enum ResponseKind {
     /** A success that is signed by the endpoint. */
     SUCCESS,
     /** A failure of the endpoint's own; the request ran or may have run. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/MapClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StoreClient.java
@@ -3,39 +3,39 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
-import org.quetzalshunt.core.store.AnswerLimit;
 import org.quetzalshunt.core.store.AppendAnswer;
 import org.quetzalshunt.core.store.ChangesAnswer;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapShard;
 import org.quetzalshunt.core.store.RangeAnswer;
+import org.quetzalshunt.core.store.ResponseTimeout;
 import org.quetzalshunt.core.store.SharedMap;
 
 /**
  * The gateway's one way to the shared map: gives each call its time limit by how the map answered lately, and knows
  * whether the map is away, so that work that cannot be kept is refused before it runs.
  */
-final class MapClient {
+final class StoreClient {
     /** Fewer failures in a row may be lost answers; a map that is away fails every call of all three kinds. */
     private static final int AWAY_FAILURES = 3;
 
-    /** A map that turns away a part of its calls is in trouble for seconds. */
+    /** A map that turns away a part of its calls is in penaltyMillis for seconds. */
     private static final long FAILING_MILLIS = 500;
 
     private final SharedMap map;
     private final NodeClock clock;
-    private final AnswerLimit limit = AnswerLimit.create();
+    private final ResponseTimeout limit = ResponseTimeout.create();
     private int failures;
     private long lastFailureMillis = Long.MIN_VALUE / 2;
     private long failedSinceMillis;
 
-    MapClient(SharedMap map, NodeClock clock) {
+    StoreClient(SharedMap map, NodeClock clock) {
         this.map = map;
         this.clock = clock;
     }
 
     /** Whether the map answered none of the last calls. */
-    boolean away() {
+    boolean unavailable() {
         return failures >= AWAY_FAILURES;
     }
 
@@ -45,7 +45,7 @@
     }
 
     /** When the first of those calls was sent, while the map is away. */
-    long awaySinceMillis() {
+    long unavailableSinceMillis() {
         return failedSinceMillis;
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -7,25 +7,25 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import org.quetzalshunt.core.endpoint.Finish;
 import org.quetzalshunt.core.result.Execution;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
+import org.quetzalshunt.core.routing.AttemptOutcome;
 import org.quetzalshunt.core.turn.TurnPrompt;
 import org.quetzalshunt.core.turn.TurnRecord;
 
 /**
  * A request whose answer is a stream of events; a turn of a program, where its route keeps history.
  *
- * <p>A turn is sent once its history is read and its tokens are granted, except where the budget is plainly ample: then its
+ * <p>A turn is sent once its history is read and its tokens are granted, except where the budget is plainly large enough: then its
  * grant is asked for while the endpoint reads the prompt, and events wait for it. Events then pass as they come. The end of the
  * answer passes only once the turn is kept: a caller that saw the end can go on from it at any VM, whatever happens.
  */
-final class StreamRun implements EndpointCall.Listener {
+final class StreamForwarder implements EndpointCall.Listener {
     private final Gateway gateway;
-    private final Accepted accepted;
+    private final AdmittedRequest accepted;
     private final TurnGrant grant;
-    private final AnswerPace pace;
+    private final GenerationMeter pace;
     private final EventFrames frames = EventFrames.create();
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
@@ -33,7 +33,7 @@
     private List<TurnRecord> chain = List.of();
     private EndpointCall call;
     private ScheduledFuture<?> deadline;
-    private AnswerHead head;
+    private ResponseKind head;
     private int status;
     private HttpHeaders headers;
     private boolean ahead;
@@ -43,16 +43,16 @@
     private boolean finished;
     private long events;
 
-    private StreamRun(Gateway gateway, Accepted accepted) {
+    private StreamForwarder(Gateway gateway, AdmittedRequest accepted) {
         this.gateway = gateway;
         this.accepted = accepted;
         this.grant = new TurnGrant(gateway, accepted);
-        this.pace = new AnswerPace(gateway, accepted.tokensPerEvent());
+        this.pace = new GenerationMeter(gateway, accepted.tokensPerEvent());
     }
 
     /** Starts a run; it ends by itself. */
-    static void start(Gateway gateway, Accepted accepted) {
-        StreamRun run = new StreamRun(gateway, accepted);
+    static void start(Gateway gateway, AdmittedRequest accepted) {
+        StreamForwarder run = new StreamForwarder(gateway, accepted);
         accepted.exchange().onClose(run::callerLeft);
         long left = Math.max(1, accepted.deadlineMillis() - gateway.clock().now());
         run.deadline = gateway.executor().schedule(run::deadlinePassed, left, TimeUnit.MILLISECONDS);
@@ -60,7 +60,7 @@
     }
 
     private void begin() {
-        ahead = grant.plainlyAmple();
+        ahead = grant.hasHeadroom();
         findChain();
         dispatchWhenReady();
         grant.ask(this::decided);
@@ -93,15 +93,15 @@
         end(Refusal.notRunRetryAfter(
                 ResultCode.LOG_UNAVAILABLE,
                 "history: " + reason,
-                gateway.outageReturnMillis(
+                gateway.outageRetryAfterMillis(
                         accepted.deadlineMillis() - gateway.clock().now())));
     }
 
-    private void decided(BudgetKeeper.Verdict verdict) {
+    private void decided(BudgetManager.Verdict verdict) {
         if (finished) {
             return;
         }
-        if (verdict instanceof BudgetKeeper.Verdict.Granted) {
+        if (verdict instanceof BudgetManager.Verdict.Granted) {
             dispatchWhenReady();
             pass();
             return;
@@ -112,24 +112,24 @@
             return;
         }
         // The endpoint may have run it by now, and then neither "spent" nor "not run" would be true.
-        call.cancel(Finish.NEUTRAL);
+        call.cancel(AttemptOutcome.NEUTRAL);
         end(Refusal.after(ResultCode.ENDPOINT_FAILED, Execution.UNKNOWN, refusal.detail()));
     }
 
-    private Refusal refusal(BudgetKeeper.Verdict verdict) {
-        if (verdict instanceof BudgetKeeper.Verdict.Spent spent) {
-            return spentRefusal(spent);
+    private Refusal refusal(BudgetManager.Verdict verdict) {
+        if (verdict instanceof BudgetManager.Verdict.Exhausted spent) {
+            return exhaustedRefusal(spent);
         }
-        String reason = ((BudgetKeeper.Verdict.Unavailable) verdict).reason();
+        String reason = ((BudgetManager.Verdict.Unavailable) verdict).reason();
         return Refusal.notRunRetryAfter(
                 ResultCode.LOG_UNAVAILABLE,
                 "budget: " + reason,
-                gateway.outageReturnMillis(
+                gateway.outageRetryAfterMillis(
                         accepted.deadlineMillis() - gateway.clock().now()));
     }
 
     /** What a caller hears when the budget is spent. */
-    static Refusal spentRefusal(BudgetKeeper.Verdict.Spent spent) {
+    static Refusal exhaustedRefusal(BudgetManager.Verdict.Exhausted spent) {
         return Refusal.notRun(
                 ResultCode.BUDGET_EXHAUSTED,
                 "allotted " + spent.allotted() + " here, " + spent.others() + " elsewhere");
@@ -148,7 +148,7 @@
     }
 
     @Override
-    public void onHead(AnswerHead answerHead, int answerStatus, HttpHeaders answerHeaders) {
+    public void onHead(ResponseKind answerHead, int answerStatus, HttpHeaders answerHeaders) {
         head = answerHead;
         status = answerStatus;
         headers = answerHeaders;
@@ -159,7 +159,7 @@
         if (finished) {
             return;
         }
-        if (head == AnswerHead.FAILURE) {
+        if (head == ResponseKind.FAILURE) {
             failureBody.writeBytes(data);
             return;
         }
@@ -171,7 +171,7 @@
             output.write('\n');
         }
         if (frames.broken()) {
-            call.cancel(Finish.FAILED);
+            call.cancel(AttemptOutcome.FAILED);
             onBroken("events out of order");
             return;
         }
@@ -179,7 +179,7 @@
     }
 
     private void pass() {
-        if (!grant.granted() || finished || headers == null || head != AnswerHead.SUCCESS) {
+        if (!grant.granted() || finished || headers == null || head != ResponseKind.SUCCESS) {
             return;
         }
         if (!held.isEmpty()) {
@@ -201,7 +201,7 @@
         if (finished) {
             return;
         }
-        if (head == AnswerHead.FAILURE) {
+        if (head == ResponseKind.FAILURE) {
             passFailure();
             return;
         }
@@ -275,7 +275,7 @@
     private void deadlinePassed() {
         boolean ran = (call != null && call.running()) || answerEnded;
         if (call != null) {
-            call.cancel(Finish.ofLate(headers != null));
+            call.cancel(AttemptOutcome.ofLate(headers != null));
         }
         end(
                 ran
@@ -292,7 +292,7 @@
 
     private void callerLeft() {
         if (call != null) {
-            call.cancel(Finish.NEUTRAL);
+            call.cancel(AttemptOutcome.NEUTRAL);
         }
         if (finish()) {
             Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.ofNullable(call));
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -9,13 +9,13 @@
     static final long RETENTION_MARGIN_MILLIS = 10_000;
 
     private final Gateway gateway;
-    private final Accepted accepted;
+    private final AdmittedRequest accepted;
     private final Optional<String> program;
     private boolean granted;
     private boolean reserved;
     private boolean closed;
 
-    TurnGrant(Gateway gateway, Accepted accepted) {
+    TurnGrant(Gateway gateway, AdmittedRequest accepted) {
         this.gateway = gateway;
         this.accepted = accepted;
         this.program = accepted.budgetedProgram();
@@ -31,7 +31,7 @@
      * whole budget covers the turn, or by what this VM knows more turns fit. Only a program that loops over several VMs can
      * then still be refused.
      */
-    boolean plainlyAmple() {
+    boolean hasHeadroom() {
         if (program.isEmpty()) {
             return true;
         }
@@ -41,23 +41,23 @@
         }
         long budget = accepted.request().tokenBudget().orElse(Long.MAX_VALUE);
         if (gateway.budgets().knows(program.get())) {
-            return gateway.budgets().ample(program.get(), budget, accepted.mostTokens());
+            return gateway.budgets().hasHeadroom(program.get(), budget, accepted.maximumTokens());
         }
-        return accepted.beginsProgram() && budget >= accepted.mostTokens();
+        return accepted.beginsProgram() && budget >= accepted.maximumTokens();
     }
 
     /** Asks for the tokens; the listener hears the verdict unless the grant was closed meanwhile. */
-    void ask(Consumer<BudgetKeeper.Verdict> listener) {
+    void ask(Consumer<BudgetManager.Verdict> listener) {
         if (program.isEmpty()) {
             granted = true;
-            listener.accept(new BudgetKeeper.Verdict.Granted());
+            listener.accept(new BudgetManager.Verdict.Granted());
             return;
         }
         gateway.budgets()
                 .reserve(
                         program.get(),
                         accepted.request().tokenBudget().getAsLong(),
-                        accepted.mostTokens(),
+                        accepted.maximumTokens(),
                         keepMillis(),
                         accepted.outageUntilMillis(),
                         verdict -> decided(verdict, listener));
@@ -67,8 +67,8 @@
         return accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS;
     }
 
-    private void decided(BudgetKeeper.Verdict verdict, Consumer<BudgetKeeper.Verdict> listener) {
-        reserved = verdict instanceof BudgetKeeper.Verdict.Granted;
+    private void decided(BudgetManager.Verdict verdict, Consumer<BudgetManager.Verdict> listener) {
+        reserved = verdict instanceof BudgetManager.Verdict.Granted;
         granted = reserved;
         if (closed) {
             release(0);
@@ -88,7 +88,7 @@
             return;
         }
         reserved = false;
-        long handedOut = Math.min(accepted.mostTokens(), events * accepted.tokensPerEvent());
-        program.ifPresent(name -> gateway.budgets().release(name, accepted.mostTokens(), handedOut));
+        long handedOut = Math.min(accepted.maximumTokens(), events * accepted.tokensPerEvent());
+        program.ifPresent(name -> gateway.budgets().release(name, accepted.maximumTokens(), handedOut));
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
@@ -55,19 +55,19 @@
     private record Written(String id, long expiresMillis) {}
 
     private final EventExecutor executor;
-    private final MapClient map;
+    private final StoreClient map;
     private final NodeClock clock;
-    private final BooleanSupplier hopeless;
+    private final BooleanSupplier isolated;
     private final TurnCache cache = TurnCache.create(CACHE_BYTES);
     private final Map<Integer, Deque<Written>> written = new HashMap<>();
 
     /**
      * Makes a history without a turn in its cache.
      *
-     * @param hopeless whether callers are better off at another VM than with another try here
+     * @param isolated whether callers are better off at another VM than with another try here
      */
-    TurnHistory(EventExecutor executor, MapClient map, NodeClock clock, BooleanSupplier hopeless) {
-        this.hopeless = hopeless;
+    TurnHistory(EventExecutor executor, StoreClient map, NodeClock clock, BooleanSupplier isolated) {
+        this.isolated = isolated;
         this.executor = executor;
         this.map = map;
         this.clock = clock;
@@ -80,7 +80,7 @@
      */
     void find(String id, String account, long untilMillis, Consumer<Chain> listener) {
         turn(id, Tries.until(id, untilMillis), head -> {
-            if (head instanceof Lookup.Away away) {
+            if (head instanceof Lookup.Unavailable away) {
                 listener.accept(new Chain.Unavailable(away.reason()));
                 return;
             }
@@ -125,7 +125,7 @@
             if (answer instanceof Lookup.Read read && read.record().isPresent()) {
                 turns[place] = read.record().get();
             } else {
-                problem = answer instanceof Lookup.Away away ? away.reason() : "an earlier turn is missing";
+                problem = answer instanceof Lookup.Unavailable away ? away.reason() : "an earlier turn is missing";
             }
             outstanding--;
             if (outstanding > 0) {
@@ -138,7 +138,7 @@
     private sealed interface Lookup {
         record Read(Optional<TurnRecord> record) implements Lookup {}
 
-        record Away(String reason) implements Lookup {}
+        record Unavailable(String reason) implements Lookup {}
     }
 
     /** The reads of one turn so far. */
@@ -179,11 +179,11 @@
                 listener.accept(new Lookup.Read(found));
                 return;
             }
-            if (tries.more(clock.now()) && !hopeless.getAsBoolean()) {
+            if (tries.more(clock.now()) && !isolated.getAsBoolean()) {
                 executor.schedule(() -> turn(id, tries, listener), tries.pauseMillis(), TimeUnit.MILLISECONDS);
                 return;
             }
-            listener.accept(new Lookup.Away(((RangeAnswer.Unavailable) answer).reason()));
+            listener.accept(new Lookup.Unavailable(((RangeAnswer.Unavailable) answer).reason()));
         });
     }
 
--- a/server/src/test/java/org/quetzalshunt/server/gateway/BudgetKeeperTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalshunt.core.policy.Policy;
 
-final class BudgetKeeperTest {
+final class BudgetManagerTest {
     private static final String PROGRAM = "arusha:loop";
     private static final long MOST = 592;
     private static final long BUDGET = 3 * MOST;
@@ -57,7 +57,7 @@
     private final class Loop {
         private final long seed;
         private final Random random;
-        private final List<BudgetKeeper> keepers = new ArrayList<>();
+        private final List<BudgetManager> keepers = new ArrayList<>();
         private long handedOut;
 
         Loop(long seed) {
@@ -68,7 +68,7 @@
             for (int gateway = 0; gateway < GATEWAYS; gateway++) {
                 GatewaySettings settings =
                         new GatewaySettings("vm-" + gateway, 1, "a", any, any, any, 5_000, 1_000, Policy.whole());
-                keepers.add(new BudgetKeeper(executor, new MapClient(map, clock), clock, settings, () -> false));
+                keepers.add(new BudgetManager(executor, new StoreClient(map, clock), clock, settings, () -> false));
             }
         }
 
@@ -76,16 +76,16 @@
             keepers.forEach(this::turn);
         }
 
-        private void turn(BudgetKeeper keeper) {
+        private void turn(BudgetManager keeper) {
             keeper.reserve(PROGRAM, BUDGET, MOST, KEEP_MILLIS, clock.now() + 500, verdict -> {
-                boolean granted = verdict instanceof BudgetKeeper.Verdict.Granted;
+                boolean granted = verdict instanceof BudgetManager.Verdict.Granted;
                 long tokens = random.nextInt(3) == 0 ? MOST : 16L * random.nextInt(12);
                 long ends = 1L + random.nextInt(60);
                 executor.schedule(() -> ended(keeper, granted, tokens), ends, TimeUnit.MILLISECONDS);
             });
         }
 
-        private void ended(BudgetKeeper keeper, boolean granted, long tokens) {
+        private void ended(BudgetManager keeper, boolean granted, long tokens) {
             if (granted) {
                 handedOut += tokens;
                 keeper.release(PROGRAM, MOST, tokens);
--- a/wire/src/main/java/org/quetzalshunt/wire/record/StoredRecords.java
+++ b/wire/src/main/java/org/quetzalshunt/wire/record/StoredRecords.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.quetzalshunt.core.share.AccountShare;
-import org.quetzalshunt.core.share.ShareRecord;
+import org.quetzalshunt.core.quota.LeaseRecord;
+import org.quetzalshunt.core.quota.QuotaShare;
 import org.quetzalshunt.core.turn.TurnRecord;
 import org.quetzalshunt.wire.generated.StoredAllotment;
 import org.quetzalshunt.wire.generated.StoredShare;
@@ -70,7 +70,7 @@
     }
 
     /** Bytes of a VM's parts of the rates. */
-    public static byte[] encode(ShareRecord record) {
+    public static byte[] encode(LeaseRecord record) {
         List<StoredShare> shares = new ArrayList<>();
         record.shares().forEach((account, share) -> shares.add(new StoredShare(account, share.parts())));
         StoredShares stored = new StoredShares(record.incarnation(), record.sequence(), shares);
@@ -79,19 +79,19 @@
     }
 
     /** A VM's parts of the rates from their bytes. */
-    public static Optional<ShareRecord> shares(byte[] bytes) {
+    public static Optional<LeaseRecord> shares(byte[] bytes) {
         StoredShares stored = new StoredShares();
         if (!MessageCodec.decode(bytes, stored) || stored.getShares() == null) {
             return Optional.empty();
         }
-        Map<String, AccountShare> shares = new HashMap<>();
+        Map<String, QuotaShare> shares = new HashMap<>();
         for (StoredShare share : stored.getShares()) {
             if (share.getAccount() == null) {
                 return Optional.empty();
             }
-            shares.put(share.getAccount(), new AccountShare(share.getParts()));
+            shares.put(share.getAccount(), new QuotaShare(share.getParts()));
         }
         String address = Optional.ofNullable(stored.getLinkAddress()).orElse("");
-        return Optional.of(new ShareRecord(stored.getIncarnation(), stored.getSequence(), Map.copyOf(shares), address));
+        return Optional.of(new LeaseRecord(stored.getIncarnation(), stored.getSequence(), Map.copyOf(shares), address));
     }
 }
