The store's return is noticed at once

Change: the first answered call restarts the polls, a poll after a failure asks for an answer at once, reads into an outage have a limit of 400 ms.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
@@ -38,6 +38,10 @@
     private TrafficConfiguration current;
     private long provenMillis = Long.MIN_VALUE / 2;
     private long next = -1;
+    /** Counts the series of polls; answers and timers of a former one are void. */
+    private int series;
+
+    private boolean failed;
 
     ConfigurationFollower(
             EventExecutor executor,
@@ -72,57 +76,80 @@
     }
 
     void start() {
+        map.onRegained(this::restart);
+        restart();
+    }
+
+    /** Guards against seconds after an outage in which keys still count as unproven, while a poll into it runs out. */
+    private void restart() {
+        series++;
         if (next < 0) {
-            readWhole();
+            readWhole(series);
         } else {
-            poll();
+            poll(series);
         }
     }
 
-    private void readWhole() {
+    private void readWhole(int own) {
         long sentMillis = clock.now();
         map.range(SHARD, "", answer -> {
+            if (own != series) {
+                return;
+            }
             if (answer instanceof RangeAnswer.Page page) {
                 take(page.entries());
                 next = page.end();
                 proven(sentMillis);
-                poll();
+                poll(own);
                 return;
             }
-            retry(((RangeAnswer.Unavailable) answer).reason());
+            retry(own, ((RangeAnswer.Unavailable) answer).reason());
         });
     }
 
-    private void poll() {
+    private void poll(int own) {
         long sentMillis = clock.now();
-        map.changes(SHARD, next, POLL_MILLIS, answer -> {
+        // After a failure the proof is wanted at once, not after a poll's time without news.
+        long waitMillis = failed ? 0 : POLL_MILLIS;
+        map.changes(SHARD, next, waitMillis, answer -> {
+            if (own != series) {
+                return;
+            }
             if (answer instanceof ChangesAnswer.Changes changes) {
                 take(changes.entries());
                 next = changes.next();
                 if (changes.next() >= changes.end()) {
                     proven(sentMillis);
                 }
-                poll();
+                poll(own);
                 return;
             }
             if (answer instanceof ChangesAnswer.Gone) {
                 next = -1;
-                readWhole();
+                readWhole(own);
                 return;
             }
-            retry(((ChangesAnswer.Unavailable) answer).reason());
+            retry(own, ((ChangesAnswer.Unavailable) answer).reason());
         });
     }
 
     private void proven(long sentMillis) {
+        failed = false;
         backoff.succeeded();
         provenMillis = Math.max(provenMillis, sentMillis);
         dependency.answered();
     }
 
-    private void retry(String reason) {
+    private void retry(int own, String reason) {
+        failed = true;
         dependency.failed(reason);
-        executor.schedule(this::start, backoff.failedMillis(), TimeUnit.MILLISECONDS);
+        executor.schedule(() -> retry(own), backoff.failedMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void retry(int own) {
+        if (own == series) {
+            restart();
+        }
     }
 
     private void take(List<MapEntry> entries) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StoreClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StoreClient.java
@@ -1,5 +1,6 @@
 package org.quetzalshunt.server.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -22,8 +23,15 @@
     /** A map that turns away a part of its calls is in penaltyMillis for seconds. */
     private static final long FAILING_MILLIS = 500;
 
+    /**
+     * Limit of a read while the map is unavailable. A read that was sent into a silent outage delays what waits for it by its
+     * whole limit after the map's return.
+     */
+    private static final long PROBE_MILLIS = 400;
+
     private final SharedMap map;
     private final NodeClock clock;
+    private final List<Runnable> onRegained = new ArrayList<>();
     private final ResponseTimeout limit = ResponseTimeout.create();
     private int failures;
     private long lastFailureMillis = Long.MIN_VALUE / 2;
@@ -34,6 +42,11 @@
         this.clock = clock;
     }
 
+    /** Runs an action whenever the map answers again after it was unavailable. */
+    void onRegained(Runnable action) {
+        onRegained.add(action);
+    }
+
     /** Whether the map answered none of the last calls. */
     boolean unavailable() {
         return failures >= AWAY_FAILURES;
@@ -51,7 +64,7 @@
 
     void range(MapShard shard, String after, Consumer<RangeAnswer> listener) {
         long sent = clock.now();
-        map.range(shard, after, limit.millis(), answer -> {
+        map.range(shard, after, readLimitMillis(), answer -> {
             note(sent, 0, answer instanceof RangeAnswer.Page);
             listener.accept(answer);
         });
@@ -67,12 +80,16 @@
 
     void changes(MapShard shard, long from, long waitMillis, Consumer<ChangesAnswer> listener) {
         long sent = clock.now();
-        map.changes(shard, from, waitMillis, limit.millis(), answer -> {
+        map.changes(shard, from, waitMillis, readLimitMillis(), answer -> {
             note(sent, waitMillis, !(answer instanceof ChangesAnswer.Unavailable));
             listener.accept(answer);
         });
     }
 
+    private long readLimitMillis() {
+        return unavailable() ? Math.min(PROBE_MILLIS, limit.millis()) : limit.millis();
+    }
+
     private void note(long sentMillis, long waitMillis, boolean answered) {
         if (!answered) {
             failedSinceMillis = failures == 0 ? sentMillis : failedSinceMillis;
@@ -81,10 +98,14 @@
             limit.unanswered();
             return;
         }
+        boolean regained = unavailable();
         failures = 0;
         // The time of a call that waited for news says nothing of how fast the map is.
         if (waitMillis == 0) {
             limit.answered(clock.now() - sentMillis);
         }
+        if (regained) {
+            onRegained.forEach(Runnable::run);
+        }
     }
 }
--- /dev/null
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/NoDialect.java
@@ -0,0 +1,52 @@
+package org.quetzalshunt.server.gateway;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.route.TrafficConfiguration;
+import org.quetzalshunt.core.routing.Registration;
+import org.quetzalshunt.server.http.HttpExchange;
+
+/** Understands nothing, for tests of parts that only pass bytes on. */
+final class NoDialect implements Dialect {
+    @Override
+    public Optional<CallerRequest> request(HttpExchange exchange) {
+        return Optional.empty();
+    }
+
+    @Override
+    public HttpHeaders outbound(HttpHeaders callerHeaders, OutboundTerms terms) {
+        return callerHeaders;
+    }
+
+    @Override
+    public boolean answers(String requestId, HttpHeaders answerHeaders) {
+        return false;
+    }
+
+    @Override
+    public ResponseKind head(int status, HttpHeaders answerHeaders) {
+        return ResponseKind.INVALID;
+    }
+
+    @Override
+    public HttpHeaders inbound(HttpHeaders answerHeaders) {
+        return answerHeaders;
+    }
+
+    @Override
+    public HttpHeaders refusal(Refusal refusal, String requestId) {
+        return new DefaultHttpHeaders();
+    }
+
+    @Override
+    public Optional<TrafficConfiguration> configuration(byte[] bytes) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Registration> registration(String id, byte[] bytes) {
+        return Optional.empty();
+    }
+}
