Two endpoints picked at random are compared, in place of all

Change: power of two choices among endpoints that are sound, besides those that hold the whole prompt. Few gateways: no slower (HerdingTest).

--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -12,6 +12,8 @@
     SHARED_PREFIX_LOCATIONS,
     /** A part that no endpoint is known to hold goes where all gateways agree on. Without it: anywhere. */
     PREFIX_PLACEMENT,
+    /** Two endpoints picked at random are compared. Without it: all, so that VMs herd to the one that looked best. */
+    TWO_CHOICES,
     /** Prompts that an endpoint has still to read count as a wait there. Without it: an empty new one draws all at once. */
     PREFILL_BACKLOG,
     /** An endpoint's speed is its time for a token. Without it: the mean time of whole runs, long and short alike. */
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointCost.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointCost.java
@@ -20,6 +20,9 @@
     private static final double FULL_COST_MILLIS = 500;
     private static final double EJECTED_COST_MILLIS = 10_000;
 
+    /** An endpoint that failed once or twice is sound; one that said it is full, or was ejected, is not. */
+    private static final double SOUND_MILLIS = 200;
+
     /**
      * What a failure costs its program: the time until its caller sends again and the work done anew, or the whole program
      * where a call may not be repeated. It is multiplied by the square of the share of requests that failed lately, so that
@@ -54,6 +57,11 @@
         return cost + speed.readMillis(uncachedTokens) * (2 + load);
     }
 
+    /** Whether an endpoint has neither been full nor failed lately, so far that it matters. */
+    boolean isSound(long nowMillis, EndpointRow row) {
+        return penaltyMillis(nowMillis, row) < SOUND_MILLIS;
+    }
+
     private double runMillis(EndpointRow row, EngineSpeed speed, int load) {
         int slots = Math.max(1, row.registration.slots());
         double alone = policy.has(Mechanism.TOKEN_RATE) && row.generates()
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -84,28 +84,56 @@
     /** The best endpoint for a request; empty when the service has none that takes work. */
     public Optional<Selection> select(long nowMillis, RoutingRequest request) {
         List<EndpointRow> open = rows.open(request.service());
-        boolean homed = policy.has(Mechanism.PREFIX_AFFINITY)
-                && policy.has(Mechanism.PREFIX_PLACEMENT)
-                && !request.prompt().isEmpty();
-        Optional<PrefixPlacement.Home> home = homed ? homes.find(nowMillis, open, request.prompt()) : Optional.empty();
+        Optional<PrefixPlacement.Home> home = home(nowMillis, open, request);
         EngineSpeed speed = speed(request.service());
         Selection best = null;
-        for (EndpointRow row : open) {
-            if (row.inFlight >= request.maximumInFlight() || request.excluded().contains(row.registration.id())) {
-                continue;
-            }
-            long missing = uncachedTokens(nowMillis, row, request.prompt());
+        for (EndpointRow row : candidates(nowMillis, open, home, request)) {
+            long uncached = uncachedTokens(nowMillis, row, request.prompt());
             long spared = home.filter(each -> each.endpoint().equals(row.registration.id()))
                     .map(PrefixPlacement.Home::sparedTokens)
                     .orElse(0L);
-            double millis = cost.millis(nowMillis, row, speed, Math.max(0, missing - spared)) + random.nextDouble();
+            double millis = cost.millis(nowMillis, row, speed, Math.max(0, uncached - spared)) + random.nextDouble();
             if (best == null || millis < best.expectedMillis()) {
-                best = new Selection(row.registration, missing, millis);
+                best = new Selection(row.registration, uncached, millis);
             }
         }
         return Optional.ofNullable(best);
     }
 
+    private Optional<PrefixPlacement.Home> home(long nowMillis, List<EndpointRow> open, RoutingRequest request) {
+        boolean placed = policy.has(Mechanism.PREFIX_AFFINITY)
+                && policy.has(Mechanism.PREFIX_PLACEMENT)
+                && !request.prompt().isEmpty();
+        return placed ? homes.find(nowMillis, open, request.prompt()) : Optional.empty();
+    }
+
+    /** The endpoints to compare: a few sound ones by chance, and those that hold the prompt. */
+    private List<EndpointRow> candidates(
+            long nowMillis, List<EndpointRow> open, Optional<PrefixPlacement.Home> home, RoutingRequest request) {
+        List<EndpointRow> usable = open.stream()
+                .filter(row -> row.inFlight < request.maximumInFlight())
+                .filter(row -> !request.excluded().contains(row.registration.id()))
+                .toList();
+        if (!policy.has(Mechanism.TWO_CHOICES)) {
+            return usable;
+        }
+        List<EndpointRow> sound =
+                usable.stream().filter(row -> cost.isSound(nowMillis, row)).toList();
+        if (sound.isEmpty()) {
+            return usable;
+        }
+        return CandidateSample.of(sound, random, row -> isAffine(row, home, request.prompt()));
+    }
+
+    private boolean isAffine(EndpointRow row, Optional<PrefixPlacement.Home> home, List<PrefixPart> prompt) {
+        if (prompt.isEmpty() || !policy.has(Mechanism.PREFIX_AFFINITY)) {
+            return false;
+        }
+        boolean placedHere = home.filter(each -> each.endpoint().equals(row.registration.id()))
+                .isPresent();
+        return placedHere || row.prompts.heldParts(prompt) == prompt.size();
+    }
+
     private long uncachedTokens(long nowMillis, EndpointRow row, List<PrefixPart> prompt) {
         if (!policy.has(Mechanism.PREFIX_AFFINITY)) {
             return 0;
--- a/core/src/test/java/org/quetzalshunt/core/routing/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EndpointTableTest.java
@@ -11,11 +11,15 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 
 /** Who gets work: in a burst, with a slow, a full and a failing endpoint among healthy ones, and with cached prompts. */
 final class EndpointTableTest {
-    private final EndpointTable table = EndpointTable.create("a", 7, Policy.whole());
+    /** Compares all endpoints, so that costs alone decide. */
+    private static final Policy ALL_COMPARED = Policy.without(Set.of(Mechanism.TWO_CHOICES));
+
+    private final EndpointTable table = EndpointTable.create("a", 7, ALL_COMPARED);
 
     @BeforeEach
     void register() {
--- a/core/src/test/java/org/quetzalshunt/core/routing/EnginePlay.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EnginePlay.java
@@ -25,6 +25,8 @@
      * @param commonTokens size of the part that programs share, of which there are eight
      * @param memoryTokens what one engine holds
      * @param programsPerSecond arrivals
+     * @param gateways how many
+     * @param reportMillis how often each gateway reports its loads to the others
      */
     record Shape(
             int engines,
@@ -33,16 +35,43 @@
             double stepMillis,
             long commonTokens,
             long memoryTokens,
-            double programsPerSecond) {}
+            double programsPerSecond,
+            int gateways,
+            long reportMillis) {
+        /** Six gateways that report four times a second. */
+        static Shape few(
+                int engines,
+                int slots,
+                double readTokensPerMilli,
+                double stepMillis,
+                long commonTokens,
+                long memoryTokens,
+                double programsPerSecond) {
+            return new Shape(
+                    engines,
+                    slots,
+                    readTokensPerMilli,
+                    stepMillis,
+                    commonTokens,
+                    memoryTokens,
+                    programsPerSecond,
+                    6,
+                    250);
+        }
+    }
 
-    /** What came of a play. */
-    record Result(double meanTurnMillis, long tokensRead) {}
+    /**
+     * What came of a play.
+     *
+     * @param meanTurnMillis from a turn's arrival to its end
+     * @param tokensRead by all engines
+     * @param queuedShare share of turns that waited for a slot while another engine had one free
+     */
+    record Result(double meanTurnMillis, long tokensRead, double queuedShare) {}
 
-    private static final int GATEWAYS = 6;
     private static final int COMMON_PARTS = 8;
     private static final int TURNS = 5;
     private static final int TICK_MILLIS = 5;
-    private static final int WORD_MILLIS = 250;
     private static final int LENGTH_MILLIS = 20_000;
     private static final double CROWDING = 0.02;
     private static final long TURN_TOKENS = 900;
@@ -83,6 +112,7 @@
     private double millisInAll;
     private long turns;
     private double read;
+    private long queued;
 
     private EnginePlay(Shape shape, Policy policy, long seed) {
         this.shape = shape;
@@ -90,7 +120,7 @@
         for (int number = 0; number < shape.engines(); number++) {
             engines.add(new Engine());
         }
-        for (int gateway = 0; gateway < GATEWAYS; gateway++) {
+        for (int gateway = 0; gateway < shape.gateways(); gateway++) {
             EndpointTable table = EndpointTable.create("a", gateway, policy);
             for (int number = 0; number < shape.engines(); number++) {
                 table.registered(new Registration(
@@ -105,7 +135,7 @@
         EnginePlay play = new EnginePlay(shape, policy, seed);
         play.arrive();
         play.run();
-        return new Result(play.millisInAll / play.turns, Math.round(play.read));
+        return new Result(play.millisInAll / play.turns, Math.round(play.read), play.queued / (double) play.turns);
     }
 
     private void arrive() {
@@ -129,14 +159,12 @@
             for (Engine engine : engines) {
                 tick(now, engine);
             }
-            if (now % WORD_MILLIS == 0) {
-                tell();
-            }
+            report(now);
         }
     }
 
     private void send(long now, Turn turn) {
-        turn.gateway = gateways.get(random.nextInt(GATEWAYS));
+        turn.gateway = gateways.get(random.nextInt(shape.gateways()));
         RoutingRequest request =
                 new RoutingRequest("llm", Set.of(), turn.prompt(), shape.memoryTokens(), Integer.MAX_VALUE);
         turn.choice = turn.gateway.select(now, request).orElseThrow();
@@ -146,7 +174,12 @@
         turn.sentMillis = now;
         turn.generated = 16L + random.nextInt((int) MOST_GENERATED);
         turn.toGenerate = turn.generated;
-        engines.get(Integer.parseInt(id)).waiting.add(turn);
+        Engine engine = engines.get(Integer.parseInt(id));
+        boolean full = engine.running.size() + engine.waiting.size() >= shape.slots();
+        boolean othersFree =
+                engines.stream().anyMatch(each -> each.running.size() + each.waiting.size() < shape.slots());
+        queued += full && othersFree ? 1 : 0;
+        engine.waiting.add(turn);
     }
 
     private void tick(long now, Engine engine) {
@@ -204,18 +237,26 @@
         }
     }
 
-    private void tell() {
-        for (int one = 0; one < GATEWAYS; one++) {
-            EndpointTable teller = gateways.get(one);
-            List<PrefixLocation> places = teller.takeNewLocations();
-            Map<String, Integer> running = teller.running();
-            Map<String, Long> unread = teller.unread();
-            for (int other = 0; other < GATEWAYS; other++) {
-                if (other != one) {
-                    gateways.get(other).onPeerPrefixes(places);
-                    gateways.get(other).onPeerRunning("vm-" + one, running);
-                    gateways.get(other).onPeerPrefillBacklog("vm-" + one, unread);
-                }
+    /** Gateways report one after the other, each once in the interval. */
+    private void report(long now) {
+        for (int one = 0; one < shape.gateways(); one++) {
+            long offset = one * shape.reportMillis() / shape.gateways();
+            if ((now - offset) / shape.reportMillis() != (now - TICK_MILLIS - offset) / shape.reportMillis()) {
+                report(one);
+            }
+        }
+    }
+
+    private void report(int one) {
+        EndpointTable reporter = gateways.get(one);
+        List<PrefixLocation> locations = reporter.takeNewLocations();
+        Map<String, Integer> running = reporter.running();
+        Map<String, Long> unread = reporter.unread();
+        for (int other = 0; other < shape.gateways(); other++) {
+            if (other != one) {
+                gateways.get(other).onPeerPrefixes(locations);
+                gateways.get(other).onPeerRunning("vm-" + one, running);
+                gateways.get(other).onPeerPrefillBacklog("vm-" + one, unread);
             }
         }
     }
--- a/core/src/test/java/org/quetzalshunt/core/routing/EngineShapesTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EngineShapesTest.java
@@ -37,7 +37,7 @@
             long commonTokens,
             long memoryTokens,
             double programsPerSecond) {
-        EnginePlay.Shape shape = new EnginePlay.Shape(
+        EnginePlay.Shape shape = EnginePlay.Shape.few(
                 engines, slots, readTokensPerMilli, stepMillis, commonTokens, memoryTokens, programsPerSecond);
         Policy plain = Policy.without(EnumSet.of(
                 Mechanism.PREFIX_AFFINITY,
--- /dev/null
+++ b/core/src/test/java/org/quetzalshunt/core/routing/HerdingTest.java
@@ -0,0 +1,39 @@
+package org.quetzalshunt.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.EnumSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalshunt.core.policy.Mechanism;
+import org.quetzalshunt.core.policy.Policy;
+
+/** Many gateways that know each other's loads late. */
+final class HerdingTest {
+    private static final Policy BEST_OF_ALL = Policy.without(EnumSet.of(Mechanism.TWO_CHOICES));
+
+    private static double meanTurnMillis(EnginePlay.Shape shape, Policy policy) {
+        return EnginePlay.play(shape, policy, 1).meanTurnMillis()
+                + EnginePlay.play(shape, policy, 2).meanTurnMillis();
+    }
+
+    private static EnginePlay.Shape shape(int engines, double programsPerSecond, int gateways, long reportMillis) {
+        return new EnginePlay.Shape(engines, 6, 168, 2.27, 512, 74_133, programsPerSecond, gateways, reportMillis);
+    }
+
+    /** Guards against requests that queue at the endpoint that looked best to all gateways, while others are idle. */
+    @ParameterizedTest
+    @CsvSource({"17, 24, 41, 425", "17, 32, 41, 425", "17, 38, 41, 425", "17, 32, 41, 1250", "60, 110, 100, 500"})
+    void gatewaysDoNotHerdToTheEndpointThatLookedBest(
+            int engines, double programsPerSecond, int gateways, long reportMillis) {
+        EnginePlay.Shape shape = shape(engines, programsPerSecond, gateways, reportMillis);
+        assertThat(meanTurnMillis(shape, Policy.whole())).isAtMost(0.95 * meanTurnMillis(shape, BEST_OF_ALL));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"6, 6, 8, 250", "6, 10, 8, 250", "3, 4, 2, 250"})
+    void fewGatewaysLoseNothing(int engines, double programsPerSecond, int gateways, long reportMillis) {
+        EnginePlay.Shape shape = shape(engines, programsPerSecond, gateways, reportMillis);
+        assertThat(meanTurnMillis(shape, Policy.whole())).isAtMost(1.05 * meanTurnMillis(shape, BEST_OF_ALL));
+    }
+}
