--- a/core/src/main/java/org/quetzalshunt/core/routing/AttemptOutcome.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/AttemptOutcome.java
@@ -10,7 +10,7 @@
     FULL,
     /** It could not be reached, broke off, or answered wrongly. */
     FAILED,
-    /** Ended for a reason that says nothing of the endpoint, such as a caller that left. */
+    /** Ended for a reason unrelated to the endpoint, such as a caller that left. */
     NEUTRAL;
 
     /**
--- a/core/src/main/java/org/quetzalshunt/core/routing/BroadcastInterval.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/BroadcastInterval.java
@@ -1,17 +1,17 @@
 package org.quetzalshunt.core.routing;
 
 /**
- * How often a VM tells a peer of its loads.
+ * How often a VM sends its loads to a peer.
  *
  * <p>Load pattern: many VMs choose among the same endpoints. Most of an endpoint's work comes from the VMs of its own data
- * centre, which therefore tell each other often; to the others a VM sends so much a second and no more. The interval has an
+ * centre, which therefore report to each other often; to the others a VM sends so much a second and no more. The interval has an
  * upper bound that does not depend on the number of VMs, since a peer that is silent for longer counts as gone.
  */
 public final class BroadcastInterval {
     /** A peer that sent nothing for this long is taken for gone. */
     public static final long SILENCE_MILLIS = 1_600;
 
-    /** About the length of a turn: older loads say little of what runs now. */
+    /** About the length of a turn: older loads no longer show what runs now. */
     private static final long LOCAL_MILLIS = 250;
 
     /** Two messages may be late or lost before a peer counts as silent. */
--- a/core/src/main/java/org/quetzalshunt/core/routing/CandidateSample.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/CandidateSample.java
@@ -6,7 +6,9 @@
 import java.util.function.Predicate;
 
 /**
- * The power of two choices: the better of two endpoints that were picked at random, in place of the best of all.
+ * The power of two choices: the better of two endpoints that were picked at random, in place of the best of all. One of them
+ * is in the VM's own data centre, if any is: a VM then sends most of its work to a part of the endpoints, over connections
+ * that stay in use.
  *
  * <p>Load pattern: many VMs that know each other's loads only as they were a moment ago. The endpoint that looked best to
  * all of them gets the work of all of them, and requests queue there while other endpoints are idle. Of two picked at
@@ -21,15 +23,26 @@
     /**
      * Picks candidates.
      *
+     * @param local whether a row is in this VM's data centre
      * @param always rows that are candidates whether or not they were picked
      */
-    static List<EndpointRow> of(List<EndpointRow> rows, SplittableRandom random, Predicate<EndpointRow> always) {
+    static List<EndpointRow> of(
+            List<EndpointRow> rows,
+            SplittableRandom random,
+            Predicate<EndpointRow> local,
+            Predicate<EndpointRow> always) {
         if (rows.size() <= SAMPLED) {
             return rows;
         }
         List<EndpointRow> rest = new ArrayList<>(rows);
         List<EndpointRow> sample = new ArrayList<>();
-        for (int picked = 0; picked < SAMPLED; picked++) {
+        List<EndpointRow> nearby = rows.stream().filter(local).toList();
+        if (!nearby.isEmpty()) {
+            EndpointRow picked = nearby.get(random.nextInt(nearby.size()));
+            rest.remove(picked);
+            sample.add(picked);
+        }
+        while (sample.size() < SAMPLED) {
             sample.add(rest.remove(random.nextInt(rest.size())));
         }
         rest.stream().filter(always).forEach(sample::add);
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointCost.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointCost.java
@@ -24,10 +24,8 @@
     private static final double SOUND_MILLIS = 200;
 
     /**
-     * What a failure costs its program: the time until its caller sends again and the work done anew, or the whole program
-     * where a call may not be repeated. It is multiplied by the square of the share of requests that failed lately, so that
-     * a single failure costs less than a short queue, and an endpoint that fails half of its requests serves once all
-     * others queue, and the rest is not drowned.
+     * Cost of a failure to its program: the caller's pause and the repeated work. Quadratic in the failure rate: isolated
+     * failures barely matter, and a failing endpoint is used only once the others queue.
      */
     private static final double FAILURE_COST_MILLIS = 1_500;
 
@@ -53,7 +51,7 @@
         if (policy.has(Mechanism.PREFILL_BACKLOG)) {
             cost += speed.readMillis(row.prefillBacklogTokens + row.peersPrefillBacklogTokens);
         }
-        // While an engine reads, the answers of its whole batch stand still, and so does what comes next.
+        // Prefill stalls the whole batch of the engine.
         return cost + speed.readMillis(uncachedTokens) * (2 + load);
     }
 
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -22,9 +22,10 @@
     /** Two failures among the last requests; one is not worth telling other VMs. */
     private static final double FAILURE_WORTH_TELLING = 0.2;
 
-    /** Places told to other VMs at once; the newest are worth most. */
+    /** Prefix locations in one report to peers; the newest are kept. */
     private static final int MOST_NEWS = 512;
 
+    private final String dataCentre;
     private final PrefixPlacement homes;
     private final EndpointCost cost;
     private final Policy policy;
@@ -36,6 +37,7 @@
     private final ArrayDeque<PrefixLocation> news = new ArrayDeque<>();
 
     private EndpointTable(String dataCentre, long startedMillis, Policy policy) {
+        this.dataCentre = dataCentre;
         this.homes = new PrefixPlacement(startedMillis);
         this.cost = new EndpointCost(dataCentre, policy);
         this.policy = policy;
@@ -122,7 +124,11 @@
         if (sound.isEmpty()) {
             return usable;
         }
-        return CandidateSample.of(sound, random, row -> isAffine(row, home, request.prompt()));
+        return CandidateSample.of(
+                sound,
+                random,
+                row -> row.registration.dataCentre().equals(dataCentre),
+                row -> isAffine(row, home, request.prompt()));
     }
 
     private boolean isAffine(EndpointRow row, Optional<PrefixPlacement.Home> home, List<PrefixPart> prompt) {
@@ -264,7 +270,7 @@
 
     /** Another VM said how many tokens it sent that are not read yet; endpoints left out have none of them. */
     public void onPeerPrefillBacklog(String vm, Map<String, Long> unread) {
-        peersPrefillBacklog.told(vm, unread);
+        peersPrefillBacklog.report(vm, unread);
     }
 
     private void addUnread(String id, long tokens) {
@@ -276,7 +282,7 @@
     public void onPeerRunning(String vm, Map<String, Integer> running) {
         Map<String, Long> counts = new HashMap<>();
         running.forEach((id, count) -> counts.put(id, count.longValue()));
-        peersRunning.told(vm, counts);
+        peersRunning.report(vm, counts);
     }
 
     private void addRunning(String id, long count) {
@@ -291,15 +297,15 @@
 
     /** Requests that this VM has at each endpoint where it has any. */
     public Map<String, Integer> running() {
-        return told(row -> row.inFlight);
+        return nonZero(row -> row.inFlight);
     }
 
     /** Tokens that this VM sent to endpoints and that they have not read yet, where there are any. */
     public Map<String, Long> unread() {
-        return told(row -> row.prefillBacklogTokens);
+        return nonZero(row -> row.prefillBacklogTokens);
     }
 
-    private <N extends Number> Map<String, N> told(Function<EndpointRow, N> count) {
+    private <N extends Number> Map<String, N> nonZero(Function<EndpointRow, N> count) {
         Map<String, N> counts = new HashMap<>();
         for (EndpointRow row : rows.all()) {
             N here = count.apply(row);
--- a/core/src/main/java/org/quetzalshunt/core/routing/PeerCounts.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/PeerCounts.java
@@ -19,7 +19,7 @@
     }
 
     /** A VM said its counts; endpoints left out have none. */
-    void told(String vm, Map<String, Long> counts) {
+    void report(String vm, Map<String, Long> counts) {
         forget(vm);
         byVm.put(vm, counts);
         counts.forEach(add::accept);
--- a/core/src/main/java/org/quetzalshunt/core/routing/PrefixPlacement.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/PrefixPlacement.java
@@ -6,7 +6,7 @@
 
 /**
  * The endpoint that reads a part of a prompt which none is known to hold: all VMs take the same, by rendezvous hashing over
- * the endpoints that hold most of what comes before it. So VMs agree without a word between them.
+ * the endpoints that hold most of what comes before it. So VMs agree without communication.
  *
  * <p>Load patterns: a start of all, in which each VM would have each common part read at another endpoint; turns that move
  * between VMs faster than word of them; VMs that were killed and have forgotten where all lines ran, while the engines
--- a/core/src/test/java/org/quetzalshunt/core/routing/EnginePlay.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EnginePlay.java
@@ -27,6 +27,7 @@
      * @param programsPerSecond arrivals
      * @param gateways how many
      * @param reportMillis how often each gateway reports its loads to the others
+     * @param dataCentres over which gateways and engines are spread
      */
     record Shape(
             int engines,
@@ -37,7 +38,8 @@
             long memoryTokens,
             double programsPerSecond,
             int gateways,
-            long reportMillis) {
+            long reportMillis,
+            int dataCentres) {
         /** Six gateways that report four times a second. */
         static Shape few(
                 int engines,
@@ -56,7 +58,8 @@
                     memoryTokens,
                     programsPerSecond,
                     6,
-                    250);
+                    250,
+                    1);
         }
     }
 
@@ -121,15 +124,25 @@
             engines.add(new Engine());
         }
         for (int gateway = 0; gateway < shape.gateways(); gateway++) {
-            EndpointTable table = EndpointTable.create("a", gateway, policy);
+            EndpointTable table = EndpointTable.create(dataCentre(gateway), gateway, policy);
             for (int number = 0; number < shape.engines(); number++) {
                 table.registered(new Registration(
-                        Integer.toString(number), "llm", "10.0.0.1:" + (number + 1), "a", shape.slots(), false, 1));
+                        Integer.toString(number),
+                        "llm",
+                        "10.0.0.1:" + (number + 1),
+                        dataCentre(number),
+                        shape.slots(),
+                        false,
+                        1));
             }
             gateways.add(table);
         }
     }
 
+    private String dataCentre(int number) {
+        return "data-centre-" + number % shape.dataCentres();
+    }
+
     /** Plays twenty seconds of arrivals to their end. */
     static Result play(Shape shape, Policy policy, long seed) {
         EnginePlay play = new EnginePlay(shape, policy, seed);
--- a/core/src/test/java/org/quetzalshunt/core/routing/HerdingTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/HerdingTest.java
@@ -17,23 +17,33 @@
                 + EnginePlay.play(shape, policy, 2).meanTurnMillis();
     }
 
-    private static EnginePlay.Shape shape(int engines, double programsPerSecond, int gateways, long reportMillis) {
-        return new EnginePlay.Shape(engines, 6, 168, 2.27, 512, 74_133, programsPerSecond, gateways, reportMillis);
+    private static EnginePlay.Shape shape(
+            int engines, double programsPerSecond, int gateways, long reportMillis, int dataCentres) {
+        return new EnginePlay.Shape(
+                engines, 6, 168, 2.27, 512, 74_133, programsPerSecond, gateways, reportMillis, dataCentres);
     }
 
     /** Guards against requests that queue at the endpoint that looked best to all gateways, while others are idle. */
     @ParameterizedTest
-    @CsvSource({"17, 24, 41, 425", "17, 32, 41, 425", "17, 38, 41, 425", "17, 32, 41, 1250", "60, 110, 100, 500"})
+    @CsvSource({
+        "17, 24, 41, 425, 6",
+        "17, 32, 41, 425, 6",
+        "17, 38, 41, 425, 6",
+        "17, 32, 41, 425, 1",
+        "17, 32, 41, 1250, 6",
+        "60, 110, 100, 500, 12"
+    })
     void gatewaysDoNotHerdToTheEndpointThatLookedBest(
-            int engines, double programsPerSecond, int gateways, long reportMillis) {
-        EnginePlay.Shape shape = shape(engines, programsPerSecond, gateways, reportMillis);
+            int engines, double programsPerSecond, int gateways, long reportMillis, int dataCentres) {
+        EnginePlay.Shape shape = shape(engines, programsPerSecond, gateways, reportMillis, dataCentres);
         assertThat(meanTurnMillis(shape, Policy.whole())).isAtMost(0.95 * meanTurnMillis(shape, BEST_OF_ALL));
     }
 
     @ParameterizedTest
-    @CsvSource({"6, 6, 8, 250", "6, 10, 8, 250", "3, 4, 2, 250"})
-    void fewGatewaysLoseNothing(int engines, double programsPerSecond, int gateways, long reportMillis) {
-        EnginePlay.Shape shape = shape(engines, programsPerSecond, gateways, reportMillis);
+    @CsvSource({"6, 6, 8, 250, 4", "6, 10, 8, 250, 4", "6, 10, 8, 250, 1", "3, 4, 2, 250, 1"})
+    void fewGatewaysLoseNothing(
+            int engines, double programsPerSecond, int gateways, long reportMillis, int dataCentres) {
+        EnginePlay.Shape shape = shape(engines, programsPerSecond, gateways, reportMillis, dataCentres);
         assertThat(meanTurnMillis(shape, Policy.whole())).isAtMost(1.05 * meanTurnMillis(shape, BEST_OF_ALL));
     }
 }
