The most urgent programs wait longer for a token of their account's quota

Both kinds waited up to 0.15 of their time for a token, so that a saturated account's debt stands at that length and begins both alike. Urgent ones now wait up to 0.3.

--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -25,7 +25,9 @@
     /** Callers come back late enough to outlive an outage for all. Without it: after 0.9 s. */
     OUTAGE_RETRY_DELAY,
     /** Beginnings beyond their account's rate come back late. Without it: as soon as others. */
-    PROGRAM_START_DELAY;
+    PROGRAM_START_DELAY,
+    /** The most urgent programs wait longer for a token of their account's quota. Without it: as long as others. */
+    URGENT_STARTS;
 
     /** Name in flags: lower case, with hyphens. */
     public String flag() {
--- a/core/src/main/java/org/quetzalshunt/core/quota/OutageWaitPolicy.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/OutageWaitPolicy.java
@@ -3,7 +3,7 @@
 /**
  * How long a request waits in an outage that no other VM is spared, and when its caller should come back after that.
  *
- * <p>Load pattern: the shared map is away for some seconds, or all VMs were killed and find each other again. Each turn has
+ * <p>Load pattern: the store is unavailable for some seconds, or all VMs were killed and reconnect. Each turn has
  * a few tries only, and a program whose turn has used them up is lost with all that it has done. Refused at once and called
  * back early, they are used up in the first three seconds; spread over the time that callers have, they reach over most
  * outages. A request that waits is served as soon as the outage ends.
@@ -12,7 +12,7 @@
     /** Part of its time that a request waits; the rest is for its run, or for its caller's next try. */
     private static final double WAIT_PART = 0.3;
 
-    /** Callers take a stream that says nothing for two seconds for dead, and an engine may need most of one to begin. */
+    /** Callers abandon a stream without an event after two seconds, and an engine may need most of one to begin. */
     private static final long MOST_WAIT_MILLIS = 1_200;
 
     /** Callers wait at most for this part of their time. */
--- a/core/src/main/java/org/quetzalshunt/core/quota/QuotaLeases.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/QuotaLeases.java
@@ -253,7 +253,7 @@
         return lease.inForce(clock.getAsLong()) && accounts.keySet().stream().allMatch(this::isSettled);
     }
 
-    /** Whether this VM uses what it should own of the account, and the store's record says the same. */
+    /** Whether this VM uses the share that it should own, and the store's record agrees. */
     private boolean isSettled(String account) {
         Holding holding = holdings.get(account);
         int target = target(account);
--- a/core/src/main/java/org/quetzalshunt/core/quota/QuotaWaitPolicy.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/QuotaWaitPolicy.java
@@ -1,7 +1,7 @@
 package org.quetzalshunt.core.quota;
 
 /**
- * How long a request may wait for a token of its account's rate, before it hears that the account is over it.
+ * How long a request may wait for a token of its account's quota before it is rejected.
  *
  * <p>Load pattern: an account with a small rate whose programs start helpers and tools, ten requests at once where its
  * rate is eight a second. Every request of a program under way that is refused too often loses all that the program has
@@ -18,6 +18,9 @@
      */
     private static final double BEGINNING_PART = 0.15;
 
+    /** More for the most urgent kind of program, so that less urgent ones do not begin in its place. */
+    private static final double URGENT_BEGINNING_PART = 0.3;
+
     /** For a refused request of a program under way, in tokens: the time in which its account earns them. */
     private static final double SOON_TOKENS = 5;
 
@@ -37,10 +40,14 @@
      * The longest wait.
      *
      * @param beginsProgram whether it is the first turn of a program
+     * @param urgent whether it is of the most urgent kind
      * @param leftMillis time that its caller has left
      */
-    public static long maximumWaitMillis(boolean beginsProgram, long leftMillis) {
-        return (long) ((beginsProgram ? BEGINNING_PART : UNDER_WAY_PART) * leftMillis);
+    public static long maximumWaitMillis(boolean beginsProgram, boolean urgent, long leftMillis) {
+        if (!beginsProgram) {
+            return (long) (UNDER_WAY_PART * leftMillis);
+        }
+        return (long) ((urgent ? URGENT_BEGINNING_PART : BEGINNING_PART) * leftMillis);
     }
 
     /**
--- a/core/src/main/java/org/quetzalshunt/core/quota/TokenOffer.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/TokenOffer.java
@@ -1,7 +1,7 @@
 package org.quetzalshunt.core.quota;
 
 /**
- * What a holder of a rate says to a request for a token.
+ * Answer of a lease holder to a request for a token.
  *
  * @param taken whether the token is the asker's
  * @param waitMillis how long the request must wait before it runs; of a token that was not taken, how long it would have
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -18,20 +18,23 @@
 import org.quetzalshunt.server.http.HttpExchange;
 
 /**
- * Judges each request that arrived whole, in this order: is what this VM knows current, is there a route, whose key is
- * it, has its account a token left. Nothing is said of a route or key on knowledge that may be out of date.
+ * Checks each request that arrived whole, in this order: freshness of the configuration, route, key, quarantine, store,
+ * budget, quota. No route or key is rejected by a configuration that may be out of date.
  */
 final class AdmissionPipeline {
-    /** Time that a caller is taken to wait when it does not say. */
+    /** Timeout assumed of a caller that states none. */
     private static final long DEADLINE_UNSAID_MILLIS = 10_000;
 
-    /** A home that was lost is replaced, or found again, within about a second. */
+    /** The priority of the routes that go first. */
+    private static final int MOST_URGENT = 0;
+
+    /** A lost owner is replaced, or reconnected to, within about a second. */
     private static final long NO_HOLDER_MILLIS = 300;
 
     /** Until a request that waits for a holder asks again: the time in which an owner acquires its shares. */
     private static final long HOLDER_RETRY_MILLIS = 60;
 
-    /** A request that arrived whole, before it is judged. */
+    /** A request that arrived whole. */
     private record Arrival(HttpExchange exchange, CallerRequest request, long arrivedMillis) {
         /** Time that its caller had left when it arrived. */
         long leftMillis() {
@@ -59,14 +62,14 @@
             refuse(exchange, "", Refusal.notRun(ResultCode.MALFORMED_REQUEST, "the request has no id"));
             return;
         }
-        judge(new Arrival(exchange, request.get(), gateway.clock().now()));
+        authenticate(new Arrival(exchange, request.get(), gateway.clock().now()));
     }
 
-    private void judge(Arrival arrival) {
+    private void authenticate(Arrival arrival) {
         CallerRequest request = arrival.request();
         Optional<TrafficConfiguration> known = gateway.configuration().current();
         if (known.isEmpty()) {
-            if (!waits(arrival, () -> gateway.configuration().current().isPresent())) {
+            if (!awaitRecovery(arrival, () -> gateway.configuration().current().isPresent())) {
                 refuse(arrival, elsewhere(arrival, ResultCode.NOT_READY, "no configuration yet"));
             }
             return;
@@ -75,7 +78,7 @@
         Optional<Route> route = configuration.routes().find(request.host(), request.path());
         boolean open = route.filter(Route::open).isPresent();
         if (!isCurrent() && configuration.keysRequired() && !open) {
-            if (!waits(arrival, this::isCurrent)) {
+            if (!awaitRecovery(arrival, this::isCurrent)) {
                 refuse(arrival, elsewhere(arrival, ResultCode.CONFIGURATION_STALE, "the configuration is too old"));
             }
             return;
@@ -94,7 +97,7 @@
             refuse(arrival, Refusal.notRun(ResultCode.BODY_TOO_LARGE, "see the limits"));
             return;
         }
-        accept(arrival, configuration, route.get(), account);
+        admit(arrival, configuration, route.get(), account);
     }
 
     private boolean isCurrent() {
@@ -102,10 +105,10 @@
     }
 
     /**
-     * Lets a request wait for the end of an outage that no other VM is spared, for a part of its time; false when it has
-     * waited already, or a caller is better off at another VM.
+     * Queues a request until an outage that affects all VMs ends, for a part of its time; false when it has waited already,
+     * or a retry at another VM is more likely to succeed.
      */
-    private boolean waits(Arrival arrival, BooleanSupplier ready) {
+    private boolean awaitRecovery(Arrival arrival, BooleanSupplier ready) {
         long until = arrival.arrivedMillis() + OutageWaitPolicy.maximumWaitMillis(arrival.leftMillis());
         boolean useful = gateway.settings().policy().has(Mechanism.OUTAGE_WAIT)
                 && !stopping.getAsBoolean()
@@ -124,10 +127,10 @@
             refuse(arrival, Refusal.notRun(ResultCode.CANCELLED, "the caller left"));
             return;
         }
-        judge(arrival);
+        authenticate(arrival);
     }
 
-    private void accept(
+    private void admit(
             Arrival arrival, TrafficConfiguration configuration, Route route, Optional<AccountTerms> account) {
         CallerRequest request = arrival.request();
         ServiceEntry service = configuration
@@ -138,7 +141,7 @@
             return;
         }
         long deadline = arrival.arrivedMillis() + Math.min(route.timeoutMillis(), arrival.leftMillis());
-        AdmittedRequest accepted = new AdmittedRequest(
+        AdmittedRequest admitted = new AdmittedRequest(
                 arrival.exchange(),
                 request,
                 route,
@@ -148,100 +151,102 @@
                 arrival.arrivedMillis(),
                 deadline,
                 gateway.endpoints().mayCache(gateway.clock().now(), service.name(), request.prefixParts()));
-        if (gateway.crashes().quarantined(accepted)) {
+        if (gateway.crashes().quarantined(admitted)) {
             Refusal refusal =
                     Refusal.notRun(ResultCode.CRASHES_ENDPOINTS, "it was running at three endpoints that crashed");
-            Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+            Outcome.refuse(gateway, admitted, refusal, Optional.empty());
             return;
         }
-        if (lacksMap(accepted)) {
+        if (lacksMap(admitted)) {
             // The turn could not be granted or not be kept; run, its work would be lost.
-            if (!waits(arrival, () -> !gateway.map().unavailable())) {
-                Refusal refusal = elsewhere(arrival, ResultCode.LOG_UNAVAILABLE, "the shared map is away");
-                Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+            if (!awaitRecovery(arrival, () -> !gateway.map().unavailable())) {
+                Refusal refusal = elsewhere(arrival, ResultCode.LOG_UNAVAILABLE, "the store is unavailable");
+                Outcome.refuse(gateway, admitted, refusal, Optional.empty());
             }
             return;
         }
-        Optional<BudgetManager.Verdict.Exhausted> spent = spent(accepted);
+        Optional<BudgetManager.Verdict.Exhausted> spent = spent(admitted);
         if (spent.isPresent()) {
             // Before a token of the rate is taken: a program that loops must not spend its account's rate as well.
-            Outcome.refuse(gateway, accepted, StreamForwarder.exhaustedRefusal(spent.get()), Optional.empty());
+            Outcome.refuse(gateway, admitted, StreamForwarder.exhaustedRefusal(spent.get()), Optional.empty());
             return;
         }
         if (account.isEmpty()) {
-            run(accepted);
+            run(admitted);
             return;
         }
-        takeToken(arrival, accepted, account.get());
+        takeToken(arrival, admitted, account.get());
     }
 
-    private void takeToken(Arrival arrival, AdmittedRequest accepted, AccountTerms account) {
-        long left = accepted.deadlineMillis() - gateway.clock().now();
-        long maximumWait = QuotaWaitPolicy.maximumWaitMillis(accepted.beginsProgram(), left);
+    private void takeToken(Arrival arrival, AdmittedRequest admitted, AccountTerms account) {
+        long left = admitted.deadlineMillis() - gateway.clock().now();
+        boolean urgent = gateway.settings().policy().has(Mechanism.URGENT_STARTS)
+                && admitted.route().priority() == MOST_URGENT;
+        long maximumWait = QuotaWaitPolicy.maximumWaitMillis(admitted.beginsProgram(), urgent, left);
         gateway.quotas().take(account, maximumWait, result -> {
             if (result instanceof TokenSearch.Result.Granted granted) {
-                runAfter(granted.waitMillis(), accepted);
+                runAfter(granted.waitMillis(), admitted);
             } else if (result instanceof TokenSearch.Result.OverQuota overQuota) {
-                overQuota(accepted, account, overQuota.shortestMillis());
+                overQuota(admitted, account, overQuota.shortestMillis());
             } else {
-                noHolder(arrival, accepted);
+                noHolder(arrival, admitted);
             }
         });
     }
 
-    private void runAfter(long waitMillis, AdmittedRequest accepted) {
+    private void runAfter(long waitMillis, AdmittedRequest admitted) {
         if (waitMillis == 0) {
-            run(accepted);
+            run(admitted);
             return;
         }
-        gateway.executor().schedule(() -> run(accepted), waitMillis, TimeUnit.MILLISECONDS);
+        gateway.executor().schedule(() -> run(admitted), waitMillis, TimeUnit.MILLISECONDS);
     }
 
-    private boolean lacksMap(AdmittedRequest accepted) {
+    private boolean lacksMap(AdmittedRequest admitted) {
         if (!gateway.map().unavailable()) {
             return false;
         }
-        return accepted.keepsHistory()
-                || accepted.budgetedProgram()
-                        .filter(program -> !gateway.budgets().covers(program, accepted.maximumTokens()))
+        return admitted.keepsHistory()
+                || admitted.budgetedProgram()
+                        .filter(program -> !gateway.budgets().covers(program, admitted.maximumTokens()))
                         .isPresent();
     }
 
-    private Optional<BudgetManager.Verdict.Exhausted> spent(AdmittedRequest accepted) {
-        return accepted.budgetedProgram().flatMap(program -> gateway.budgets()
-                .knownExhausted(program, accepted.request().tokenBudget().getAsLong(), accepted.maximumTokens()));
+    private Optional<BudgetManager.Verdict.Exhausted> spent(AdmittedRequest admitted) {
+        return admitted.budgetedProgram().flatMap(program -> gateway.budgets()
+                .knownExhausted(program, admitted.request().tokenBudget().getAsLong(), admitted.maximumTokens()));
     }
 
-    private void run(AdmittedRequest accepted) {
-        if (accepted.exchange().finished()) {
-            Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.empty());
+    private void run(AdmittedRequest admitted) {
+        if (admitted.exchange().finished()) {
+            Outcome.log(gateway, admitted, ResultCode.CANCELLED, "the caller left", Optional.empty());
             return;
         }
-        if (accepted.route().kind() == RequestKind.STREAM) {
-            StreamForwarder.start(gateway, accepted);
+        if (admitted.route().kind() == RequestKind.STREAM) {
+            StreamForwarder.start(gateway, admitted);
         } else {
-            BufferedForwarder.start(gateway, accepted);
+            BufferedForwarder.start(gateway, admitted);
         }
     }
 
-    private void noHolder(Arrival arrival, AdmittedRequest accepted) {
+    private void noHolder(Arrival arrival, AdmittedRequest admitted) {
         long askAgain = gateway.clock().now() + HOLDER_RETRY_MILLIS;
-        if (waits(arrival, () -> gateway.clock().now() >= askAgain)) {
+        if (awaitRecovery(arrival, () -> gateway.clock().now() >= askAgain)) {
             return;
         }
         Refusal refusal =
                 Refusal.notRunRetryAfter(ResultCode.NOT_READY, "no holder of the quota answered", NO_HOLDER_MILLIS);
-        Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+        Outcome.refuse(gateway, admitted, refusal, Optional.empty());
     }
 
-    private void overQuota(AdmittedRequest accepted, AccountTerms account, long shortestMillis) {
-        boolean beginning = gateway.settings().policy().has(Mechanism.PROGRAM_START_DELAY) && accepted.beginsProgram();
-        long left = accepted.deadlineMillis() - gateway.clock().now();
+    private void overQuota(AdmittedRequest admitted, AccountTerms account, long shortestMillis) {
+        boolean beginning = gateway.settings().policy().has(Mechanism.PROGRAM_START_DELAY) && admitted.beginsProgram();
+        long left = admitted.deadlineMillis() - gateway.clock().now();
         double chance = ThreadLocalRandom.current().nextDouble();
         long wait = QuotaWaitPolicy.retryAfterMillis(beginning, account.ratePerSecond(), left, chance);
         String detail = "rate " + account.ratePerSecond() + ", token in " + shortestMillis + " ms";
         Refusal refusal = Refusal.notRunRetryAfter(ResultCode.RATE_EXCEEDED, detail, wait);
-        Outcome.refuse(gateway, accepted, refusal, Optional.empty());
+        Outcome.refuse(gateway, admitted, refusal, Optional.empty());
     }
 
     private Refusal elsewhere(Arrival arrival, ResultCode code, String detail) {
