--- a/core/src/main/java/org/quetzalshunt/core/store/RangeAnswer.java
+++ b/core/src/main/java/org/quetzalshunt/core/store/RangeAnswer.java
@@ -12,6 +12,6 @@
      */
     record Page(List<MapEntry> entries, boolean more, long end) implements RangeAnswer {}
 
-    /** The shard could not be read; says nothing of what is in it. */
+    /** The shard could not be read. */
     record Unavailable(String reason) implements RangeAnswer {}
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
@@ -91,7 +91,7 @@
     /**
      * Makes a keeper that knows no program.
      *
-     * @param isolated whether callers are better off at another VM than with another try here
+     * @param isolated whether a retry at another VM is more likely to succeed than another attempt here
      */
     BudgetManager(
             EventExecutor executor,
@@ -124,7 +124,7 @@
         return row != null && row.allotment.hasHeadroom(budget, maximumTokens);
     }
 
-    /** Whether what this VM knows already says that the budget is spent: allotments of others never shrink. */
+    /** Whether the budget is exhausted by what this VM has read: allotments of peers never shrink. */
     Optional<Verdict.Exhausted> knownExhausted(String program, long budget, long maximumTokens) {
         Row row = rows.get(program);
         if (row == null || !row.allotment.known() || row.allotment.covers(maximumTokens)) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
@@ -25,7 +25,7 @@
     private static final int GATEWAY_TIMEOUT = 504;
 
     private final Gateway gateway;
-    private final AdmittedRequest accepted;
+    private final AdmittedRequest admitted;
     private final EndpointCall call;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private ScheduledFuture<?> deadline;
@@ -35,17 +35,17 @@
     private int runs;
     private boolean finished;
 
-    private BufferedForwarder(Gateway gateway, AdmittedRequest accepted) {
+    private BufferedForwarder(Gateway gateway, AdmittedRequest admitted) {
         this.gateway = gateway;
-        this.accepted = accepted;
-        this.call = new EndpointCall(gateway, accepted, accepted.exchange().body(), this);
+        this.admitted = admitted;
+        this.call = new EndpointCall(gateway, admitted, admitted.exchange().body(), this);
     }
 
     /** Starts a run; it ends by itself. */
-    static void start(Gateway gateway, AdmittedRequest accepted) {
-        BufferedForwarder run = new BufferedForwarder(gateway, accepted);
-        accepted.exchange().onClose(run::callerLeft);
-        long left = Math.max(1, accepted.deadlineMillis() - gateway.clock().now());
+    static void start(Gateway gateway, AdmittedRequest admitted) {
+        BufferedForwarder run = new BufferedForwarder(gateway, admitted);
+        admitted.exchange().onClose(run::callerLeft);
+        long left = Math.max(1, admitted.deadlineMillis() - gateway.clock().now());
         run.deadline = gateway.executor().schedule(run::deadlinePassed, left, TimeUnit.MILLISECONDS);
         run.attempt();
     }
@@ -56,13 +56,13 @@
         headers = null;
         call.start();
         if (!finished && mayRunAgain()) {
-            long silent = (long) (SILENT_TARGETS * accepted.route().targetLatencyMillis());
+            long silent = (long) (SILENT_TARGETS * admitted.route().targetLatencyMillis());
             silence = gateway.executor().schedule(this::silent, Math.max(1, silent), TimeUnit.MILLISECONDS);
         }
     }
 
     private boolean mayRunAgain() {
-        return EndpointCall.repeatable(accepted) && runs < accepted.route().maximumAttempts();
+        return EndpointCall.repeatable(admitted) && runs < admitted.route().maximumAttempts();
     }
 
     private void silent() {
@@ -92,8 +92,8 @@
             return;
         }
         if (finish()) {
-            accepted.exchange().respond(status, gateway.dialect().inbound(headers), body.toByteArray());
-            Outcome.log(gateway, accepted, ResultCode.OK, "status " + status, Optional.of(call));
+            admitted.exchange().respond(status, gateway.dialect().inbound(headers), body.toByteArray());
+            Outcome.log(gateway, admitted, ResultCode.OK, "status " + status, Optional.of(call));
         }
     }
 
@@ -134,13 +134,13 @@
     private void callerLeft() {
         call.cancel(AttemptOutcome.NEUTRAL);
         if (finish()) {
-            Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.of(call));
+            Outcome.log(gateway, admitted, ResultCode.CANCELLED, "the caller left", Optional.of(call));
         }
     }
 
     private void end(Refusal refusal) {
         if (finish()) {
-            Outcome.refuse(gateway, accepted, refusal, Optional.of(call));
+            Outcome.refuse(gateway, admitted, refusal, Optional.of(call));
         }
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
@@ -6,7 +6,7 @@
 import org.quetzalshunt.core.routing.PrefixPart;
 
 /**
- * What a caller's request says, in this system's words.
+ * A caller's request, decoded.
  *
  * @param id the caller's id of this one attempt
  * @param host host that the route is chosen by
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
@@ -58,35 +58,35 @@
     }
 
     /** Whether the request must not run. */
-    boolean quarantined(AdmittedRequest accepted) {
-        return !table.isEmpty() && table.quarantined(clock.now(), fingerprint(accepted));
+    boolean quarantined(AdmittedRequest admitted) {
+        return !table.isEmpty() && table.quarantined(clock.now(), fingerprint(admitted));
     }
 
     /** The request was answered whole. */
-    void answered(AdmittedRequest accepted) {
+    void answered(AdmittedRequest admitted) {
         if (!table.isEmpty()) {
-            table.answered(fingerprint(accepted));
+            table.answered(fingerprint(admitted));
         }
     }
 
     /** The connection broke while an endpoint may have been running the request. */
-    void broke(AdmittedRequest accepted, Registration endpoint) {
+    void broke(AdmittedRequest admitted, Registration endpoint) {
         InetSocketAddress address = EndpointCall.address(endpoint.address());
         executor.schedule(
                 () -> http.probe(address, PROBE_MILLIS, reachable -> {
                     if (!reachable) {
-                        crashed(accepted, endpoint);
+                        crashed(admitted, endpoint);
                     }
                 }),
                 PROBE_AFTER_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
 
-    private void crashed(AdmittedRequest accepted, Registration endpoint) {
-        String fingerprint = fingerprint(accepted);
+    private void crashed(AdmittedRequest admitted, Registration endpoint) {
+        String fingerprint = fingerprint(admitted);
         String crash = life + "-" + crashes++;
         log.line(log.event("endpoint-crashed")
-                .put("request", accepted.request().id())
+                .put("request", admitted.request().id())
                 .put("fingerprint", fingerprint)
                 .put("endpoint", endpoint.id()));
         table.crashed(clock.now(), fingerprint, crash);
@@ -118,10 +118,10 @@
     }
 
     /** What stays the same when a caller sends a request again: method, path, account and body. */
-    private static String fingerprint(AdmittedRequest accepted) {
-        String head = accepted.exchange().method() + ' ' + accepted.exchange().uri() + ' ' + accepted.accountName();
+    private static String fingerprint(AdmittedRequest admitted) {
+        String head = admitted.exchange().method() + ' ' + admitted.exchange().uri() + ' ' + admitted.accountName();
         byte[] digest = Digests.sha256(
-                head.getBytes(StandardCharsets.UTF_8), accepted.exchange().body());
+                head.getBytes(StandardCharsets.UTF_8), admitted.exchange().body());
         return HexFormat.of().formatHex(digest, 0, DIGEST_BYTES);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
@@ -9,7 +9,7 @@
 
 /** How the platform's callers, endpoints and operators say things; implementations decide nothing. */
 public interface Dialect {
-    /** What a request says; empty when it lacks its id. */
+    /** Decodes a request; empty when it lacks its id. */
     Optional<CallerRequest> request(HttpExchange exchange);
 
     /** Headers of the request as an endpoint gets it: the caller's, less what only the system may set. */
@@ -18,7 +18,7 @@
     /** Whether an endpoint's answer, by its headers, is one to this request. */
     boolean answers(String requestId, HttpHeaders answerHeaders);
 
-    /** What the head of an endpoint's answer tells. */
+    /** Kind of an endpoint's response. */
     ResponseKind head(int status, HttpHeaders answerHeaders);
 
     /** Headers of an endpoint's answer as the caller gets them. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -25,7 +25,7 @@
 
 /**
  * Takes one request to an endpoint that runs it. An endpoint that says "not run", or that could not be reached at all,
- * is followed by the next; everything else is told to the listener, who knows whether the request may run again.
+ * is followed by the next; everything else is passed to the listener, which decides whether the request may run again.
  */
 final class EndpointCall {
     /** Hears one answer: a head with its data and end, or that it broke off, or that nothing ran. */
@@ -49,7 +49,7 @@
     /** Both ways between data centres take about a millisecond; a listening endpoint answers at once. */
     private static final long CONNECT_MILLIS = 300;
 
-    /** Endpoints keep idle connections for several seconds; one that rested longer may be dead without a word. */
+    /** Endpoints keep idle connections for several seconds; one that was idle for longer may be half-open. */
     private static final long REUSE_MILLIS = 4_000;
 
     /** When every endpoint is full: about the time in which one of a dozen running turns ends somewhere. */
@@ -66,7 +66,7 @@
     private static final double SILENT_TARGETS = 2;
 
     private final Gateway gateway;
-    private final AdmittedRequest accepted;
+    private final AdmittedRequest admitted;
     private final byte[] body;
     private final Listener listener;
     private final Set<String> excluded = new HashSet<>();
@@ -81,9 +81,9 @@
     private boolean prefillDone = true;
     private int sends;
 
-    EndpointCall(Gateway gateway, AdmittedRequest accepted, byte[] body, Listener listener) {
+    EndpointCall(Gateway gateway, AdmittedRequest admitted, byte[] body, Listener listener) {
         this.gateway = gateway;
-        this.accepted = accepted;
+        this.admitted = admitted;
         this.body = body;
         this.listener = listener;
     }
@@ -94,7 +94,7 @@
         send();
     }
 
-    /** Gives up the present attempt; its endpoint is not chosen again. The listener hears no more of it. */
+    /** Gives up the present attempt; its endpoint is not chosen again. The listener receives nothing more of it. */
     void cancel(AttemptOutcome finish) {
         if (done) {
             return;
@@ -141,7 +141,7 @@
 
     private void send() {
         long now = gateway.clock().now();
-        long remaining = accepted.deadlineMillis() - now;
+        long remaining = admitted.deadlineMillis() - now;
         if (remaining < LEAST_MILLIS) {
             refuse(Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, "no time left"));
             return;
@@ -167,25 +167,25 @@
 
     private void watchSilence() {
         String id = endpoint.id();
-        long millis = Math.max(1, (long) (SILENT_TARGETS * accepted.route().targetLatencyMillis()));
+        long millis = Math.max(1, (long) (SILENT_TARGETS * admitted.route().targetLatencyMillis()));
         silence = gateway.executor()
                 .schedule(() -> gateway.endpoints().silent(gateway.clock().now(), id), millis, TimeUnit.MILLISECONDS);
     }
 
     private RoutingRequest routingRequest() {
         int vms = Math.max(1, gateway.quotas().liveVms());
-        int most = Math.max(2, accepted.service().maximumConnections() / vms);
-        long memory = accepted.service()
+        int most = Math.max(2, admitted.service().maximumConnections() / vms);
+        long memory = admitted.service()
                 .engine()
                 .map(EngineShape::cacheTokens)
                 .filter(tokens -> tokens > 0)
                 .orElse(Long.MAX_VALUE);
         return new RoutingRequest(
-                accepted.service().name(), excluded, accepted.request().prefixParts(), memory, most);
+                admitted.service().name(), excluded, admitted.request().prefixParts(), memory, most);
     }
 
     private void noEndpoint(long remaining) {
-        boolean none = gateway.endpoints().available(accepted.service().name()) == 0;
+        boolean none = gateway.endpoints().available(admitted.service().name()) == 0;
         if (none || remaining < FULL_RETRY_MILLIS) {
             refuse(Refusal.notRunRetryAfter(
                     ResultCode.NO_ENDPOINT,
@@ -211,16 +211,16 @@
     private OutboundRequest request(long remaining) {
         HttpHeaders headers = gateway.dialect()
                 .outbound(
-                        accepted.exchange().rawHeaders(),
+                        admitted.exchange().rawHeaders(),
                         new OutboundTerms(
                                 endpoint.id(),
                                 remaining,
-                                accepted.account().map(account -> account.name()),
-                                accepted.urgency()));
+                                admitted.account().map(account -> account.name()),
+                                admitted.urgency()));
         return new OutboundRequest(
                 address(endpoint.address()),
-                accepted.exchange().method(),
-                accepted.exchange().uri(),
+                admitted.exchange().method(),
+                admitted.exchange().uri(),
                 headers,
                 body);
     }
@@ -235,7 +235,7 @@
     }
 
     private boolean own(HttpHeaders headers) {
-        return gateway.dialect().answers(accepted.request().id(), headers);
+        return gateway.dialect().answers(admitted.request().id(), headers);
     }
 
     /** The endpoint has read the prompt of the present attempt, or will not. */
@@ -255,7 +255,7 @@
         gateway.measures().attempt(finish.name().toLowerCase(Locale.ROOT));
     }
 
-    /** What the HTTP client says of the present attempt. */
+    /** Receives the present attempt's response. */
     private final class Answer implements HttpResponseListener {
         private ResponseKind head;
 
@@ -299,7 +299,7 @@
             }
             ended(head == ResponseKind.SUCCESS ? AttemptOutcome.ANSWERED : AttemptOutcome.ERRORED);
             done = true;
-            gateway.crashes().answered(accepted);
+            gateway.crashes().answered(admitted);
             listener.onEnd();
         }
 
@@ -311,13 +311,13 @@
                 return;
             }
             done = true;
-            gateway.crashes().broke(accepted, endpoint);
+            gateway.crashes().broke(admitted, endpoint);
             listener.onBroken(reason);
         }
     }
 
     /** Whether the request may run again after an unknown outcome, by its kind alone. */
-    static boolean repeatable(AdmittedRequest accepted) {
-        return accepted.route().kind() == RequestKind.IDEMPOTENT;
+    static boolean repeatable(AdmittedRequest admitted) {
+        return admitted.route().kind() == RequestKind.IDEMPOTENT;
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
@@ -28,7 +28,7 @@
  * that their cost does not grow with the number of VMs.
  */
 final class FleetFollower {
-    /** What hears of the fleet. */
+    /** Receives what was read of the fleet. */
     interface Listener {
         /** All heartbeats were read, or a lease that had lapsed is in force again. */
         void onFleetRead();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -58,10 +58,9 @@
     }
 
     /**
-     * Whether this VM has lost the shared map while another has not: callers are better off there. Guards against a
-     * partial outage, in which this VM would refuse every turn, and stay in the balancer's choice, until its keys lapse
-     * several seconds later. In an outage for all there is no better place: another VM's word counts only if it reached the
-     * map after this one had lost it, or each VM would take the others for better off while the outage is young.
+     * Whether the store is unavailable to this VM but not to some peer, which callers should retry at. Guards against a
+     * partial outage in which this VM rejects every turn and stays in the balancer's rotation until its keys expire. A
+     * peer counts only if it reached the store after this VM had lost it, since an outage for all begins everywhere at once.
      */
     boolean isolatedFromStore() {
         return map.unavailable() && links.anyPeerReachedStoreSince(map.unavailableSinceMillis());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -203,7 +203,7 @@
     }
 
     /**
-     * Stops in the planned way: says "not ready" at once, serves what still comes until the balancer has noticed, closes
+     * Graceful shutdown: reports "not ready" at once, serves what still comes until the balancer has noticed, closes
      * idle connections, and ends when the last request has its answer or the time is up.
      */
     public CompletableFuture<Void> stop() {
@@ -213,21 +213,21 @@
             }
             stopping = true;
             log.line(log.event("stop").put("connections", callers.connections()));
-            group.next().schedule(this::closeDoor, BALANCER_MILLIS, TimeUnit.MILLISECONDS);
+            group.next().schedule(this::stopAccepting, BALANCER_MILLIS, TimeUnit.MILLISECONDS);
             long last = Math.max(0, settings.stopMillis() - LAST_MILLIS);
             group.next().schedule(this::end, last, TimeUnit.MILLISECONDS);
         });
         return stopped;
     }
 
-    private void closeDoor() {
+    private void stopAccepting() {
         callers.stopAccepting();
         callers.closeIdle();
         if (callers.connections() == 0) {
             end();
             return;
         }
-        group.next().schedule(this::closeDoor, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        group.next().schedule(this::stopAccepting, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void end() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GenerationMeter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GenerationMeter.java
@@ -1,6 +1,6 @@
 package org.quetzalshunt.server.gateway;
 
-/** What one streamed answer tells of its endpoint: how long it read the prompt, and how long a token took after that. */
+/** Measures an endpoint by one streamed answer: prefill time, and time per token after it. */
 final class GenerationMeter {
     private final Gateway gateway;
     private final int tokensPerEvent;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/OutboundTerms.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/OutboundTerms.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 /**
- * What the system says to an endpoint beside the caller's own headers.
+ * What an endpoint is sent beside the caller's own headers.
  *
  * @param endpoint id of the endpoint meant; another one at its address refuses
  * @param remainingMillis time that is left for the answer
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
@@ -26,10 +26,10 @@
                         .put("configurationAgeMillis", gateway.configuration().ageMillis()));
     }
 
-    /** Refuses a request that was judged, or tells that its outcome is unknown. */
-    static void refuse(Gateway gateway, AdmittedRequest accepted, Refusal refusal, Optional<EndpointCall> call) {
-        send(gateway, accepted.exchange(), accepted.request().id(), refusal);
-        log(gateway, accepted, refusal.code(), refusal.detail(), call);
+    /** Rejects a request that was admitted, or reports that its outcome is unknown. */
+    static void refuse(Gateway gateway, AdmittedRequest admitted, Refusal refusal, Optional<EndpointCall> call) {
+        send(gateway, admitted.exchange(), admitted.request().id(), refusal);
+        log(gateway, admitted, refusal.code(), refusal.detail(), call);
     }
 
     private static void send(Gateway gateway, HttpExchange exchange, String requestId, Refusal refusal) {
@@ -40,26 +40,26 @@
 
     /** Writes the line of a request that got its final answer. */
     static void log(
-            Gateway gateway, AdmittedRequest accepted, ResultCode code, String detail, Optional<EndpointCall> call) {
+            Gateway gateway, AdmittedRequest admitted, ResultCode code, String detail, Optional<EndpointCall> call) {
         long now = gateway.clock().now();
-        long took = now - accepted.arrivedMillis();
-        gateway.measures().ended(accepted.route().kind().name(), code.number(), took);
+        long took = now - admitted.arrivedMillis();
+        gateway.measures().ended(admitted.route().kind().name(), code.number(), took);
         ObjectNode line = gateway.log()
                 .event("request")
-                .put("request", accepted.request().id())
-                .put("route", accepted.route().name())
-                .put("account", accepted.accountName())
+                .put("request", admitted.request().id())
+                .put("route", admitted.route().name())
+                .put("account", admitted.accountName())
                 .put("code", code.number())
                 .put("tookMillis", took)
-                .put("leftMillis", accepted.deadlineMillis() - now)
-                .put("configuration", accepted.configurationVersion())
+                .put("leftMillis", admitted.deadlineMillis() - now)
+                .put("configuration", admitted.configurationVersion())
                 .put("configurationAgeMillis", gateway.configuration().ageMillis())
                 .put("registrationsAgeMillis", gateway.registrations().ageMillis());
-        accepted.request().program().ifPresent(program -> line.put("program", program));
-        accepted.request().previousTurn().ifPresent(turn -> line.put("previousTurn", turn));
+        admitted.request().program().ifPresent(program -> line.put("program", program));
+        admitted.request().previousTurn().ifPresent(turn -> line.put("previousTurn", turn));
         call.ifPresent(each -> {
             line.put("sends", each.sends());
-            each.firstSentMillis().ifPresent(sent -> line.put("sentAfterMillis", sent - accepted.arrivedMillis()));
+            each.firstSentMillis().ifPresent(sent -> line.put("sentAfterMillis", sent - admitted.arrivedMillis()));
             each.endpoint().map(Registration::id).ifPresent(id -> line.put("endpoint", id));
             each.choice().ifPresent(choice -> line.put("expectedMillis", Math.round(choice.expectedMillis()))
                     .put("uncachedTokens", choice.uncachedTokens()));
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
@@ -20,7 +20,7 @@
  * Follows the endpoints' registrations at a fixed interval: each endpoint writes about once a second, so a long poll
  * would answer at once every time.
  *
- * <p>While the map is away, registrations lapse although their endpoints live, and come back within two seconds of its
+ * <p>While the store is unavailable, registrations lapse although their endpoints live, and come back within two seconds of its
  * return. Removals read in that time are therefore carried out at its end, and only if the endpoint did not come back.
  */
 final class RegistrationFollower {
@@ -29,7 +29,7 @@
     /** A quarter of the shortest time in which a leaving endpoint must be left alone (two seconds). */
     private static final long INTERVAL_MILLIS = 500;
 
-    /** Three polls without an answer: the map was away, and registrations may have lapsed. */
+    /** Three polls without an answer: the store was unavailable, and registrations may have lapsed. */
     private static final long AWAY_MILLIS = 1_600;
 
     /** Two seconds, as the platform promises, and a little for the way. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResponseKind.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResponseKind.java
@@ -1,6 +1,6 @@
 package org.quetzalshunt.server.gateway;
 
-/** What the head of an endpoint's answer tells. */
+/** Kind of an endpoint's response, by its status and headers. */
 public enum ResponseKind {
     /** A success that is signed by the endpoint. */
     SUCCESS,
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StoreClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StoreClient.java
@@ -14,18 +14,18 @@
 
 /**
  * The gateway's one way to the shared map: gives each call its time limit by how the map answered lately, and knows
- * whether the map is away, so that work that cannot be kept is refused before it runs.
+ * whether the store is unavailable, so that work that cannot be stored is rejected before it runs.
  */
 final class StoreClient {
-    /** Fewer failures in a row may be lost answers; a map that is away fails every call of all three kinds. */
+    /** Fewer failures in a row may be lost answers; an unavailable store fails calls of every kind. */
     private static final int AWAY_FAILURES = 3;
 
-    /** A map that turns away a part of its calls is in penaltyMillis for seconds. */
+    /** A store that rejects a part of its calls does so for seconds. */
     private static final long FAILING_MILLIS = 500;
 
     /**
-     * Limit of a read while the map is unavailable. A read that was sent into a silent outage delays what waits for it by its
-     * whole limit after the map's return.
+     * Timeout of a read while the store is unavailable. A read that was sent into a silent outage delays what waits for it
+     * by its whole timeout after the store's return.
      */
     private static final long PROBE_MILLIS = 400;
 
@@ -42,22 +42,22 @@
         this.clock = clock;
     }
 
-    /** Runs an action whenever the map answers again after it was unavailable. */
+    /** Runs an action whenever the store answers again after it was unavailable. */
     void onRegained(Runnable action) {
         onRegained.add(action);
     }
 
-    /** Whether the map answered none of the last calls. */
+    /** Whether the store answered none of the last calls. */
     boolean unavailable() {
         return failures >= AWAY_FAILURES;
     }
 
-    /** Whether the last call had no answer: it may be away, or turn some calls away. */
+    /** Whether the last call was not answered: the store may be unavailable or reject some calls. */
     boolean failing() {
         return failures > 0 || clock.now() - lastFailureMillis < FAILING_MILLIS;
     }
 
-    /** When the first of those calls was sent, while the map is away. */
+    /** When the first of those calls was sent, while the store is unavailable. */
     long unavailableSinceMillis() {
         return failedSinceMillis;
     }
@@ -100,7 +100,7 @@
         }
         boolean regained = unavailable();
         failures = 0;
-        // The time of a call that waited for news says nothing of how fast the map is.
+        // The latency of a long poll is no measure of the store's.
         if (waitMillis == 0) {
             limit.answered(clock.now() - sentMillis);
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -23,7 +23,7 @@
  */
 final class StreamForwarder implements EndpointCall.Listener {
     private final Gateway gateway;
-    private final AdmittedRequest accepted;
+    private final AdmittedRequest admitted;
     private final TurnGrant grant;
     private final GenerationMeter pace;
     private final EventFrames frames = EventFrames.create();
@@ -43,18 +43,18 @@
     private boolean finished;
     private long events;
 
-    private StreamForwarder(Gateway gateway, AdmittedRequest accepted) {
+    private StreamForwarder(Gateway gateway, AdmittedRequest admitted) {
         this.gateway = gateway;
-        this.accepted = accepted;
-        this.grant = new TurnGrant(gateway, accepted);
-        this.pace = new GenerationMeter(gateway, accepted.tokensPerEvent());
+        this.admitted = admitted;
+        this.grant = new TurnGrant(gateway, admitted);
+        this.pace = new GenerationMeter(gateway, admitted.tokensPerEvent());
     }
 
     /** Starts a run; it ends by itself. */
-    static void start(Gateway gateway, AdmittedRequest accepted) {
-        StreamForwarder run = new StreamForwarder(gateway, accepted);
-        accepted.exchange().onClose(run::callerLeft);
-        long left = Math.max(1, accepted.deadlineMillis() - gateway.clock().now());
+    static void start(Gateway gateway, AdmittedRequest admitted) {
+        StreamForwarder run = new StreamForwarder(gateway, admitted);
+        admitted.exchange().onClose(run::callerLeft);
+        long left = Math.max(1, admitted.deadlineMillis() - gateway.clock().now());
         run.deadline = gateway.executor().schedule(run::deadlinePassed, left, TimeUnit.MILLISECONDS);
         run.begin();
     }
@@ -67,12 +67,12 @@
     }
 
     private void findChain() {
-        if (accepted.beginsChain()) {
+        if (admitted.beginsChain()) {
             chainKnown = true;
             return;
         }
-        String previous = accepted.request().previousTurn().orElseThrow();
-        gateway.history().find(previous, accepted.accountName(), accepted.outageUntilMillis(), this::chainFound);
+        String previous = admitted.request().previousTurn().orElseThrow();
+        gateway.history().find(previous, admitted.accountName(), admitted.outageUntilMillis(), this::chainFound);
     }
 
     private void chainFound(TurnHistory.Chain answer) {
@@ -94,7 +94,7 @@
                 ResultCode.LOG_UNAVAILABLE,
                 "history: " + reason,
                 gateway.outageRetryAfterMillis(
-                        accepted.deadlineMillis() - gateway.clock().now())));
+                        admitted.deadlineMillis() - gateway.clock().now())));
     }
 
     private void decided(BudgetManager.Verdict verdict) {
@@ -125,10 +125,10 @@
                 ResultCode.LOG_UNAVAILABLE,
                 "budget: " + reason,
                 gateway.outageRetryAfterMillis(
-                        accepted.deadlineMillis() - gateway.clock().now()));
+                        admitted.deadlineMillis() - gateway.clock().now()));
     }
 
-    /** What a caller hears when the budget is spent. */
+    /** The answer to a caller whose budget is exhausted. */
     static Refusal exhaustedRefusal(BudgetManager.Verdict.Exhausted spent) {
         return Refusal.notRun(
                 ResultCode.BUDGET_EXHAUSTED,
@@ -142,8 +142,8 @@
     }
 
     private void dispatch() {
-        byte[] prompt = TurnPrompt.assemble(chain, accepted.exchange().body());
-        call = new EndpointCall(gateway, accepted, prompt, this);
+        byte[] prompt = TurnPrompt.assemble(chain, admitted.exchange().body());
+        call = new EndpointCall(gateway, admitted, prompt, this);
         call.start();
     }
 
@@ -183,11 +183,11 @@
             return;
         }
         if (!held.isEmpty()) {
-            if (!accepted.exchange().started()) {
-                accepted.exchange().begin(status, gateway.dialect().inbound(headers));
-                gateway.measures().firstEvent(gateway.clock().now() - accepted.arrivedMillis());
+            if (!admitted.exchange().started()) {
+                admitted.exchange().begin(status, gateway.dialect().inbound(headers));
+                gateway.measures().firstEvent(gateway.clock().now() - admitted.arrivedMillis());
             }
-            held.forEach(accepted.exchange()::write);
+            held.forEach(admitted.exchange()::write);
             events += held.size();
             held.clear();
         }
@@ -216,8 +216,8 @@
 
     private void passFailure() {
         finish();
-        accepted.exchange().respond(status, gateway.dialect().inbound(headers), failureBody.toByteArray());
-        Outcome.log(gateway, accepted, ResultCode.ENDPOINT_FAILED, "status " + status, Optional.of(call));
+        admitted.exchange().respond(status, gateway.dialect().inbound(headers), failureBody.toByteArray());
+        Outcome.log(gateway, admitted, ResultCode.ENDPOINT_FAILED, "status " + status, Optional.of(call));
     }
 
     private void keepAndEnd() {
@@ -225,8 +225,8 @@
             return;
         }
         keeping = true;
-        String id = accepted.request().id();
-        if (!accepted.keepsHistory()) {
+        String id = admitted.request().id();
+        if (!admitted.keepsHistory()) {
             kept(true);
             return;
         }
@@ -240,12 +240,12 @@
             ancestors.addAll(last.ancestors());
             ancestors.add(last.id());
         }
-        long expires = gateway.clock().wall() + accepted.route().retentionMillis() + TurnGrant.RETENTION_MARGIN_MILLIS;
+        long expires = gateway.clock().wall() + admitted.route().retentionMillis() + TurnGrant.RETENTION_MARGIN_MILLIS;
         return new TurnRecord(
                 id,
-                accepted.accountName(),
+                admitted.accountName(),
                 List.copyOf(ancestors),
-                accepted.exchange().body(),
+                admitted.exchange().body(),
                 output.toByteArray(),
                 expires);
     }
@@ -255,11 +255,11 @@
             return;
         }
         finish();
-        if (!accepted.exchange().started()) {
-            accepted.exchange().begin(status, gateway.dialect().inbound(headers));
+        if (!admitted.exchange().started()) {
+            admitted.exchange().begin(status, gateway.dialect().inbound(headers));
         }
-        accepted.exchange().end();
-        Outcome.log(gateway, accepted, ResultCode.OK, events + " events", Optional.of(call));
+        admitted.exchange().end();
+        Outcome.log(gateway, admitted, ResultCode.OK, events + " events", Optional.of(call));
     }
 
     @Override
@@ -295,7 +295,7 @@
             call.cancel(AttemptOutcome.NEUTRAL);
         }
         if (finish()) {
-            Outcome.log(gateway, accepted, ResultCode.CANCELLED, "the caller left", Optional.ofNullable(call));
+            Outcome.log(gateway, admitted, ResultCode.CANCELLED, "the caller left", Optional.ofNullable(call));
         }
     }
 
@@ -303,12 +303,12 @@
         if (!finish()) {
             return;
         }
-        if (accepted.exchange().started()) {
-            accepted.exchange().abort();
-            Outcome.log(gateway, accepted, refusal.code(), refusal.detail(), Optional.ofNullable(call));
+        if (admitted.exchange().started()) {
+            admitted.exchange().abort();
+            Outcome.log(gateway, admitted, refusal.code(), refusal.detail(), Optional.ofNullable(call));
             return;
         }
-        Outcome.refuse(gateway, accepted, refusal, Optional.ofNullable(call));
+        Outcome.refuse(gateway, admitted, refusal, Optional.ofNullable(call));
     }
 
     private boolean finish() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -9,16 +9,16 @@
     static final long RETENTION_MARGIN_MILLIS = 10_000;
 
     private final Gateway gateway;
-    private final AdmittedRequest accepted;
+    private final AdmittedRequest admitted;
     private final Optional<String> program;
     private boolean granted;
     private boolean reserved;
     private boolean closed;
 
-    TurnGrant(Gateway gateway, AdmittedRequest accepted) {
+    TurnGrant(Gateway gateway, AdmittedRequest admitted) {
         this.gateway = gateway;
-        this.accepted = accepted;
-        this.program = accepted.budgetedProgram();
+        this.admitted = admitted;
+        this.program = admitted.budgetedProgram();
     }
 
     /** Whether the turn's events may pass. */
@@ -39,14 +39,14 @@
             // The grant may not come, and then the run would be lost and its outcome unknown to the caller.
             return false;
         }
-        long budget = accepted.request().tokenBudget().orElse(Long.MAX_VALUE);
+        long budget = admitted.request().tokenBudget().orElse(Long.MAX_VALUE);
         if (gateway.budgets().knows(program.get())) {
-            return gateway.budgets().hasHeadroom(program.get(), budget, accepted.maximumTokens());
+            return gateway.budgets().hasHeadroom(program.get(), budget, admitted.maximumTokens());
         }
-        return accepted.beginsProgram() && budget >= accepted.maximumTokens();
+        return admitted.beginsProgram() && budget >= admitted.maximumTokens();
     }
 
-    /** Asks for the tokens; the listener hears the verdict unless the grant was closed meanwhile. */
+    /** Asks for the tokens; the listener receives the verdict unless the grant was closed meanwhile. */
     void ask(Consumer<BudgetManager.Verdict> listener) {
         if (program.isEmpty()) {
             granted = true;
@@ -56,15 +56,15 @@
         gateway.budgets()
                 .reserve(
                         program.get(),
-                        accepted.request().tokenBudget().getAsLong(),
-                        accepted.maximumTokens(),
+                        admitted.request().tokenBudget().getAsLong(),
+                        admitted.maximumTokens(),
                         keepMillis(),
-                        accepted.outageUntilMillis(),
+                        admitted.outageUntilMillis(),
                         verdict -> decided(verdict, listener));
     }
 
     private long keepMillis() {
-        return accepted.route().retentionMillis() + RETENTION_MARGIN_MILLIS;
+        return admitted.route().retentionMillis() + RETENTION_MARGIN_MILLIS;
     }
 
     private void decided(BudgetManager.Verdict verdict, Consumer<BudgetManager.Verdict> listener) {
@@ -88,7 +88,7 @@
             return;
         }
         reserved = false;
-        long handedOut = Math.min(accepted.maximumTokens(), events * accepted.tokensPerEvent());
-        program.ifPresent(name -> gateway.budgets().release(name, accepted.maximumTokens(), handedOut));
+        long handedOut = Math.min(admitted.maximumTokens(), events * admitted.tokensPerEvent());
+        program.ifPresent(name -> gateway.budgets().release(name, admitted.maximumTokens(), handedOut));
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
@@ -49,7 +49,7 @@
     /** Removals that ride along with one append; keeps it small. */
     private static final int MOST_REMOVALS = 8;
 
-    /** A read is tried at least this often before the caller hears that the map is away, for answers that were lost. */
+    /** A read is attempted at least this often, since its answer may have been lost. */
     private static final int LEAST_READS = 2;
 
     private record Written(String id, long expiresMillis) {}
@@ -64,7 +64,7 @@
     /**
      * Makes a history without a turn in its cache.
      *
-     * @param isolated whether callers are better off at another VM than with another try here
+     * @param isolated whether a retry at another VM is more likely to succeed than another attempt here
      */
     TurnHistory(EventExecutor executor, StoreClient map, NodeClock clock, BooleanSupplier isolated) {
         this.isolated = isolated;
@@ -80,8 +80,8 @@
      */
     void find(String id, String account, long untilMillis, Consumer<Chain> listener) {
         turn(id, Tries.until(id, untilMillis), head -> {
-            if (head instanceof Lookup.Unavailable away) {
-                listener.accept(new Chain.Unavailable(away.reason()));
+            if (head instanceof Lookup.Unavailable unavailable) {
+                listener.accept(new Chain.Unavailable(unavailable.reason()));
                 return;
             }
             Optional<TurnRecord> record = ((Lookup.Read) head).record();
@@ -108,7 +108,7 @@
         }
     }
 
-    /** Waits for all ancestors; one that is missing leaves the chain unusable, and says nothing of the turn itself. */
+    /** Waits for all ancestors; one that is missing leaves the chain unusable. */
     private static final class Gathering {
         private final TurnRecord[] turns;
         private final Consumer<Chain> listener;
@@ -125,7 +125,9 @@
             if (answer instanceof Lookup.Read read && read.record().isPresent()) {
                 turns[place] = read.record().get();
             } else {
-                problem = answer instanceof Lookup.Unavailable away ? away.reason() : "an earlier turn is missing";
+                problem = answer instanceof Lookup.Unavailable unavailable
+                        ? unavailable.reason()
+                        : "an earlier turn is missing";
             }
             outstanding--;
             if (outstanding > 0) {
