A test's endpoint is closed before the test goes on

Cause of one red run of endpointThatIsGone beside load: die() queued a task that queued the closing, and awaitLoop() waited for the first only, so that the sidecar could still connect and be cut: outcome unknown, rightly. The closing is now queued by die() itself, ahead of awaitLoop()'s task; the expectation is unchanged.

--- a/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEndpoint.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEndpoint.java
@@ -67,7 +67,8 @@
 
     /** Breaks every connection and takes no more; may be called by a script. */
     void die() {
-        group.next().execute(server::close);
+        // Queues the closing itself, so that awaitLoop() waits for it.
+        server.close();
     }
 
     void close() {
