A dead VM leaves the members also where heartbeats are read slowly

Found in reading the change: members' age stood still for the whole of any pause between two complete reads above 1.5 s, so that a VM whose every read takes longer would keep dead peers as owners for good. Only what exceeds that pause is left out now. PeerTableTest (fails on the code before at reads every 2 and 3 s) and ShareAllocationTest.

--- a/core/src/main/java/org/quetzalshunt/core/quota/PeerTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/PeerTable.java
@@ -88,9 +88,10 @@
      * @param sentMillis when the read was sent: what it shows was true then or later
      */
     public void onReadComplete(long sentMillis) {
-        long pause = sentMillis - readMillis;
-        if (pause > LONGEST_PAUSE_MILLIS) {
-            rows.values().forEach(row -> row.memberSeenMillis = Math.min(sentMillis, row.memberSeenMillis + pause));
+        long unavailable = sentMillis - readMillis - LONGEST_PAUSE_MILLIS;
+        if (unavailable > 0) {
+            rows.values()
+                    .forEach(row -> row.memberSeenMillis = Math.min(sentMillis, row.memberSeenMillis + unavailable));
         }
         readMillis = sentMillis;
         unknownTerms.values().removeIf(since -> readMillis - since >= FORGET_MILLIS);
