--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -12,8 +12,8 @@
 import org.quetzalshunt.core.policy.Policy;
 
 /**
- * The endpoints of all services, and the choice among them: the one at which a request costs least, by what is known of
- * loads, failures, speeds and the prompts in engines' memory.
+ * The endpoints of all services with what this VM and its peers have seen of them: loads, failures, speeds, and the prompt
+ * prefixes in engines' memory. {@link EndpointSelector} chooses among them.
  */
 public final class EndpointTable {
     /** After an endpoint said that it is full, it is asked again only when nothing else is free. */
@@ -25,11 +25,9 @@
     /** Prefix locations in one report to peers; the newest are kept. */
     private static final int MOST_NEWS = 512;
 
-    private final String dataCentre;
     private final PrefixPlacement homes;
-    private final EndpointCost cost;
+    private final EndpointSelector selector;
     private final Policy policy;
-    private final SplittableRandom random;
     private final EndpointRows rows = new EndpointRows();
     private final PeerCounts peersRunning = new PeerCounts(this::addRunning);
     private final PeerCounts peersPrefillBacklog = new PeerCounts(this::addUnread);
@@ -37,11 +35,9 @@
     private final ArrayDeque<PrefixLocation> news = new ArrayDeque<>();
 
     private EndpointTable(String dataCentre, long startedMillis, Policy policy) {
-        this.dataCentre = dataCentre;
         this.homes = new PrefixPlacement(startedMillis);
-        this.cost = new EndpointCost(dataCentre, policy);
+        this.selector = new EndpointSelector(dataCentre, homes, policy, new SplittableRandom(startedMillis));
         this.policy = policy;
-        this.random = new SplittableRandom(startedMillis);
     }
 
     /**
@@ -85,68 +81,7 @@
 
     /** The best endpoint for a request; empty when the service has none that takes work. */
     public Optional<Selection> select(long nowMillis, RoutingRequest request) {
-        List<EndpointRow> open = rows.open(request.service());
-        Optional<PrefixPlacement.Home> home = home(nowMillis, open, request);
-        EngineSpeed speed = speed(request.service());
-        Selection best = null;
-        for (EndpointRow row : candidates(nowMillis, open, home, request)) {
-            long uncached = uncachedTokens(nowMillis, row, request.prompt());
-            long spared = home.filter(each -> each.endpoint().equals(row.registration.id()))
-                    .map(PrefixPlacement.Home::sparedTokens)
-                    .orElse(0L);
-            double millis = cost.millis(nowMillis, row, speed, Math.max(0, uncached - spared)) + random.nextDouble();
-            if (best == null || millis < best.expectedMillis()) {
-                best = new Selection(row.registration, uncached, millis);
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    private Optional<PrefixPlacement.Home> home(long nowMillis, List<EndpointRow> open, RoutingRequest request) {
-        boolean placed = policy.has(Mechanism.PREFIX_AFFINITY)
-                && policy.has(Mechanism.PREFIX_PLACEMENT)
-                && !request.prompt().isEmpty();
-        return placed ? homes.find(nowMillis, open, request.prompt()) : Optional.empty();
-    }
-
-    /** The endpoints to compare: a few sound ones by chance, and those that hold the prompt. */
-    private List<EndpointRow> candidates(
-            long nowMillis, List<EndpointRow> open, Optional<PrefixPlacement.Home> home, RoutingRequest request) {
-        List<EndpointRow> usable = open.stream()
-                .filter(row -> row.inFlight < request.maximumInFlight())
-                .filter(row -> !request.excluded().contains(row.registration.id()))
-                .toList();
-        if (!policy.has(Mechanism.TWO_CHOICES)) {
-            return usable;
-        }
-        List<EndpointRow> sound =
-                usable.stream().filter(row -> cost.isSound(nowMillis, row)).toList();
-        if (sound.isEmpty()) {
-            return usable;
-        }
-        return CandidateSample.of(
-                sound,
-                random,
-                row -> row.registration.dataCentre().equals(dataCentre),
-                row -> isAffine(row, home, request.prompt()));
-    }
-
-    private boolean isAffine(EndpointRow row, Optional<PrefixPlacement.Home> home, List<PrefixPart> prompt) {
-        if (prompt.isEmpty() || !policy.has(Mechanism.PREFIX_AFFINITY)) {
-            return false;
-        }
-        boolean placedHere = home.filter(each -> each.endpoint().equals(row.registration.id()))
-                .isPresent();
-        return placedHere || row.prompts.heldParts(prompt) == prompt.size();
-    }
-
-    private long uncachedTokens(long nowMillis, EndpointRow row, List<PrefixPart> prompt) {
-        if (!policy.has(Mechanism.PREFIX_AFFINITY)) {
-            return 0;
-        }
-        return policy.has(Mechanism.PREFIX_PLACEMENT)
-                ? homes.uncachedTokens(nowMillis, row, prompt)
-                : row.prompts.uncachedTokens(prompt);
+        return selector.select(nowMillis, rows.open(request.service()), speed(request.service()), request);
     }
 
     private EngineSpeed speed(String service) {
