--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
@@ -7,7 +7,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 import org.quetzalshunt.core.quota.PeerTable;
@@ -97,7 +96,7 @@
     /** Ends this VM's lease, so that its peers take over its shares at once. */
     void stop() {
         stopping = true;
-        append(List.of(entry(lease.lastHeartbeat())), OptionalLong.empty(), answer -> {});
+        map.append(SHARD, List.of(entry(lease.lastHeartbeat())), OptionalLong.empty(), answer -> {});
     }
 
     private void round() {
@@ -114,9 +113,6 @@
     }
 
     private void again(int round) {
-        if (round != rounds) {
-            return;
-        }
         boolean calm = lease.inForce(clock.now()) && settled.getAsBoolean();
         boolean quick = policy.has(Mechanism.FAST_RENEWAL);
         long pause = RenewalInterval.nextMillis(calm || !quick);
@@ -210,7 +206,7 @@
         }
         OptionalLong condition = secretSeen ? OptionalLong.empty() : OptionalLong.of(next);
         sending = true;
-        append(entries, condition, answer -> {
+        map.append(SHARD, entries, condition, answer -> {
             sending = false;
             if (answer instanceof AppendAnswer.Appended) {
                 onHeartbeatStored(sent, heartbeat);
@@ -231,10 +227,6 @@
         }
     }
 
-    private void append(List<MapEntry> entries, OptionalLong condition, Consumer<AppendAnswer> answer) {
-        map.append(SHARD, entries, condition, answer);
-    }
-
     private MapEntry entry(VmHeartbeat heartbeat) {
         return MapEntry.of(key, StoredRecords.encode(heartbeat));
     }
