--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 import org.quetzalshunt.core.quota.PeerTable;
@@ -96,7 +97,7 @@
     /** Ends this VM's lease, so that its peers take over its shares at once. */
     void stop() {
         stopping = true;
-        map.append(SHARD, List.of(entry(lease.lastHeartbeat())), OptionalLong.empty(), answer -> {});
+        append(List.of(entry(lease.lastHeartbeat())), OptionalLong.empty(), answer -> {});
     }
 
     private void round() {
@@ -113,6 +114,9 @@
     }
 
     private void again(int round) {
+        if (round != rounds) {
+            return;
+        }
         boolean calm = lease.inForce(clock.now()) && settled.getAsBoolean();
         boolean quick = policy.has(Mechanism.FAST_RENEWAL);
         long pause = RenewalInterval.nextMillis(calm || !quick);
@@ -206,7 +210,7 @@
         }
         OptionalLong condition = secretSeen ? OptionalLong.empty() : OptionalLong.of(next);
         sending = true;
-        map.append(SHARD, entries, condition, answer -> {
+        append(entries, condition, answer -> {
             sending = false;
             if (answer instanceof AppendAnswer.Appended) {
                 onHeartbeatStored(sent, heartbeat);
@@ -227,6 +231,10 @@
         }
     }
 
+    private void append(List<MapEntry> entries, OptionalLong condition, Consumer<AppendAnswer> answer) {
+        map.append(SHARD, entries, condition, answer);
+    }
+
     private MapEntry entry(VmHeartbeat heartbeat) {
         return MapEntry.of(key, StoredRecords.encode(heartbeat));
     }
