Evacuated data centres get no work, cold endpoints little, requests with homes stay there

The follower of the configuration now follows the evacuations as well, in the same poll; a whole read goes over all pages and replaces the set, so that a removal that was compacted away ends an evacuation too. Every selection leaves evacuated data centres out, and refuses at once (3007) where nothing is left. While an endpoint is cold, each VM sends it its part of half of the rate that the service's configuration names, the first request at a random moment. Regions of route and account bind in every selection.

EndpointTableTest.leavingEndpointGetsNothing asked for the number of open endpoints, which nothing uses any more; it now asks for the availability after each of four endpoints has left, which is as strict.

--- a/core/src/main/java/org/quetzalshunt/core/result/ResultCode.java
+++ b/core/src/main/java/org/quetzalshunt/core/result/ResultCode.java
@@ -37,6 +37,7 @@
     STOPPING(3004, 503, "this VM is stopping"),
     OWNER_UNREACHABLE(3005, 503, "the owner of the program's shard cannot be reached"),
     NOT_OWNER(3006, 503, "this VM does not own the program's shard"),
+    EVACUATED(3007, 503, "operators evacuate every data centre that has endpoints of the service"),
 
     ENDPOINT_FAILED(4000, 502, "the endpoint failed while it ran the request"),
     ENDPOINT_STALLED(4001, 504, "the endpoint made no progress in time"),
--- a/core/src/main/java/org/quetzalshunt/core/route/Route.java
+++ b/core/src/main/java/org/quetzalshunt/core/route/Route.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.core.route;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * A class of requests, by host and path.
@@ -17,6 +18,7 @@
  * @param stateful whether requests are turns whose history is kept here
  * @param retentionMillis how long a turn is kept
  * @param open whether requests need no key
+ * @param allowedRegions regions in which its requests may run; empty for any
  */
 public record Route(
         String name,
@@ -30,7 +32,8 @@
         int maximumAttempts,
         boolean stateful,
         long retentionMillis,
-        boolean open) {
+        boolean open,
+        Set<String> allowedRegions) {
 
     /**
      * The service for a request, by weight.
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
@@ -27,6 +27,7 @@
     private static final long LONGEST_PENALTY_MILLIS = 4_000;
 
     final PrefixCache prompts = new PrefixCache();
+    final ColdStartLimiter coldStart = new ColdStartLimiter();
     Registration registration;
     int inFlight;
     int peersInFlight;
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
@@ -53,7 +53,9 @@
     private List<EndpointRow> candidates(
             long nowMillis, List<EndpointRow> open, Optional<PrefixPlacement.Home> home, RoutingRequest request) {
         List<EndpointRow> usable = open.stream()
-                .filter(row -> row.inFlight < request.maximumInFlight())
+                .filter(row -> row.inFlight < request.limits().maximumInFlight())
+                .filter(row -> request.limits().allows(row.registration.dataCentre()))
+                .filter(row -> row.coldStart.admits(nowMillis, request.limits().coldRequestsPerSecond()))
                 .filter(row -> !request.excluded().contains(row.registration.id()))
                 .toList();
         if (!policy.has(Mechanism.TWO_CHOICES)) {
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Function;
 import org.quetzalshunt.core.policy.Mechanism;
@@ -26,6 +27,7 @@
     private static final int MOST_NEWS = 512;
 
     private final PrefixPlacement homes;
+    private final SplittableRandom random;
     private final EndpointSelector selector;
     private final Policy policy;
     private final EndpointRows rows = new EndpointRows();
@@ -36,7 +38,8 @@
 
     private EndpointTable(String dataCentre, long startedMillis, Policy policy) {
         this.homes = new PrefixPlacement(startedMillis);
-        this.selector = new EndpointSelector(dataCentre, homes, policy, new SplittableRandom(startedMillis));
+        this.random = new SplittableRandom(startedMillis);
+        this.selector = new EndpointSelector(dataCentre, homes, policy, random);
         this.policy = policy;
     }
 
@@ -50,8 +53,13 @@
     }
 
     /** Takes in what an endpoint said of itself. */
-    public void registered(Registration registration) {
-        rows.registered(registration);
+    public void registered(long nowMillis, Registration registration) {
+        rows.registered(registration).coldStart.cold(nowMillis, registration.coldMillis(), random.nextDouble());
+    }
+
+    /** Sets the data centres that operators evacuate: no request is sent there any more, what runs there ends there. */
+    public void setEvacuated(Set<String> dataCentres) {
+        rows.setEvacuated(dataCentres);
     }
 
     /** Forgets an endpoint. */
@@ -81,7 +89,12 @@
 
     /** The best endpoint for a request; empty when the service has none that takes work. */
     public Optional<Selection> select(long nowMillis, RoutingRequest request) {
-        return selector.select(nowMillis, rows.open(request.service()), speed(request.service()), request);
+        Optional<Selection> selection =
+                selector.select(nowMillis, rows.open(request.service()), speed(request.service()), request);
+        selection
+                .flatMap(selected -> rows.find(selected.registration().id()))
+                .ifPresent(row -> row.coldStart.sent(nowMillis, request.limits().coldRequestsPerSecond()));
+        return selection;
     }
 
     private EngineSpeed speed(String service) {
@@ -251,8 +264,13 @@
         return counts;
     }
 
-    /** Endpoints of a service that take work. */
-    public int available(String service) {
-        return rows.open(service).size();
+    /** Whether the service has endpoints that take work where a request may run. */
+    public Availability availability(String service, EndpointLimits limits) {
+        if (rows.open(service).stream().anyMatch(row -> limits.allows(row.registration.dataCentre()))) {
+            return Availability.AVAILABLE;
+        }
+        boolean evacuated =
+                rows.evacuated(service).stream().anyMatch(row -> limits.allows(row.registration.dataCentre()));
+        return evacuated ? Availability.EVACUATED : Availability.NONE;
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/routing/RoutingRequest.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/RoutingRequest.java
@@ -10,12 +10,12 @@
  * @param excluded ids that it was already sent to
  * @param prompt parts of its prompt in order; empty for work that reads none
  * @param memoryTokens tokens that an engine of the service holds in memory
- * @param maximumInFlight requests that this VM may have at one endpoint
+ * @param limits what bounds this VM's use of endpoints
  */
 public record RoutingRequest(
-        String service, Set<String> excluded, List<PrefixPart> prompt, long memoryTokens, int maximumInFlight) {
+        String service, Set<String> excluded, List<PrefixPart> prompt, long memoryTokens, EndpointLimits limits) {
     /** What a request without a prompt wants. */
-    public static RoutingRequest plain(String service, Set<String> excluded, int maximumInFlight) {
-        return new RoutingRequest(service, excluded, List.of(), 0, maximumInFlight);
+    public static RoutingRequest plain(String service, Set<String> excluded, EndpointLimits limits) {
+        return new RoutingRequest(service, excluded, List.of(), 0, limits);
     }
 }
--- a/core/src/test/java/org/quetzalshunt/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/route/RouteTableTest.java
@@ -5,13 +5,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 final class RouteTableTest {
     private static Route route(String name, String host, String prefix, RouteTarget... targets) {
-        return new Route(name, host, prefix, RequestKind.IDEMPOTENT, 1, 1, 0, List.of(targets), 2, false, 0, false);
+        return new Route(
+                name, host, prefix, RequestKind.IDEMPOTENT, 1, 1, 0, List.of(targets), 2, false, 0, false, Set.of());
     }
 
     private final RouteTable table = RouteTable.of(List.of(
--- a/core/src/test/java/org/quetzalshunt/core/routing/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EndpointTableTest.java
@@ -24,16 +24,20 @@
     @BeforeEach
     void register() {
         for (int number = 0; number < 4; number++) {
-            table.registered(registration(number, false, 1));
+            table.registered(0, registration(number, false, 1));
         }
     }
 
     private static Registration registration(int number, boolean leaving, long born) {
-        return new Registration("e" + number, "llm", "10.0.0." + number + ":80", "a", 8, leaving, born);
+        return new Registration("e" + number, "llm", "10.0.0." + number + ":80", "a", 8, leaving, 0, born);
     }
 
     private static RoutingRequest routingRequest() {
-        return RoutingRequest.plain("llm", Set.of(), 100);
+        return RoutingRequest.plain("llm", Set.of(), EndpointLimits.inFlight(100));
+    }
+
+    private Availability availability() {
+        return table.availability("llm", EndpointLimits.inFlight(100));
     }
 
     private String select(long now) {
@@ -112,8 +116,8 @@
 
     @Test
     void cachedPromptDrawsWorkUnlessWaitingThereCostsMore() {
-        RoutingRequest request =
-                new RoutingRequest("llm", Set.of(), List.of(new PrefixPart("own", 1_200)), 90_000, 100);
+        RoutingRequest request = new RoutingRequest(
+                "llm", Set.of(), List.of(new PrefixPart("own", 1_200)), 90_000, EndpointLimits.inFlight(100));
         table.prompted("e2", request, 1_200);
         assertThat(select(0, request)).isEqualTo("e2");
         for (int started = 0; started < 12; started++) {
@@ -124,18 +128,22 @@
 
     @Test
     void leavingEndpointGetsNothing() {
-        table.registered(registration(0, true, 1));
+        table.registered(0, registration(0, true, 1));
         for (int request = 0; request < 30; request++) {
             assertThat(select(request)).isNotEqualTo("e0");
         }
-        assertThat(table.available("llm")).isEqualTo(3);
+        for (int number = 1; number < 4; number++) {
+            assertThat(availability()).isEqualTo(Availability.AVAILABLE);
+            table.registered(0, registration(number, true, 1));
+        }
+        assertThat(availability()).isEqualTo(Availability.NONE);
     }
 
     @Test
     void restartUnderTheSameIdStartsClean() {
         table.started("e0");
         table.finished(0, "e0", AttemptOutcome.FAILED, 1);
-        table.registered(registration(0, false, 2));
+        table.registered(0, registration(0, false, 2));
         table.onPeerRunning("vm-2", Map.of("e1", 9, "e2", 9, "e3", 9));
         assertThat(select(10)).isEqualTo("e0");
     }
@@ -145,7 +153,7 @@
     void heldRemovalIsUndoneByARegistration() {
         table.removedAt("e0", 2_000);
         table.removedAt("e1", 2_000);
-        table.registered(registration(0, false, 1));
+        table.registered(0, registration(0, false, 1));
         table.sweep(2_000);
         assertThat(table.find("e0")).isPresent();
         assertThat(table.find("e1")).isEmpty();
--- a/core/src/test/java/org/quetzalshunt/core/routing/EnginePlay.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EnginePlay.java
@@ -126,14 +126,17 @@
         for (int gateway = 0; gateway < shape.gateways(); gateway++) {
             EndpointTable table = EndpointTable.create(dataCentre(gateway), gateway, policy);
             for (int number = 0; number < shape.engines(); number++) {
-                table.registered(new Registration(
-                        Integer.toString(number),
-                        "llm",
-                        "10.0.0.1:" + (number + 1),
-                        dataCentre(number),
-                        shape.slots(),
-                        false,
-                        1));
+                table.registered(
+                        0,
+                        new Registration(
+                                Integer.toString(number),
+                                "llm",
+                                "10.0.0.1:" + (number + 1),
+                                dataCentre(number),
+                                shape.slots(),
+                                false,
+                                0,
+                                1));
             }
             gateways.add(table);
         }
@@ -178,8 +181,8 @@
 
     private void send(long now, Turn turn) {
         turn.gateway = gateways.get(random.nextInt(shape.gateways()));
-        RoutingRequest request =
-                new RoutingRequest("llm", Set.of(), turn.prompt(), shape.memoryTokens(), Integer.MAX_VALUE);
+        RoutingRequest request = new RoutingRequest(
+                "llm", Set.of(), turn.prompt(), shape.memoryTokens(), EndpointLimits.inFlight(Integer.MAX_VALUE));
         turn.choice = turn.gateway.select(now, request).orElseThrow();
         String id = turn.choice.registration().id();
         turn.gateway.started(id);
--- a/core/src/test/java/org/quetzalshunt/core/routing/PrefixLocationsTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/PrefixLocationsTest.java
@@ -28,7 +28,7 @@
         EndpointTable table = EndpointTable.create("a", seed, policy);
         for (int number = 0; number < ENGINES; number++) {
             String address = "10.0.0." + number + ":80";
-            table.registered(new Registration("e" + number, "llm", address, "a", 48, false, 1));
+            table.registered(0, new Registration("e" + number, "llm", address, "a", 48, false, 0, 1));
         }
         return table;
     }
@@ -48,7 +48,7 @@
     }
 
     private static RoutingRequest routingRequest(List<PrefixPart> prompt) {
-        return new RoutingRequest("llm", Set.of(), prompt, MEMORY_TOKENS, 1_000);
+        return new RoutingRequest("llm", Set.of(), prompt, MEMORY_TOKENS, EndpointLimits.inFlight(1_000));
     }
 
     private static String send(EndpointTable table, RoutingRequest request) {
@@ -205,7 +205,7 @@
     @Test
     void restartedEndpointHoldsNothing() {
         String ran = send(first, turn("line", 2_000));
-        first.registered(new Registration(ran, "llm", "10.0.0.9:80", "a", 48, false, 2));
+        first.registered(0, new Registration(ran, "llm", "10.0.0.9:80", "a", 48, false, 0, 2));
 
         assertThat(first.select(0, turn("line", 2_000)).orElseThrow().uncachedTokens())
                 .isEqualTo(14_600);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
@@ -1,6 +1,9 @@
 package org.quetzalshunt.server.gateway;
 
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.quetzalshunt.core.quota.OutageWaitPolicy;
 import org.quetzalshunt.core.route.AccountTerms;
 import org.quetzalshunt.core.route.EngineShape;
@@ -94,6 +97,24 @@
         return arrivedMillis + OutageWaitPolicy.maximumWaitMillis(deadlineMillis - arrivedMillis);
     }
 
+    /**
+     * The data centres in which it may run, by the regions that its route and its account allow; empty for all.
+     *
+     * @param regions region of each data centre
+     */
+    Optional<Set<String>> homeDataCentres(Map<String, String> regions) {
+        Set<String> ofAccount = account.map(AccountTerms::allowedRegions).orElse(Set.of());
+        if (route.allowedRegions().isEmpty() && ofAccount.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(regions.entrySet().stream()
+                .filter(each -> route.allowedRegions().isEmpty()
+                        || route.allowedRegions().contains(each.getValue()))
+                .filter(each -> ofAccount.isEmpty() || ofAccount.contains(each.getValue()))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet()));
+    }
+
     /** Whether the turn is kept, for turns that go on from it. */
     boolean keepsHistory() {
         return route.stateful();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
@@ -1,8 +1,11 @@
 package org.quetzalshunt.server.gateway;
 
 import io.netty.util.concurrent.EventExecutor;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.quetzalshunt.core.route.TrafficConfiguration;
@@ -13,7 +16,7 @@
 import org.quetzalshunt.core.store.RangeAnswer;
 
 /**
- * Follows the configuration by long polls, and knows since when it is proven current: from the moment at which the call
+ * Follows what operators write, the configuration and the evacuations, by long polls, and knows since when it is proven current: from the moment at which the call
  * that reached the end of the shard was sent, since an answer says nothing of what came after it was made. Only higher
  * versions are taken, so that nothing late can take a VM back.
  */
@@ -33,6 +36,7 @@
     private final NodeClock clock;
     private final DecisionLog log;
     private final Dependency dependency;
+    private final Evacuations evacuations;
     private final Consumer<TrafficConfiguration> onChange;
     private final Backoff backoff;
     private TrafficConfiguration current;
@@ -49,6 +53,7 @@
             Dialect dialect,
             NodeClock clock,
             DecisionLog log,
+            Evacuations evacuations,
             Consumer<TrafficConfiguration> onChange) {
         this.executor = executor;
         this.map = map;
@@ -56,6 +61,7 @@
         this.clock = clock;
         this.log = log;
         this.dependency = new Dependency(log, "configuration");
+        this.evacuations = evacuations;
         this.onChange = onChange;
         this.backoff = new Backoff(System.nanoTime());
     }
@@ -84,29 +90,53 @@
     private void restart() {
         series++;
         if (next < 0) {
-            readWhole(series);
+            readWhole(series, "", new WholeRead(clock.now()));
         } else {
             poll(series);
         }
     }
 
-    private void readWhole(int own) {
-        long sentMillis = clock.now();
-        map.range(SHARD, "", answer -> {
+    private void readWhole(int own, String after, WholeRead read) {
+        map.range(SHARD, after, answer -> {
             if (own != series) {
                 return;
             }
-            if (answer instanceof RangeAnswer.Page page) {
-                take(page.entries());
-                next = page.end();
-                proven(sentMillis);
-                poll(own);
+            if (!(answer instanceof RangeAnswer.Page page)) {
+                retry(own, ((RangeAnswer.Unavailable) answer).reason());
+                return;
+            }
+            read.add(page);
+            if (page.more() && !page.entries().isEmpty()) {
+                readWhole(own, page.entries().get(page.entries().size() - 1).key(), read);
                 return;
             }
-            retry(own, ((RangeAnswer.Unavailable) answer).reason());
+            evacuations.replaced(read.evacuated);
+            take(read.entries);
+            next = read.end;
+            proven(read.sentMillis);
+            poll(own);
         });
     }
 
+    /** The pages of one read of the whole shard, which are no snapshot: what changed meanwhile is read again from there. */
+    private final class WholeRead {
+        private final long sentMillis;
+        private final List<MapEntry> entries = new ArrayList<>();
+        private final Set<String> evacuated = new HashSet<>();
+        private long end = -1;
+
+        WholeRead(long sentMillis) {
+            this.sentMillis = sentMillis;
+        }
+
+        void add(RangeAnswer.Page page) {
+            end = end < 0 ? page.end() : end;
+            for (MapEntry entry : page.entries()) {
+                dialect.evacuatedDataCentre(entry.key()).ifPresentOrElse(evacuated::add, () -> entries.add(entry));
+            }
+        }
+    }
+
     private void poll(int own) {
         long sentMillis = clock.now();
         // After a failure the proof is wanted at once, not after a poll's time without news.
@@ -126,7 +156,7 @@
             }
             if (answer instanceof ChangesAnswer.Gone) {
                 next = -1;
-                readWhole(own);
+                readWhole(own, "", new WholeRead(clock.now()));
                 return;
             }
             retry(own, ((ChangesAnswer.Unavailable) answer).reason());
@@ -154,7 +184,11 @@
 
     private void take(List<MapEntry> entries) {
         for (MapEntry entry : entries) {
-            entry.value().flatMap(dialect::configuration).ifPresent(this::adopt);
+            dialect.evacuatedDataCentre(entry.key())
+                    .ifPresentOrElse(
+                            dataCentre -> evacuations.changed(
+                                    dataCentre, entry.value().isPresent()),
+                            () -> entry.value().flatMap(dialect::configuration).ifPresent(this::adopt));
         }
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
@@ -30,6 +30,9 @@
     /** A configuration from its bytes; empty when it is none. */
     Optional<TrafficConfiguration> configuration(byte[] bytes);
 
+    /** The data centre that a record of the operators' map evacuates, by its key; empty for a record of another kind. */
+    Optional<String> evacuatedDataCentre(String key);
+
     /** A registration from its key and bytes; empty when it names no endpoint to use. */
     Optional<Registration> registration(String id, byte[] bytes);
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -14,6 +14,7 @@
 import org.quetzalshunt.core.route.EngineShape;
 import org.quetzalshunt.core.route.RequestKind;
 import org.quetzalshunt.core.routing.AttemptOutcome;
+import org.quetzalshunt.core.routing.EndpointLimits;
 import org.quetzalshunt.core.routing.Registration;
 import org.quetzalshunt.core.routing.RoutingRequest;
 import org.quetzalshunt.core.routing.Selection;
@@ -65,6 +66,9 @@
      */
     private static final double SILENT_TARGETS = 2;
 
+    /** Part of what a cold endpoint bears that all VMs together send it; VMs may disagree on how many they are. */
+    private static final double COLD_PART = 0.5;
+
     private final Gateway gateway;
     private final AdmittedRequest admitted;
     private final byte[] body;
@@ -149,7 +153,7 @@
         RoutingRequest request = routingRequest();
         Optional<Selection> chosen = gateway.endpoints().select(now, request);
         if (chosen.isEmpty()) {
-            noEndpoint(remaining);
+            noEndpoint(remaining, request.limits());
             return;
         }
         choice = chosen.get();
@@ -180,17 +184,31 @@
                 .map(EngineShape::cacheTokens)
                 .filter(tokens -> tokens > 0)
                 .orElse(Long.MAX_VALUE);
+        double cold = COLD_PART * admitted.service().coldRequestsPerSecond() / vms;
+        EndpointLimits limits = new EndpointLimits(
+                most,
+                cold > 0 ? cold : Double.POSITIVE_INFINITY,
+                admitted.homeDataCentres(gateway.settings().regions()));
         return new RoutingRequest(
-                admitted.service().name(), excluded, admitted.request().prefixParts(), memory, most);
+                admitted.service().name(), excluded, admitted.request().prefixParts(), memory, limits);
+    }
+
+    private void noEndpoint(long remaining, EndpointLimits limits) {
+        switch (gateway.endpoints().availability(admitted.service().name(), limits)) {
+            case EVACUATED ->
+                refuse(Refusal.notRunRetryAfter(
+                        ResultCode.EVACUATED,
+                        "evacuated: " + gateway.evacuations().ageMillis().keySet(),
+                        gateway.outageRetryAfterMillis(remaining)));
+            case NONE ->
+                refuse(Refusal.notRunRetryAfter(ResultCode.NO_ENDPOINT, "no endpoint is known", FULL_RETRY_MILLIS));
+            case AVAILABLE -> allFull(remaining);
+        }
     }
 
-    private void noEndpoint(long remaining) {
-        boolean none = gateway.endpoints().available(admitted.service().name()) == 0;
-        if (none || remaining < FULL_RETRY_MILLIS) {
-            refuse(Refusal.notRunRetryAfter(
-                    ResultCode.NO_ENDPOINT,
-                    none ? "no endpoint is known" : "every endpoint is full",
-                    FULL_RETRY_MILLIS));
+    private void allFull(long remaining) {
+        if (remaining < FULL_RETRY_MILLIS) {
+            refuse(Refusal.notRunRetryAfter(ResultCode.NO_ENDPOINT, "every endpoint is full", FULL_RETRY_MILLIS));
             return;
         }
         excluded.clear();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -18,6 +18,7 @@
         HttpClient http,
         EndpointTable endpoints,
         ConfigurationFollower configuration,
+        Evacuations evacuations,
         RegistrationFollower registrations,
         QuotaManager quotas,
         TurnHistory history,
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
@@ -21,6 +21,8 @@
                 .put("liveVms", gateway.quotas().liveVms())
                 .put("ratesLeased", gateway.quotas().leased());
         gateway.configuration().current().ifPresent(current -> addConfiguration(dump, current));
+        ObjectNode evacuated = dump.putObject("evacuatedForMillis");
+        gateway.evacuations().ageMillis().forEach(evacuated::put);
         ArrayNode endpoints = dump.putArray("endpoints");
         gateway.endpoints().ids().stream()
                 .limit(MOST_ENDPOINTS)
@@ -30,7 +32,9 @@
                         .put("id", each.id())
                         .put("service", each.service())
                         .put("address", each.address())
-                        .put("leaving", each.leaving()));
+                        .put("dataCentre", each.dataCentre())
+                        .put("leaving", each.leaving())
+                        .put("coldMillisWhenRead", each.coldMillis()));
         return dump.toString();
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -69,8 +69,9 @@
         EndpointTable endpoints =
                 EndpointTable.create(settings.dataCentre(), settings.incarnation(), settings.policy());
         GatewayMetrics measures = new GatewayMetrics();
-        ConfigurationFollower configuration =
-                new ConfigurationFollower(group.next(), map, dialect, clock, log, this::configurationChanged);
+        Evacuations evacuations = new Evacuations(endpoints, clock, log);
+        ConfigurationFollower configuration = new ConfigurationFollower(
+                group.next(), map, dialect, clock, log, evacuations, this::configurationChanged);
         RegistrationFollower registrations =
                 new RegistrationFollower(group.next(), map, dialect, clock, log, endpoints);
         PeerTable peers = PeerTable.create(settings.vm());
@@ -96,6 +97,7 @@
                 http,
                 endpoints,
                 configuration,
+                evacuations,
                 registrations,
                 quotas,
                 new TurnHistory(group.next(), map, clock, () -> gateway.isolatedFromStore()),
@@ -130,6 +132,10 @@
         measures.gauge("quetzalshunt.endpoints", "endpoints believed in", () -> gateway.endpoints()
                 .ids()
                 .size());
+        measures.gauge(
+                "quetzalshunt.evacuated.data.centres",
+                "data centres that operators evacuate",
+                () -> gateway.evacuations().ageMillis().size());
         measures.gauge(
                 "quetzalshunt.connections.opened",
                 "connections opened to endpoints and to the platform since the start",
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import org.quetzalshunt.core.policy.Policy;
 
 /**
@@ -14,6 +15,7 @@
  * @param links address for other gateways
  * @param keyAgeMillis age at which what is known of keys no longer counts
  * @param stopMillis longest time of a planned stop
+ * @param regions region of each data centre
  * @param policy rules of the decisions under load
  */
 public record GatewaySettings(
@@ -25,11 +27,12 @@
         InetSocketAddress links,
         long keyAgeMillis,
         long stopMillis,
+        Map<String, String> regions,
         Policy policy) {
     /** The same with another policy. */
     public GatewaySettings withPolicy(Policy other) {
         return new GatewaySettings(
-                vm, incarnation, dataCentre, callers, probes, links, keyAgeMillis, stopMillis, other);
+                vm, incarnation, dataCentre, callers, probes, links, keyAgeMillis, stopMillis, regions, other);
     }
 
     /** Names this life of this VM in keys of the shared map; no other life has the same name. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
@@ -160,12 +160,12 @@
             return;
         }
         logChange(registration.get());
-        endpoints.registered(registration.get());
+        endpoints.registered(clock.now(), registration.get());
     }
 
     private void logChange(Registration registration) {
         Optional<Registration> before = endpoints.find(registration.id());
-        if (before.filter(registration::equals).isPresent()) {
+        if (before.filter(registration::sameAs).isPresent()) {
             return;
         }
         log.line(log.event("endpoint")
@@ -173,6 +173,7 @@
                 .put("service", registration.service())
                 .put("address", registration.address())
                 .put("leaving", registration.leaving())
+                .put("coldMillis", registration.coldMillis())
                 .put("restarted", before.isPresent() && before.get().bornMillis() != registration.bornMillis()));
     }
 
--- a/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -66,8 +67,8 @@
             LossyMap map = new LossyMap(executor, seed);
             InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
             for (int gateway = 0; gateway < GATEWAYS; gateway++) {
-                GatewaySettings settings =
-                        new GatewaySettings("vm-" + gateway, 1, "a", any, any, any, 5_000, 1_000, Policy.whole());
+                GatewaySettings settings = new GatewaySettings(
+                        "vm-" + gateway, 1, "a", any, any, any, 5_000, 1_000, Map.of(), Policy.whole());
                 keepers.add(new BudgetManager(executor, new StoreClient(map, clock), clock, settings, () -> false));
             }
         }
--- a/server/src/test/java/org/quetzalshunt/server/gateway/NoDialect.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/NoDialect.java
@@ -8,7 +8,7 @@
 import org.quetzalshunt.core.routing.Registration;
 import org.quetzalshunt.server.http.HttpExchange;
 
-/** Understands nothing, for tests of parts that only pass bytes on. */
+/** Understands nothing but evacuations, for tests of parts that only pass bytes on. */
 final class NoDialect implements Dialect {
     @Override
     public Optional<CallerRequest> request(HttpExchange exchange) {
@@ -45,6 +45,12 @@
         return Optional.empty();
     }
 
+    /** Keys name data centres. */
+    @Override
+    public Optional<String> evacuatedDataCentre(String key) {
+        return Optional.of(key);
+    }
+
     @Override
     public Optional<Registration> registration(String id, byte[] bytes) {
         return Optional.empty();
--- /dev/null
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/OperatorMap.java
@@ -0,0 +1,81 @@
+package org.quetzalshunt.server.gateway;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.quetzalshunt.core.store.AppendAnswer;
+import org.quetzalshunt.core.store.ChangesAnswer;
+import org.quetzalshunt.core.store.MapEntry;
+import org.quetzalshunt.core.store.MapShard;
+import org.quetzalshunt.core.store.RangeAnswer;
+import org.quetzalshunt.core.store.SharedMap;
+
+/** One shard in memory that operators write; it answers whole reads in pages of two, and can forget its history. */
+final class OperatorMap implements SharedMap {
+    private static final int PAGE = 2;
+    private static final long WAY_MILLIS = 5;
+
+    private final EventExecutor executor;
+    private final List<MapEntry> history = new ArrayList<>();
+    private long first;
+
+    OperatorMap(EventExecutor executor) {
+        this.executor = executor;
+    }
+
+    void put(String key) {
+        history.add(MapEntry.of(key, new byte[] {'{', '}'}));
+    }
+
+    void remove(String key) {
+        history.add(MapEntry.removal(key));
+    }
+
+    void compact() {
+        first = history.size();
+    }
+
+    @Override
+    public void range(MapShard shard, String after, long limitMillis, Consumer<RangeAnswer> listener) {
+        later(() -> {
+            TreeMap<String, MapEntry> newest = new TreeMap<>();
+            history.forEach(entry -> newest.put(entry.key(), entry));
+            newest.values().removeIf(entry -> entry.value().isEmpty());
+            List<MapEntry> rest = List.copyOf(newest.tailMap(after, false).values());
+            List<MapEntry> page = rest.subList(0, Math.min(PAGE, rest.size()));
+            listener.accept(new RangeAnswer.Page(page, rest.size() > PAGE, history.size()));
+        });
+    }
+
+    @Override
+    public void append(
+            MapShard shard,
+            List<MapEntry> entries,
+            OptionalLong expectedEnd,
+            long limitMillis,
+            Consumer<AppendAnswer> listener) {
+        throw new UnsupportedOperationException("only operators write here");
+    }
+
+    @Override
+    public void changes(
+            MapShard shard, long from, long waitMillis, long limitMillis, Consumer<ChangesAnswer> listener) {
+        later(() -> listener.accept(changes(from)));
+    }
+
+    private ChangesAnswer changes(long from) {
+        if (from < first) {
+            return new ChangesAnswer.Gone();
+        }
+        return new ChangesAnswer.Changes(
+                List.copyOf(history.subList((int) from, history.size())), history.size(), history.size());
+    }
+
+    private void later(Runnable action) {
+        executor.schedule(action, WAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -1,5 +1,6 @@
 package org.quetzalshunt.standin.fleet;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -82,7 +83,17 @@
 
     /** The same, with the port of a proxy before it. */
     public byte[] entry(String service, String state, int reachedAt) {
-        return Json.bytes(Json.object()
+        return Json.bytes(entryNode(service, state, reachedAt));
+    }
+
+    /** The same in a data centre of one's choice, for a server that is cold for some more time. */
+    public byte[] entryIn(String dataCentre, String service, long coldMillis) {
+        return Json.bytes(
+                entryNode(service, "ready", port).put("zone", dataCentre).put("cold_remaining_ms", coldMillis));
+    }
+
+    private static ObjectNode entryNode(String service, String state, int reachedAt) {
+        return Json.object()
                 .put("service", service)
                 .put("address", "127.0.0.1:" + reachedAt)
                 .put("zone", "a")
@@ -91,7 +102,7 @@
                 .put("state", state)
                 .put("cold_remaining_ms", 0)
                 .put("born", 1)
-                .put("sequence", 1));
+                .put("sequence", 1);
     }
 
     private void handle(HttpExchange exchange) {
