explain: from an id to its cause, and losses by reason, kind, account, data centre and time

Request lines now carry the time of each step (token, history, grant, first and last event, longest pause), the route's target and what is left of the program's objective; the command reads them, plain or gzip, in two or three passes in bounded memory. Not built yet: the plot, the account of decisions, the profile by step.

--- a/app/src/main/java/org/quetzalshunt/app/Main.java
+++ b/app/src/main/java/org/quetzalshunt/app/Main.java
@@ -3,6 +3,7 @@
 import java.io.PrintWriter;
 import org.quetzalshunt.app.bench.BenchCommand;
 import org.quetzalshunt.app.demo.DemoCommand;
+import org.quetzalshunt.app.explain.ExplainCommand;
 import org.quetzalshunt.app.load.LoadCommand;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.platform.GatewayCommand;
@@ -27,6 +28,7 @@
             EntryCommand.class,
             SidecarCommand.class,
             GatewayCommand.class,
+            ExplainCommand.class,
             RehearseCommand.class,
             StandinCommand.class,
             BenchCommand.class,
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -150,6 +150,7 @@
                 configuration.version(),
                 arrival.arrivedMillis(),
                 deadline,
+                new RequestTimeline(gateway.clock(), arrival.arrivedMillis()),
                 gateway.endpoints().mayCache(gateway.clock().now(), service.name(), request.prefixParts()));
         if (gateway.crashes().quarantined(admitted)) {
             Refusal refusal =
@@ -218,6 +219,7 @@
     }
 
     private void run(AdmittedRequest admitted) {
+        admitted.timeline().reached(RequestTimeline.Step.TOKEN);
         if (admitted.exchange().finished()) {
             Outcome.log(gateway, admitted, ResultCode.CANCELLED, "the caller left", Optional.empty());
             return;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
@@ -23,6 +23,7 @@
  * @param configurationVersion version that it was judged by
  * @param arrivedMillis when it had arrived whole
  * @param deadlineMillis when its final answer is due: the caller's time or the route's, whichever is over first
+ * @param timeline when the steps of its life ended
  * @param conversationUnderWay whether its line of turns may have run before, by where its prompt lies
  */
 record AdmittedRequest(
@@ -34,6 +35,7 @@
         long configurationVersion,
         long arrivedMillis,
         long deadlineMillis,
+        RequestTimeline timeline,
         boolean conversationUnderWay) {
 
     /** Ranks that accounts and routes use: 0, 1 and 2. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
@@ -13,6 +13,7 @@
  * @param path path without the query
  * @param key key of a client account; never logged
  * @param deadlineMillis how long the caller waits, from now
+ * @param programLeftMillis time until its program should be finished, from now
  * @param program program that the request belongs to
  * @param line the line of turns that it belongs to: one for the program itself and one for each of its sub-agents
  * @param previousTurn id of the turn that this one goes on from
@@ -27,6 +28,7 @@
         String path,
         Optional<String> key,
         OptionalLong deadlineMillis,
+        OptionalLong programLeftMillis,
         Optional<String> program,
         Optional<String> line,
         Optional<String> previousTurn,
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Outcome.java
@@ -29,7 +29,10 @@
     /** Rejects a request that was admitted, or reports that its outcome is unknown. */
     static void refuse(Gateway gateway, AdmittedRequest admitted, Refusal refusal, Optional<EndpointCall> call) {
         send(gateway, admitted.exchange(), admitted.request().id(), refusal);
-        log(gateway, admitted, refusal.code(), refusal.detail(), call);
+        String comeBack = refusal.retryAfterMillis().isPresent()
+                ? ", retry after " + refusal.retryAfterMillis().getAsLong() + " ms"
+                : "";
+        log(gateway, admitted, refusal.code(), refusal.detail() + comeBack, call);
     }
 
     private static void send(Gateway gateway, HttpExchange exchange, String requestId, Refusal refusal) {
@@ -51,11 +54,14 @@
                 .put("account", admitted.accountName())
                 .put("code", code.number())
                 .put("tookMillis", took)
+                .put("targetMillis", admitted.route().targetLatencyMillis())
                 .put("leftMillis", admitted.deadlineMillis() - now)
                 .put("configuration", admitted.configurationVersion())
                 .put("configurationAgeMillis", gateway.configuration().ageMillis())
                 .put("registrationsAgeMillis", gateway.registrations().ageMillis());
         admitted.request().program().ifPresent(program -> line.put("program", program));
+        admitted.request().programLeftMillis().ifPresent(left -> line.put("programLeftMillis", left - took));
+        admitted.timeline().describe(line);
         admitted.request().previousTurn().ifPresent(turn -> line.put("previousTurn", turn));
         call.ifPresent(each -> {
             line.put("sends", each.sends());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -82,6 +82,7 @@
         if (answer instanceof TurnHistory.Chain.Found found) {
             chain = found.turns();
             chainKnown = true;
+            admitted.timeline().reached(RequestTimeline.Step.HISTORY);
             dispatchWhenReady();
             return;
         }
@@ -102,6 +103,7 @@
             return;
         }
         if (verdict instanceof BudgetManager.Verdict.Granted) {
+            admitted.timeline().reached(RequestTimeline.Step.GRANT);
             dispatchWhenReady();
             pass();
             return;
@@ -188,6 +190,7 @@
                 gateway.measures().firstEvent(gateway.clock().now() - admitted.arrivedMillis());
             }
             held.forEach(admitted.exchange()::write);
+            admitted.timeline().passedEvents();
             events += held.size();
             held.clear();
         }
