Chains and unspent tokens come from the gateway of the turn before

A gateway now tells the turn's directory (rendezvous over linked VMs) that it holds a turn; the next gateway asks there and gets chain and unspent tokens over a link. As tokens follow their program, an allotment covers a third of what is left of the budget. Tokens count until the record they come from expires; a turn is granted only on tokens that outlive its retention, which the code before did not ask of a VM's own record.

ProgramAllotmentTest and BudgetManagerTest keep their bounds and play them again with tokens that are given on, late or never.

--- a/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
+++ b/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
@@ -3,40 +3,64 @@
 import java.util.OptionalLong;
 
 /**
- * The tokens of one program as one VM sees them. A VM hands out no more than its allotment, which is a record in the
- * shared map; the sum of all VMs' allotments is kept within the budget and the most of one turn by appends that expect
+ * The tokens of one program as one VM sees them. A VM raises its allotment, a record in the shared map, and hands out no
+ * more than that; the sum of all VMs' allotments is kept within the budget and the most of one turn by appends that expect
  * the shard as it was read. What a VM held that died counts as spent.
  *
- * <p>Load pattern: programs whose turns arrive through one VM after another. While a budget has room for many turns, a VM to
- * which the program came back takes one turn more than it needs, which saves a call to the shared map. Beyond that it takes
- * no spare: each VM on the way would keep tokens that nobody hands out, and a program well within its budget would be told
- * that it is spent.
+ * <p>Load pattern: programs whose turns arrive through one VM after another. What a VM has not handed out yet, it gives to
+ * the VM of the next turn, over a link and without the shared map. An allotment therefore covers several turns while its
+ * budget is ample. Where tokens are not given on, it covers the next turn only: each VM on the way would keep tokens that
+ * nobody hands out, and a program well within its budget would be told that it is spent.
  *
  * <p>An allotment is never lowered. A lower record whose answer is lost may land after a later, higher one, and the other
- * VMs would then count on tokens that this one hands out.
+ * VMs would then count on tokens that this one hands out. A record counts until it expires, and so do the tokens that come
+ * from it, wherever they are.
  */
 public final class ProgramAllotment {
+    /** Tokens that went from one VM to another, and the time of day until which they count, in Unix milliseconds. */
+    public record Transfer(long tokens, long untilMillis) {}
+
     /** Turns that must still fit besides, for a turn to be sent ahead of its grant. */
     private static final int AMPLE_TURNS = 2;
 
     /** Room for this many turns besides makes a spare harmless. */
     private static final int SPARE_ROOM_TURNS = 8;
 
+    /** One part in three of what is left of the budget: two VMs may die with it before the program is short of tokens. */
+    private static final int CARRIED_PARTS = 3;
+
+    private final boolean carried;
     private long allotted;
-    private long used;
+    private long free;
+    private long freeUntilMillis;
+    private boolean received;
     private long others;
     private boolean known;
 
-    private ProgramAllotment() {}
+    private ProgramAllotment(boolean carried) {
+        this.carried = carried;
+    }
 
-    /** A program of which nothing is known. */
-    public static ProgramAllotment unknown() {
-        return new ProgramAllotment();
+    /**
+     * A program of which nothing is known.
+     *
+     * @param carried whether VMs give tokens on to the VM of the next turn
+     */
+    public static ProgramAllotment unknown(boolean carried) {
+        return new ProgramAllotment(carried);
     }
 
-    /** The shared map was read: what other VMs hold, and what this one holds. */
-    public void read(long othersAllotted, long ownAllotted) {
+    /**
+     * The shared map was read: what other VMs hold, and what this one holds.
+     *
+     * @param untilMillis when the own record expires, as a time of day
+     */
+    public void read(long othersAllotted, long ownAllotted, long untilMillis) {
         others = othersAllotted;
+        if (ownAllotted > allotted) {
+            // An append whose answer was lost.
+            granted(ownAllotted, untilMillis);
+        }
         allotted = ownAllotted;
         known = true;
     }
@@ -46,24 +70,44 @@
         return known;
     }
 
-    /** Whether a turn may start on what this VM holds. */
-    public boolean covers(long maximumTokens) {
-        return known && allotted - used >= maximumTokens;
+    /**
+     * Whether a turn may start on what this VM has.
+     *
+     * @param untilMillis time of day until which the tokens must count
+     */
+    public boolean covers(long maximumTokens, long untilMillis) {
+        return free >= maximumTokens && freeUntilMillis >= untilMillis;
     }
 
     /** Whether, by what was last read, more turns fit than this one, so that its grant is almost sure to come. */
     public boolean hasHeadroom(long budget, long maximumTokens) {
-        return known && budget - others - used >= (1 + AMPLE_TURNS) * maximumTokens;
+        return known && room(budget) >= (1 + AMPLE_TURNS) * maximumTokens;
+    }
+
+    private long handedOut() {
+        return allotted - free;
+    }
+
+    private long room(long budget) {
+        return budget - others - handedOut();
     }
 
     /** A turn starts; it may hand out that many tokens. */
     public void started(long maximumTokens) {
-        used += maximumTokens;
+        free -= maximumTokens;
     }
 
     /** A turn ended, having handed out fewer tokens than it might have. */
     public void ended(long maximumTokens, long handedOut) {
-        used -= Math.max(0, maximumTokens - handedOut);
+        free += Math.max(0, maximumTokens - handedOut);
+    }
+
+    /** Gives up received tokens that will not count for long enough; those of the own record count on once it is renewed. */
+    public void expire(long untilMillis) {
+        if (received && freeUntilMillis < untilMillis) {
+            free = 0;
+            received = false;
+        }
     }
 
     /**
@@ -73,25 +117,51 @@
      * @param maximumTokens tokens that the turn may generate
      */
     public OptionalLong wanted(long budget, long maximumTokens) {
-        if (others + used > budget) {
+        if (room(budget) < 0) {
             return OptionalLong.empty();
         }
-        boolean hasHeadroom = budget - others - used >= (1 + SPARE_ROOM_TURNS) * maximumTokens;
-        long spare = hasHeadroom && used > 0 ? maximumTokens : 0;
-        return OptionalLong.of(Math.max(allotted, used + maximumTokens + spare));
+        return OptionalLong.of(Math.max(allotted, handedOut() + turns(budget, maximumTokens) * maximumTokens));
+    }
+
+    private long turns(long budget, long maximumTokens) {
+        if (carried) {
+            return Math.max(1, room(budget) / (CARRIED_PARTS * maximumTokens));
+        }
+        boolean ample = room(budget) >= (1 + SPARE_ROOM_TURNS) * maximumTokens;
+        return ample && handedOut() > 0 ? 2 : 1;
     }
 
-    /** The wanted allotment is kept in the shared map. */
-    public void granted(long tokens) {
+    /** The wanted allotment is kept in the shared map until a time of day. */
+    public void granted(long tokens, long untilMillis) {
+        received = received && free > 0;
+        freeUntilMillis = received ? Math.min(freeUntilMillis, untilMillis) : untilMillis;
+        free += tokens - allotted;
         allotted = tokens;
     }
 
-    /** Tokens that this VM holds, for logs. */
+    /** Gives all that no turn holds to another VM; empty when there is nothing to give. */
+    public Transfer giveOn() {
+        Transfer transfer = new Transfer(Math.max(0, free), freeUntilMillis);
+        free -= transfer.tokens();
+        return transfer;
+    }
+
+    /** Another VM gave tokens. */
+    public void received(Transfer transfer) {
+        if (transfer.tokens() <= 0) {
+            return;
+        }
+        freeUntilMillis = free > 0 ? Math.min(freeUntilMillis, transfer.untilMillis()) : transfer.untilMillis();
+        free += transfer.tokens();
+        received = true;
+    }
+
+    /** Tokens that this VM was allotted, for logs. */
     public long allotted() {
         return allotted;
     }
 
-    /** Tokens that other VMs hold, for logs. */
+    /** Tokens that other VMs were allotted, for logs. */
     public long others() {
         return others;
     }
--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -26,6 +26,8 @@
     OUTAGE_RETRY_DELAY,
     /** Beginnings beyond their account's rate come back late. Without it: as soon as others. */
     PROGRAM_START_DELAY,
+    /** The gateway of the turn before gives its chain and unspent tokens. Without it: both come from the store. */
+    PEER_HISTORY,
     /** The most urgent programs wait longer for a token of their account's quota. Without it: as long as others. */
     URGENT_STARTS;
 
--- a/core/src/test/java/org/quetzalshunt/core/budget/ProgramAllotmentTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/budget/ProgramAllotmentTest.java
@@ -16,6 +16,8 @@
 
 final class ProgramAllotmentTest {
     private static final long MOST = 280;
+    private static final long UNTIL = 60_000;
+    private static final boolean CARRIED = true;
 
     /**
      * A program of nine turns arrives through another VM each time, and each turn generates a quarter of what it may. Its
@@ -25,50 +27,105 @@
     void everyTurnThatTheBudgetCoversIsGrantedAcrossManyVms() {
         long others = 0;
         for (int vm = 0; vm < 9; vm++) {
-            ProgramAllotment allotment = ProgramAllotment.unknown();
-            allotment.read(others, 0);
+            ProgramAllotment allotment = ProgramAllotment.unknown(!CARRIED);
+            allotment.read(others, 0, UNTIL);
             OptionalLong wanted = allotment.wanted(9 * MOST, MOST);
             assertWithMessage("turn " + vm).that(wanted).isEqualTo(OptionalLong.of(MOST));
             others += wanted.getAsLong();
         }
     }
 
+    /**
+     * The same program where each VM gives its tokens to the next one: the shared map is asked for every third turn or so,
+     * and no turn that the budget covers at its most is refused.
+     */
+    @Test
+    void tokensThatAreGivenOnSpareMostCallsAcrossManyVms() {
+        long others = 0;
+        int raises = 0;
+        ProgramAllotment.Transfer transfer = new ProgramAllotment.Transfer(0, 0);
+        for (int vm = 0; vm < 9; vm++) {
+            ProgramAllotment allotment = ProgramAllotment.unknown(CARRIED);
+            allotment.received(transfer);
+            if (!allotment.covers(MOST, UNTIL)) {
+                allotment.read(others, 0, UNTIL);
+                long wanted = allotment.wanted(9 * MOST, MOST).getAsLong();
+                allotment.granted(wanted, UNTIL);
+                others += wanted;
+                raises++;
+            }
+            allotment.started(MOST);
+            allotment.ended(MOST, MOST / 4);
+            transfer = allotment.giveOn();
+        }
+        assertThat(raises).isAtMost(2);
+        assertThat(others).isAtMost(9 * MOST);
+    }
+
+    /** Guards against a program that spends tokens whose record other VMs count as void. */
+    @Test
+    void receivedTokensCountOnlyUntilTheirRecordExpires() {
+        ProgramAllotment allotment = ProgramAllotment.unknown(CARRIED);
+        allotment.received(new ProgramAllotment.Transfer(MOST, UNTIL - 1));
+        assertThat(allotment.covers(MOST, UNTIL - 1)).isTrue();
+        assertThat(allotment.covers(MOST, UNTIL)).isFalse();
+
+        allotment.read(MOST, 0, UNTIL);
+        allotment.expire(UNTIL);
+        allotment.granted(allotment.wanted(3 * MOST, MOST).getAsLong(), UNTIL);
+        assertThat(allotment.allotted()).isEqualTo(MOST);
+        assertThat(allotment.covers(MOST, UNTIL)).isTrue();
+    }
+
+    @Test
+    void ownRecordCountsOnOnceItIsRenewed() {
+        ProgramAllotment allotment = ProgramAllotment.unknown(CARRIED);
+        allotment.read(0, 0, UNTIL);
+        allotment.granted(2 * MOST, UNTIL);
+        assertThat(allotment.covers(MOST, UNTIL + 1)).isFalse();
+
+        allotment.expire(UNTIL + 1);
+        allotment.granted(allotment.wanted(3 * MOST, MOST).getAsLong(), UNTIL + 1);
+        assertThat(allotment.allotted()).isEqualTo(2 * MOST);
+        assertThat(allotment.covers(2 * MOST, UNTIL + 1)).isTrue();
+    }
+
     @Test
     void nextTurnIsGrantedWithWhatTheLastDidNotHandOut() {
-        ProgramAllotment allotment = ProgramAllotment.unknown();
-        allotment.read(0, 0);
-        allotment.granted(MOST);
+        ProgramAllotment allotment = ProgramAllotment.unknown(!CARRIED);
+        allotment.read(0, 0, UNTIL);
+        allotment.granted(MOST, UNTIL);
         allotment.started(MOST);
         allotment.ended(MOST, 70);
-        assertThat(allotment.covers(MOST)).isFalse();
+        assertThat(allotment.covers(MOST, UNTIL)).isFalse();
         assertThat(allotment.wanted(1_400, MOST)).isEqualTo(OptionalLong.of(70 + MOST));
     }
 
     @Test
     void ampleBudgetSparesTheNextTurnItsCall() {
-        ProgramAllotment allotment = ProgramAllotment.unknown();
-        allotment.read(0, 0);
+        ProgramAllotment allotment = ProgramAllotment.unknown(!CARRIED);
+        allotment.read(0, 0, UNTIL);
         for (int turn = 0; turn < 2; turn++) {
-            allotment.granted(allotment.wanted(20 * MOST, MOST).getAsLong());
+            allotment.granted(allotment.wanted(20 * MOST, MOST).getAsLong(), UNTIL);
             allotment.started(MOST);
             allotment.ended(MOST, MOST);
         }
-        assertThat(allotment.covers(MOST)).isTrue();
+        assertThat(allotment.covers(MOST, UNTIL)).isTrue();
     }
 
     @ParameterizedTest
     @CsvSource({"840, 0, true", "840, 1, false", "279, 0, false"})
     void ampleBudgetHasRoomForMoreThanTheTurn(long budget, long others, boolean hasHeadroom) {
-        ProgramAllotment allotment = ProgramAllotment.unknown();
+        ProgramAllotment allotment = ProgramAllotment.unknown(!CARRIED);
         assertThat(allotment.hasHeadroom(budget, MOST)).isFalse();
-        allotment.read(others, 0);
+        allotment.read(others, 0, UNTIL);
         assertThat(allotment.hasHeadroom(budget, MOST)).isEqualTo(hasHeadroom);
     }
 
     @Test
     void spentBudgetIsRefused() {
-        ProgramAllotment allotment = ProgramAllotment.unknown();
-        allotment.read(4_001, 0);
+        ProgramAllotment allotment = ProgramAllotment.unknown(!CARRIED);
+        allotment.read(4_001, 0, UNTIL);
         assertThat(allotment.wanted(4_000, MOST)).isEqualTo(OptionalLong.empty());
     }
 
@@ -79,6 +136,17 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void neverHandsOutMoreThanTheBudgetAndOneTurn(long seed) {
+        play(seed, !CARRIED);
+    }
+
+    /** The same while VMs give their tokens to each other, and lose some of them on the way. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void neverHandsOutMoreAlsoWhereTokensAreGivenOn(long seed) {
+        play(seed, CARRIED);
+    }
+
+    private static void play(long seed, boolean carried) {
         Random random = new Random(seed);
         long budget = 840L + random.nextInt(4_000);
         Map<String, Long> map = new HashMap<>();
@@ -86,7 +154,7 @@
         List<String> lives = new ArrayList<>();
         List<Integer> running = new ArrayList<>();
         for (int vm = 0; vm < 3; vm++) {
-            vms.add(ProgramAllotment.unknown());
+            vms.add(ProgramAllotment.unknown(carried));
             lives.add("vm" + vm);
             running.add(0);
         }
@@ -94,21 +162,27 @@
         for (int step = 0; step < 400; step++) {
             int vm = random.nextInt(3);
             ProgramAllotment allotment = vms.get(vm);
+            if (carried && random.nextInt(3) == 0) {
+                ProgramAllotment.Transfer transfer = allotment.giveOn();
+                if (random.nextInt(4) > 0) {
+                    vms.get(random.nextInt(3)).received(transfer);
+                }
+            }
             switch (random.nextInt(4)) {
                 case 0, 1 -> {
-                    if (!allotment.covers(MOST)) {
+                    if (!allotment.covers(MOST, UNTIL)) {
                         String own = lives.get(vm);
                         long others = map.entrySet().stream()
                                 .filter(entry -> !entry.getKey().equals(own))
                                 .mapToLong(Map.Entry::getValue)
                                 .sum();
-                        allotment.read(others, map.getOrDefault(own, 0L));
+                        allotment.read(others, map.getOrDefault(own, 0L), UNTIL);
                         allotment.wanted(budget, MOST).ifPresent(tokens -> {
                             map.put(own, tokens);
-                            allotment.granted(tokens);
+                            allotment.granted(tokens, UNTIL);
                         });
                     }
-                    if (allotment.covers(MOST)) {
+                    if (allotment.covers(MOST, UNTIL)) {
                         allotment.started(MOST);
                         running.set(vm, running.get(vm) + 1);
                     }
@@ -124,7 +198,7 @@
                 default -> {
                     if (random.nextInt(20) == 0) {
                         handedOut += running.get(vm) * MOST;
-                        vms.set(vm, ProgramAllotment.unknown());
+                        vms.set(vm, ProgramAllotment.unknown(carried));
                         lives.set(vm, "vm" + vm + "-" + step);
                         running.set(vm, 0);
                     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -209,7 +209,8 @@
         }
         return admitted.keepsHistory()
                 || admitted.budgetedProgram()
-                        .filter(program -> !gateway.budgets().covers(program, admitted.maximumTokens()))
+                        .filter(program ->
+                                !gateway.budgets().covers(program, admitted.maximumTokens(), admitted.keepMillis()))
                         .isPresent();
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
@@ -38,6 +38,9 @@
         RequestTimeline timeline,
         boolean conversationUnderWay) {
 
+    /** Kept beyond the retention, since callers' clocks and ours may differ. */
+    private static final long RETENTION_MARGIN_MILLIS = 10_000;
+
     /** Ranks that accounts and routes use: 0, 1 and 2. */
     private static final int RANKS = 3;
 
@@ -117,6 +120,11 @@
                 .collect(Collectors.toUnmodifiableSet()));
     }
 
+    /** How long the turn, and what it spends, must be remembered after its end, in milliseconds. */
+    long keepMillis() {
+        return route.retentionMillis() + RETENTION_MARGIN_MILLIS;
+    }
+
     /** Whether the turn is kept, for turns that go on from it. */
     boolean keepsHistory() {
         return route.stateful();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.quetzalshunt.core.budget.ProgramAllotment;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.store.AppendAnswer;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapShard;
@@ -48,9 +49,13 @@
             Consumer<Verdict> listener) {}
 
     private static final class Row {
-        final ProgramAllotment allotment = ProgramAllotment.unknown();
+        final ProgramAllotment allotment;
         /** The shard's epoch in which the row was read; in a later one others may have appended. */
         long readEpoch = -1;
+
+        Row(ProgramAllotment allotment) {
+            this.allotment = allotment;
+        }
     }
 
     private static final class Shard {
@@ -71,6 +76,9 @@
     /** Allotments that expired by this much are void at every VM, whatever its clock says. */
     private static final long EXPIRY_MARGIN_MILLIS = 15_000;
 
+    /** For this long a program's turns need no renewal of the record. */
+    private static final long LIFETIME_MILLIS = 60_000;
+
     private static final char SEPARATOR = '/';
 
     private final EventExecutor executor;
@@ -78,6 +86,7 @@
     private final NodeClock clock;
     private final BooleanSupplier isolated;
     private final String holder;
+    private final boolean carried;
     private final Map<MapShard, Shard> shards = new HashMap<>();
     private final LinkedHashMap<String, Row> rows = new LinkedHashMap<>(256, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -104,6 +113,22 @@
         this.map = map;
         this.clock = clock;
         this.holder = settings.life();
+        this.carried = settings.policy().has(Mechanism.PEER_HISTORY);
+    }
+
+    private Row row(String program) {
+        return rows.computeIfAbsent(program, ignored -> new Row(ProgramAllotment.unknown(carried)));
+    }
+
+    /** Gives what this VM may still hand out for a program to another VM. */
+    ProgramAllotment.Transfer giveOn(String program) {
+        Row row = rows.get(program);
+        return row == null ? new ProgramAllotment.Transfer(0, 0) : row.allotment.giveOn();
+    }
+
+    /** Another VM gave what it might still have handed out for a program. */
+    void received(String program, ProgramAllotment.Transfer transfer) {
+        row(program).allotment.received(transfer);
     }
 
     /** Whether this VM has granted turns of the program before. */
@@ -112,10 +137,14 @@
         return row != null && row.allotment.known();
     }
 
-    /** Whether this VM can grant a turn of the program without asking the shared map. */
-    boolean covers(String program, long maximumTokens) {
+    /**
+     * Whether this VM can grant a turn of the program without asking the shared map.
+     *
+     * @param keepMillis how long what the turn spends must be remembered
+     */
+    boolean covers(String program, long maximumTokens, long keepMillis) {
         Row row = rows.get(program);
-        return row != null && row.allotment.covers(maximumTokens);
+        return row != null && row.allotment.covers(maximumTokens, clock.wall() + keepMillis);
     }
 
     /** Whether a turn's grant is almost sure to come, by what this VM last read of its program. */
@@ -127,7 +156,7 @@
     /** Whether the budget is exhausted by what this VM has read: allotments of peers never shrink. */
     Optional<Verdict.Exhausted> knownExhausted(String program, long budget, long maximumTokens) {
         Row row = rows.get(program);
-        if (row == null || !row.allotment.known() || row.allotment.covers(maximumTokens)) {
+        if (row == null || !row.allotment.known() || row.allotment.covers(maximumTokens, clock.wall())) {
             return Optional.empty();
         }
         if (row.allotment.wanted(budget, maximumTokens).isPresent()) {
@@ -149,8 +178,8 @@
             long keepMillis,
             long untilMillis,
             Consumer<Verdict> listener) {
-        Row row = rows.computeIfAbsent(program, ignored -> new Row());
-        if (row.allotment.covers(maximumTokens)) {
+        Row row = row(program);
+        if (row.allotment.covers(maximumTokens, clock.wall() + keepMillis)) {
             row.allotment.started(maximumTokens);
             listener.accept(new Verdict.Granted());
             return;
@@ -188,8 +217,8 @@
         }
     }
 
-    private MapEntry entry(String program, long tokens, long keepMillis) {
-        StoredRecords.Allotment allotment = new StoredRecords.Allotment(tokens, clock.wall() + keepMillis);
+    private MapEntry entry(String program, long tokens, long expiresMillis) {
+        StoredRecords.Allotment allotment = new StoredRecords.Allotment(tokens, expiresMillis);
         return MapEntry.of(program + SEPARATOR + holder, StoredRecords.encode(allotment));
     }
 
@@ -207,8 +236,9 @@
     }
 
     private void step(MapShard key, Shard shard, Pending pending) {
-        Row row = rows.computeIfAbsent(pending.program(), ignored -> new Row());
-        if (row.allotment.covers(pending.maximumTokens())) {
+        Row row = row(pending.program());
+        long neededUntil = clock.wall() + pending.keepMillis();
+        if (row.allotment.covers(pending.maximumTokens(), neededUntil)) {
             row.allotment.started(pending.maximumTokens());
             finish(shard, pending, new Verdict.Granted());
             return;
@@ -221,6 +251,7 @@
             read(key, shard, pending, row);
             return;
         }
+        row.allotment.expire(neededUntil);
         OptionalLong wanted = row.allotment.wanted(pending.budget(), pending.maximumTokens());
         if (wanted.isEmpty()) {
             finish(shard, pending, new Verdict.Exhausted(row.allotment.allotted(), row.allotment.others()));
@@ -254,6 +285,7 @@
     private void readRow(Row row, String prefix, List<MapEntry> entries) {
         long others = 0;
         long own = 0;
+        long ownUntil = 0;
         long expiredBefore = clock.wall() - EXPIRY_MARGIN_MILLIS;
         for (MapEntry entry : entries) {
             if (!entry.key().startsWith(prefix)) {
@@ -266,19 +298,21 @@
             }
             if (entry.key().equals(prefix + holder)) {
                 own = found.get().tokens();
+                ownUntil = found.get().expiresMillis();
             } else {
                 others += found.get().tokens();
             }
         }
-        row.allotment.read(others, own);
+        row.allotment.read(others, own, ownUntil);
     }
 
     private void raise(MapShard key, Shard shard, Pending pending, Row row, long tokens) {
-        MapEntry entry = entry(pending.program(), tokens, pending.keepMillis());
+        long expiresMillis = clock.wall() + pending.keepMillis() + LIFETIME_MILLIS;
+        MapEntry entry = entry(pending.program(), tokens, expiresMillis);
         map.append(key, List.of(entry), OptionalLong.of(shard.end), answer -> {
             if (answer instanceof AppendAnswer.Appended appended) {
                 shard.end = appended.end();
-                row.allotment.granted(tokens);
+                row.allotment.granted(tokens, expiresMillis);
                 step(key, shard, pending);
                 return;
             }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -25,6 +25,7 @@
         BudgetManager budgets,
         StoreClient map,
         PeerConnections links,
+        ChainExchange chains,
         CrashReporter crashes,
         RecoveryQueue recovery) {
     /** For callers whom this VM cannot serve but another can: at once, since a retry reaches another VM. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
@@ -19,6 +19,7 @@
                 .put("configurationAgeMillis", gateway.configuration().ageMillis())
                 .put("registrationsAgeMillis", gateway.registrations().ageMillis())
                 .put("liveVms", gateway.quotas().liveVms())
+                .put("links", gateway.links().connectedVms().size())
                 .put("ratesLeased", gateway.quotas().leased());
         gateway.configuration().current().ifPresent(current -> addConfiguration(dump, current));
         ObjectNode evacuated = dump.putObject("evacuatedForMillis");
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -87,6 +87,11 @@
                 quotas::reserveHere,
                 () -> map.unavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis());
         CrashReporter crashes = new CrashReporter(group.next(), http, map, clock, log, settings);
+        TurnHistory history = new TurnHistory(group.next(), map, clock, () -> gateway.isolatedFromStore());
+        BudgetManager budgets =
+                new BudgetManager(group.next(), map, clock, settings, () -> gateway.isolatedFromStore());
+        ChainExchange chains = new ChainExchange(group.next(), settings, map, history, budgets, links);
+        links.setChains(chains);
         gateway = new Gateway(
                 settings,
                 group.next(),
@@ -100,10 +105,11 @@
                 evacuations,
                 registrations,
                 quotas,
-                new TurnHistory(group.next(), map, clock, () -> gateway.isolatedFromStore()),
-                new BudgetManager(group.next(), map, clock, settings, () -> gateway.isolatedFromStore()),
+                history,
+                budgets,
                 map,
                 links,
+                chains,
                 crashes,
                 new RecoveryQueue(group.next(), clock));
         gate = new AdmissionPipeline(gateway, () -> stopping);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -66,6 +66,7 @@
     private final Map<Long, Consumer<TokenOffer>> pendingTokens = new HashMap<>();
     private final StoreContacts storeContacts;
     private final LoadBroadcast broadcast;
+    private ChainExchange chains;
     private LinkConnector connector;
     private long nextId;
 
@@ -96,6 +97,11 @@
                 new LoadBroadcast(executor, clock, settings.dataCentre(), endpoints, storeAgeMillis, this::openLinks);
     }
 
+    /** Sets the receiver of messages about turns; before the start. */
+    void setChains(ChainExchange exchange) {
+        chains = exchange;
+    }
+
     /** Starts listening for peer connections, authenticated with the shared secret. */
     void start(byte[] secret) {
         if (connector != null) {
@@ -141,6 +147,16 @@
         return link(vm).isPresent();
     }
 
+    /** Names of the peers with an open link. */
+    List<String> connectedVms() {
+        return links.keySet().stream().filter(this::isConnected).toList();
+    }
+
+    /** Sends a message over the link to a peer, if there is one. */
+    void send(String vm, Message message) {
+        link(vm).ifPresent(link -> link.send(message));
+    }
+
     /** Asks a peer for a token; one that does not answer has none. */
     void requestToken(String vm, String account, long maximumWaitMillis, Consumer<TokenOffer> listener) {
         Optional<PeerLink> link = link(vm);
@@ -194,6 +210,12 @@
             grantToken(link, message.getTokenRequest());
         } else if (message.isSetTokenAnswer()) {
             answered(message.getTokenAnswer().getId(), offer(message.getTokenAnswer()));
+        } else if (message.isSetTurnLocation()) {
+            chains.onLocation(link.remote().id().name(), message.getTurnLocation());
+        } else if (message.isSetChainRequest()) {
+            chains.onRequest(message.getChainRequest());
+        } else if (message.isSetChainAnswer()) {
+            chains.onAnswer(message.getChainAnswer());
         } else if (message.isSetEndpointLoads() && message.getEndpointLoads().getRunning() != null) {
             onPeerLoads(link.remote(), message.getEndpointLoads());
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -60,17 +60,29 @@
     }
 
     private void begin() {
-        ahead = grant.hasHeadroom();
+        if (admitted.beginsChain()) {
+            chainKnown = true;
+            askGrant();
+            return;
+        }
+        gateway.chains().fetch(admitted, this::onFetched);
+    }
+
+    private void onFetched() {
+        if (finished) {
+            return;
+        }
         findChain();
+        askGrant();
+    }
+
+    private void askGrant() {
+        ahead = grant.hasHeadroom();
         dispatchWhenReady();
         grant.ask(this::decided);
     }
 
     private void findChain() {
-        if (admitted.beginsChain()) {
-            chainKnown = true;
-            return;
-        }
         String previous = admitted.request().previousTurn().orElseThrow();
         gateway.history().find(previous, admitted.accountName(), admitted.outageUntilMillis(), this::chainFound);
     }
@@ -243,7 +255,7 @@
             ancestors.addAll(last.ancestors());
             ancestors.add(last.id());
         }
-        long expires = gateway.clock().wall() + admitted.route().retentionMillis() + TurnGrant.RETENTION_MARGIN_MILLIS;
+        long expires = gateway.clock().wall() + admitted.keepMillis();
         return new TurnRecord(
                 id,
                 admitted.accountName(),
@@ -254,6 +266,9 @@
     }
 
     private void kept(boolean kept) {
+        if (kept && admitted.keepsHistory()) {
+            gateway.chains().kept(admitted.request().id());
+        }
         if (finished || !kept) {
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -5,9 +5,6 @@
 
 /** The tokens that one turn may hand out: asked for once, and what was not handed out given back at its end. */
 final class TurnGrant {
-    /** Kept beyond the retention, since callers' clocks and ours may differ. */
-    static final long RETENTION_MARGIN_MILLIS = 10_000;
-
     private final Gateway gateway;
     private final AdmittedRequest admitted;
     private final Optional<String> program;
@@ -58,15 +55,11 @@
                         program.get(),
                         admitted.request().tokenBudget().getAsLong(),
                         admitted.maximumTokens(),
-                        keepMillis(),
+                        admitted.keepMillis(),
                         admitted.outageUntilMillis(),
                         verdict -> decided(verdict, listener));
     }
 
-    private long keepMillis() {
-        return admitted.route().retentionMillis() + RETENTION_MARGIN_MILLIS;
-    }
-
     private void decided(BudgetManager.Verdict verdict, Consumer<BudgetManager.Verdict> listener) {
         reserved = verdict instanceof BudgetManager.Verdict.Granted;
         granted = reserved;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
@@ -93,6 +93,31 @@
         });
     }
 
+    /** Whether the turn is in this VM's memory. */
+    boolean holds(String id) {
+        return cache.find(id, clock.wall()).isPresent();
+    }
+
+    /** A turn of an account with all turns before it, if all are in this VM's memory. */
+    Optional<List<TurnRecord>> heldChain(String id, String account) {
+        Optional<TurnRecord> last =
+                cache.find(id, clock.wall()).filter(turn -> turn.account().equals(account));
+        if (last.isEmpty()) {
+            return Optional.empty();
+        }
+        List<TurnRecord> turns = new ArrayList<>();
+        for (String ancestor : last.get().ancestors()) {
+            cache.find(ancestor, clock.wall()).ifPresent(turns::add);
+        }
+        turns.add(last.get());
+        return turns.size() == last.get().ancestors().size() + 1 ? Optional.of(turns) : Optional.empty();
+    }
+
+    /** Holds a turn in memory that another VM kept. */
+    void hold(TurnRecord turn) {
+        cache.put(turn);
+    }
+
     private void collect(TurnRecord last, long untilMillis, Consumer<Chain> listener) {
         List<String> ids = last.ancestors();
         if (ids.isEmpty()) {
--- a/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalshunt.core.budget.ProgramAllotment;
 import org.quetzalshunt.core.policy.Policy;
 
 final class BudgetManagerTest {
@@ -78,6 +79,9 @@
         }
 
         private void turn(BudgetManager keeper) {
+            if (random.nextInt(4) == 0) {
+                giveOn(keeper);
+            }
             keeper.reserve(PROGRAM, BUDGET, MOST, KEEP_MILLIS, clock.now() + 500, verdict -> {
                 boolean granted = verdict instanceof BudgetManager.Verdict.Granted;
                 long tokens = random.nextInt(3) == 0 ? MOST : 16L * random.nextInt(12);
@@ -86,6 +90,15 @@
             });
         }
 
+        /** Gives the tokens of one gateway to another, which gets them late or never. */
+        private void giveOn(BudgetManager from) {
+            ProgramAllotment.Transfer transfer = from.giveOn(PROGRAM);
+            BudgetManager to = keepers.get(random.nextInt(GATEWAYS));
+            if (random.nextInt(4) > 0) {
+                executor.schedule(() -> to.received(PROGRAM, transfer), random.nextInt(40), TimeUnit.MILLISECONDS);
+            }
+        }
+
         private void ended(BudgetManager keeper, boolean granted, long tokens) {
             if (granted) {
                 handedOut += tokens;
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/StoreStandin.java
@@ -31,6 +31,7 @@
     private final HttpServer server;
     private StoreFault fault = StoreFault.NONE;
     private long appends;
+    private final Map<String, Long> rangeReads = new HashMap<>();
 
     private StoreStandin() {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
@@ -78,6 +79,14 @@
         return onLoop(() -> appends);
     }
 
+    /** Range reads so far of all topics whose name begins so. */
+    public long rangeReads(String topicPrefix) {
+        return onLoop(() -> rangeReads.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(topicPrefix))
+                .mapToLong(Map.Entry::getValue)
+                .sum());
+    }
+
     /** The newest values of all topics whose name begins so. */
     public List<byte[]> newest(String topicPrefix) {
         return onLoop(() -> {
@@ -104,7 +113,10 @@
         switch (exchange.path()) {
             case "/log-append" -> append(exchange, shard);
             case "/log-read" -> read(exchange, shard, System.nanoTime());
-            case "/log-newest" -> newest(exchange, shard);
+            case "/log-newest" -> {
+                rangeReads.merge(exchange.query("topic").orElse(""), 1L, Long::sum);
+                newest(exchange, shard);
+            }
             default -> exchange.respondJson(404, "{}");
         }
     }
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -268,6 +268,41 @@
   5: optional map<string, i64> unread
 }
 
+/** Tells the VM that is the directory of a turn that the sender holds it, with all turns before it. */
+struct TurnLocation {
+  1: string turn
+}
+
+/**
+ * Asks for a turn with all turns before it, and for what the holder may still hand out of its program's budget. Sent to the
+ * directory of the turn, which passes it on to the holder, or to the holder itself.
+ */
+struct ChainRequest {
+  1: i64 id
+  2: string turn
+  3: string account
+  4: string program
+  /** Name of the VM that wants the answer. */
+  5: string requester
+}
+
+struct ChainTurn {
+  1: string id
+  2: binary record
+}
+
+/** An answer to a ChainRequest, from the holder, or from the directory where it knows none. */
+struct ChainAnswer {
+  1: i64 id
+  2: string program
+  /** Oldest first; none where the turn is not held. */
+  3: list<ChainTurn> turns
+  /** Tokens of the program's budget that now belong to the requester. */
+  4: i64 tokens
+  /** Time of day until which these count, in Unix milliseconds. */
+  5: i64 tokensExpireMillis
+}
+
 union Message {
   1: Hello hello
   2: HelloProof helloProof
@@ -297,6 +332,9 @@
   26: TokenRequest tokenRequest
   27: TokenAnswer tokenAnswer
   28: EndpointLoads endpointLoads
+  29: TurnLocation turnLocation
+  30: ChainRequest chainRequest
+  31: ChainAnswer chainAnswer
 }
 
 /* Records of the shard streams. */
