--- a/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
+++ b/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
@@ -65,7 +65,13 @@
         known = true;
     }
 
-    /** Whether the shared map was read. */
+    /** Another VM read how much all VMs together were allotted; records only grow while the program lives. */
+    public void allottedAtLeast(long total) {
+        others = Math.max(others, total - allotted);
+        known = true;
+    }
+
+    /** Whether it is known what other VMs hold. */
     public boolean known() {
         return known;
     }
--- a/core/src/test/java/org/quetzalshunt/core/budget/ProgramAllotmentTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/budget/ProgramAllotmentTest.java
@@ -90,6 +90,17 @@
         assertThat(allotment.covers(2 * MOST, UNTIL + 1)).isTrue();
     }
 
+    /** Guards against turns of a spent program that cost their account a token of its rate at each VM. */
+    @ParameterizedTest
+    @CsvSource({"4000, 0, true", "4001, 0, false", "4001, 280, true"})
+    void exhaustionThatAnotherVmReportedCounts(long allottedInAll, long received, boolean mayStart) {
+        ProgramAllotment allotment = ProgramAllotment.unknown(CARRIED);
+        allotment.received(new ProgramAllotment.Transfer(received, UNTIL));
+        allotment.allottedAtLeast(allottedInAll);
+        boolean raised = allotment.wanted(4_000, MOST).isPresent();
+        assertThat(allotment.covers(MOST, UNTIL) || raised).isEqualTo(mayStart);
+    }
+
     @Test
     void nextTurnIsGrantedWithWhatTheLastDidNotHandOut() {
         ProgramAllotment allotment = ProgramAllotment.unknown(!CARRIED);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
@@ -38,6 +38,12 @@
         record Unavailable(String reason) implements Verdict {}
     }
 
+    /** Receives budgets that were found exhausted. */
+    interface ExhaustionListener {
+        /** All VMs together were allotted so many tokens of the program's budget. */
+        void onExhausted(String program, long allottedTokens);
+    }
+
     /** A turn that waits for its grant. */
     private record Pending(
             String program,
@@ -85,6 +91,7 @@
     private final StoreClient map;
     private final NodeClock clock;
     private final BooleanSupplier isolated;
+    private final ExhaustionListener onExhausted;
     private final String holder;
     private final boolean carried;
     private final Map<MapShard, Shard> shards = new HashMap<>();
@@ -101,13 +108,16 @@
      * Makes a keeper that knows no program.
      *
      * @param isolated whether a retry at another VM is more likely to succeed than another attempt here
+     * @param onExhausted receives each budget that this VM finds exhausted by reading the shared map
      */
     BudgetManager(
             EventExecutor executor,
             StoreClient map,
             NodeClock clock,
             GatewaySettings settings,
-            BooleanSupplier isolated) {
+            BooleanSupplier isolated,
+            ExhaustionListener onExhausted) {
+        this.onExhausted = onExhausted;
         this.isolated = isolated;
         this.executor = executor;
         this.map = map;
@@ -131,6 +141,11 @@
         row(program).allotment.received(transfer);
     }
 
+    /** Another VM found the budget of a program exhausted. */
+    void exhaustedElsewhere(String program, long allottedTokens) {
+        row(program).allotment.allottedAtLeast(allottedTokens);
+    }
+
     /** Whether this VM has granted turns of the program before. */
     boolean knows(String program) {
         Row row = rows.get(program);
@@ -254,6 +269,7 @@
         row.allotment.expire(neededUntil);
         OptionalLong wanted = row.allotment.wanted(pending.budget(), pending.maximumTokens());
         if (wanted.isEmpty()) {
+            onExhausted.onExhausted(pending.program(), row.allotment.allotted() + row.allotment.others());
             finish(shard, pending, new Verdict.Exhausted(row.allotment.allotted(), row.allotment.others()));
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ChainExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ChainExchange.java
@@ -12,6 +12,7 @@
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.turn.TurnDirectory;
 import org.quetzalshunt.core.turn.TurnRecord;
+import org.quetzalshunt.wire.generated.BudgetExhausted;
 import org.quetzalshunt.wire.generated.ChainAnswer;
 import org.quetzalshunt.wire.generated.ChainRequest;
 import org.quetzalshunt.wire.generated.ChainTurn;
@@ -175,6 +176,21 @@
         proceed(answer.getId());
     }
 
+    /** This VM found a program's budget exhausted: every peer may see its next turn. */
+    void exhausted(String program, long allottedTokens) {
+        if (settings.policy().has(Mechanism.SHARED_EXHAUSTION)) {
+            Message message = Message.budgetExhausted(new BudgetExhausted(program, allottedTokens));
+            links.connectedVms().forEach(vm -> links.send(vm, message));
+        }
+    }
+
+    /** A peer found a program's budget exhausted. */
+    void onExhausted(BudgetExhausted exhausted) {
+        if (exhausted.getProgram() != null) {
+            budgets.exhaustedElsewhere(exhausted.getProgram(), exhausted.getAllottedTokens());
+        }
+    }
+
     private void proceed(long id) {
         Runnable then = pending.remove(id);
         if (then != null) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -88,8 +88,13 @@
                 () -> map.unavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis());
         CrashReporter crashes = new CrashReporter(group.next(), http, map, clock, log, settings);
         TurnHistory history = new TurnHistory(group.next(), map, clock, () -> gateway.isolatedFromStore());
-        BudgetManager budgets =
-                new BudgetManager(group.next(), map, clock, settings, () -> gateway.isolatedFromStore());
+        BudgetManager budgets = new BudgetManager(
+                group.next(),
+                map,
+                clock,
+                settings,
+                () -> gateway.isolatedFromStore(),
+                (program, allotted) -> gateway.chains().exhausted(program, allotted));
         ChainExchange chains = new ChainExchange(group.next(), settings, map, history, budgets, links);
         links.setChains(chains);
         gateway = new Gateway(
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -216,6 +216,8 @@
             chains.onRequest(message.getChainRequest());
         } else if (message.isSetChainAnswer()) {
             chains.onAnswer(message.getChainAnswer());
+        } else if (message.isSetBudgetExhausted()) {
+            chains.onExhausted(message.getBudgetExhausted());
         } else if (message.isSetEndpointLoads() && message.getEndpointLoads().getRunning() != null) {
             onPeerLoads(link.remote(), message.getEndpointLoads());
         }
--- a/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
@@ -70,7 +70,8 @@
             for (int gateway = 0; gateway < GATEWAYS; gateway++) {
                 GatewaySettings settings = new GatewaySettings(
                         "vm-" + gateway, 1, "a", any, any, any, 5_000, 1_000, Map.of(), Policy.whole());
-                keepers.add(new BudgetManager(executor, new StoreClient(map, clock), clock, settings, () -> false));
+                keepers.add(new BudgetManager(
+                        executor, new StoreClient(map, clock), clock, settings, () -> false, this::tellPeers));
             }
         }
 
@@ -90,6 +91,10 @@
             });
         }
 
+        private void tellPeers(String program, long allottedTokens) {
+            keepers.forEach(keeper -> keeper.exhaustedElsewhere(program, allottedTokens));
+        }
+
         /** Gives the tokens of one gateway to another, which gets them late or never. */
         private void giveOn(BudgetManager from) {
             ProgramAllotment.Transfer transfer = from.giveOn(PROGRAM);
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -303,6 +303,12 @@
   5: i64 tokensExpireMillis
 }
 
+/** Tells that the budget of a program is exhausted, by the tokens that all VMs together were allotted of it. */
+struct BudgetExhausted {
+  1: string program
+  2: i64 allottedTokens
+}
+
 union Message {
   1: Hello hello
   2: HelloProof helloProof
@@ -335,6 +341,7 @@
   29: TurnLocation turnLocation
   30: ChainRequest chainRequest
   31: ChainAnswer chainAnswer
+  32: BudgetExhausted budgetExhausted
 }
 
 /* Records of the shard streams. */
