--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -21,7 +21,7 @@
 
     private HttpCall call;
     private boolean keepAlive;
-    private long keepMillis = Long.MAX_VALUE;
+    private long keepMillis = IdleConnection.UNSTATED;
     /** A response that answers another request is passing. */
     private boolean skipping;
     /** Such a response came: what else comes on this connection cannot be told apart for sure. */
@@ -78,10 +78,10 @@
     private static long keepMillis(HttpHeaders headers) {
         String value = headers.get("keep-alive");
         if (value == null) {
-            return Long.MAX_VALUE;
+            return IdleConnection.UNSTATED;
         }
         Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(value);
-        return matcher.find() ? Long.parseLong(matcher.group(1)) * MILLIS_PER_SECOND : Long.MAX_VALUE;
+        return matcher.find() ? Long.parseLong(matcher.group(1)) * MILLIS_PER_SECOND : IdleConnection.UNSTATED;
     }
 
     @Override
