--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -28,11 +28,11 @@
     PROGRAM_START_DELAY,
     /** The gateway of the turn before gives its chain and unspent tokens. Without it: both come from the store. */
     PEER_HISTORY,
-    /** Beginnings leave tokens of their account to programs under way. Without it: they wait for tokens to be earned. */
-    PROGRAM_HEADROOM,
     /** Gateways tell each other of exhausted budgets. Without it: each finds out by itself, after a token of the rate. */
     SHARED_EXHAUSTION,
-    /** The most urgent programs wait longer for a token of their account's quota. Without it: as long as others. */
+    /** A program starts on a token of its account that is there now. Without it: its start waits for one to be earned. */
+    STARTS_WITHOUT_WAIT,
+    /** Where starts wait, those of the most urgent programs wait longer. Without it: as long as others. */
     URGENT_STARTS;
 
     /** Name in flags: lower case, with hyphens. */
--- a/core/src/main/java/org/quetzalshunt/core/quota/QuotaLeases.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/QuotaLeases.java
@@ -236,11 +236,11 @@
     }
 
     /** Takes a token from this VM's share, which may still have to be earned. */
-    public TokenOffer reserve(String account, TokenDemand demand) {
+    public TokenOffer reserve(String account, long maximumWaitMillis) {
         if (parts(account) == 0) {
             return TokenOffer.NONE;
         }
-        return holdings.get(account).bucket.reserve(clock.getAsLong(), demand);
+        return holdings.get(account).bucket.reserve(clock.getAsLong(), maximumWaitMillis);
     }
 
     /** The VMs to ask for a token of the account, in this order; this VM may be one of them. */
--- a/core/src/main/java/org/quetzalshunt/core/quota/QuotaWaitPolicy.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/QuotaWaitPolicy.java
@@ -9,6 +9,12 @@
  * at its rate begins more programs than it can carry, and all of them are late or fail.
  */
 public final class QuotaWaitPolicy {
+    /**
+     * For the start of a program that takes only a token that is there. One that waits takes a token of the moments to
+     * come, and while starts keep coming, every request of the programs under way then waits as long.
+     */
+    public static final long START_WAIT_MILLIS = 0;
+
     /** Part of its time that a request of a program under way may wait; the other half is for its run. */
     private static final double UNDER_WAY_PART = 0.5;
 
@@ -21,11 +27,6 @@
     /** More for the most urgent kind of program, so that less urgent ones do not begin in its place. */
     private static final double URGENT_BEGINNING_PART = 0.3;
 
-    /** Beginnings leave the tokens that the rate earns in this time to programs under way; urgent ones half of them. */
-    private static final long BEGINNING_HEADROOM_MILLIS = 100;
-
-    private static final long URGENT_HEADROOM_MILLIS = 50;
-
     /** For a refused request of a program under way, in tokens: the time in which its account earns them. */
     private static final double SOON_TOKENS = 5;
 
@@ -41,22 +42,6 @@
 
     private QuotaWaitPolicy() {}
 
-    /**
-     * What a request demands where beginnings make room for programs under way: a beginning takes a token only if more are
-     * left, and waits for none. A beginning that waits takes a token of the seconds to come, in which every request of the
-     * programs under way then waits as well.
-     *
-     * @param beginsProgram whether it is the first turn of a program
-     * @param urgent whether it is of the most urgent kind
-     * @param leftMillis time that its caller has left
-     */
-    public static TokenDemand demand(boolean beginsProgram, boolean urgent, long leftMillis) {
-        if (!beginsProgram) {
-            return TokenDemand.waiting((long) (UNDER_WAY_PART * leftMillis));
-        }
-        return new TokenDemand(0, urgent ? URGENT_HEADROOM_MILLIS : BEGINNING_HEADROOM_MILLIS);
-    }
-
     /**
      * The longest wait.
      *
--- a/core/src/main/java/org/quetzalshunt/core/quota/TokenBucket.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/TokenBucket.java
@@ -7,9 +7,6 @@
 public final class TokenBucket {
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    /** Part of its room that is kept for requests that demand no headroom, at most. */
-    private static final double MOST_HEADROOM = 0.5;
-
     private double level;
     private double ratePerSecond;
     private double capacity;
@@ -46,30 +43,25 @@
      * Takes a token that may still have to be earned. Answers a handful of calls that come at once beyond the burst:
      * spread over a moment they fit, while a refusal costs their caller more than the wait.
      *
-     * <p>Where headroom is demanded, tokens are left for requests that demand none.
+     * @param mostMillis longest wait, in milliseconds; beyond it nothing is taken
      */
-    public TokenOffer reserve(long nowMillis, TokenDemand demand) {
+    public TokenOffer reserve(long nowMillis, long mostMillis) {
         fill(nowMillis);
-        double needed = 1 + headroom(demand);
-        if (level >= needed) {
+        if (level >= 1) {
             level -= 1;
             return TokenOffer.taken(0);
         }
         if (ratePerSecond <= 0) {
             return TokenOffer.NONE;
         }
-        long wait = (long) Math.ceil((needed - level) / ratePerSecond * MILLIS_PER_SECOND);
-        if (wait > demand.maximumWaitMillis()) {
+        long wait = (long) Math.ceil((1 - level) / ratePerSecond * MILLIS_PER_SECOND);
+        if (wait > mostMillis) {
             return TokenOffer.unavailableFor(wait);
         }
         level -= 1;
         return TokenOffer.taken(wait);
     }
 
-    private double headroom(TokenDemand demand) {
-        return Math.min(MOST_HEADROOM * capacity, ratePerSecond * demand.headroomMillis() / MILLIS_PER_SECOND);
-    }
-
     private void fill(long nowMillis) {
         long elapsed = Math.max(0, nowMillis - filledMillis);
         filledMillis = nowMillis;
--- a/core/src/main/java/org/quetzalshunt/core/quota/TokenSearch.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/TokenSearch.java
@@ -28,19 +28,19 @@
     @FunctionalInterface
     public interface Asking {
         /** Asks; the answer comes now or later, once. */
-        void ask(String holder, TokenDemand demand, Consumer<TokenOffer> answer);
+        void ask(String holder, long maximumWaitMillis, Consumer<TokenOffer> answer);
     }
 
     private final List<String> holders;
-    private final TokenDemand demand;
+    private final long maximumWaitMillis;
     private final Asking asking;
     private final Consumer<Result> listener;
     private int best = -1;
     private long shortestMillis = TokenOffer.NEVER;
 
-    private TokenSearch(List<String> holders, TokenDemand demand, Asking asking, Consumer<Result> listener) {
+    private TokenSearch(List<String> holders, long maximumWaitMillis, Asking asking, Consumer<Result> listener) {
         this.holders = holders;
-        this.demand = demand;
+        this.maximumWaitMillis = maximumWaitMillis;
         this.asking = asking;
         this.listener = listener;
     }
@@ -49,11 +49,11 @@
      * Starts a search.
      *
      * @param holders VMs to ask, those that hold most first
-     * @param demand what the request can bear, and what it must leave for others
+     * @param maximumWaitMillis longest wait that the request can bear
      * @param listener receives the result, once
      */
-    public static void start(List<String> holders, TokenDemand demand, Asking asking, Consumer<Result> listener) {
-        new TokenSearch(holders, demand, asking, listener).ask(0);
+    public static void start(List<String> holders, long maximumWaitMillis, Asking asking, Consumer<Result> listener) {
+        new TokenSearch(holders, maximumWaitMillis, asking, listener).ask(0);
     }
 
     private void ask(int index) {
@@ -61,7 +61,7 @@
             askBest();
             return;
         }
-        asking.ask(holders.get(index), demand.now(), offer -> {
+        asking.ask(holders.get(index), 0, offer -> {
             if (offer.taken()) {
                 listener.accept(new Result.Granted(offer.waitMillis()));
                 return;
@@ -79,11 +79,11 @@
             listener.accept(new Result.NoHolder());
             return;
         }
-        if (shortestMillis > demand.maximumWaitMillis()) {
+        if (shortestMillis > maximumWaitMillis) {
             listener.accept(new Result.OverQuota(shortestMillis));
             return;
         }
-        asking.ask(holders.get(best), demand, offer -> listener.accept(result(offer)));
+        asking.ask(holders.get(best), maximumWaitMillis, offer -> listener.accept(result(offer)));
     }
 
     /** The holder's answer to the second request: others may have been served meanwhile. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -7,7 +7,6 @@
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.quota.OutageWaitPolicy;
 import org.quetzalshunt.core.quota.QuotaWaitPolicy;
-import org.quetzalshunt.core.quota.TokenDemand;
 import org.quetzalshunt.core.quota.TokenSearch;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
@@ -184,10 +183,11 @@
         long left = admitted.deadlineMillis() - gateway.clock().now();
         boolean urgent = gateway.settings().policy().has(Mechanism.URGENT_STARTS)
                 && admitted.route().priority() == MOST_URGENT;
-        TokenDemand demand = gateway.settings().policy().has(Mechanism.PROGRAM_HEADROOM)
-                ? QuotaWaitPolicy.demand(admitted.beginsProgram(), urgent, left)
-                : TokenDemand.waiting(QuotaWaitPolicy.maximumWaitMillis(admitted.beginsProgram(), urgent, left));
-        gateway.quotas().take(account, demand, result -> {
+        boolean startsNow = gateway.settings().policy().has(Mechanism.STARTS_WITHOUT_WAIT) && admitted.beginsProgram();
+        long maximumWait = startsNow
+                ? QuotaWaitPolicy.START_WAIT_MILLIS
+                : QuotaWaitPolicy.maximumWaitMillis(admitted.beginsProgram(), urgent, left);
+        gateway.quotas().take(account, maximumWait, result -> {
             if (result instanceof TokenSearch.Result.Granted granted) {
                 runAfter(granted.waitMillis(), admitted);
             } else if (result instanceof TokenSearch.Result.OverQuota overQuota) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -17,7 +17,6 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.quetzalshunt.core.quota.TokenDemand;
 import org.quetzalshunt.core.quota.TokenOffer;
 import org.quetzalshunt.core.quota.VmHeartbeat;
 import org.quetzalshunt.core.routing.BroadcastInterval;
@@ -60,7 +59,7 @@
     private final EndpointTable endpoints;
     private final NodeClock clock;
     private final DecisionLog log;
-    private final BiFunction<String, TokenDemand, TokenOffer> grantToken;
+    private final BiFunction<String, Long, TokenOffer> grantToken;
     /** Open links by peer, the newest first: two VMs that connect to each other at once have two. */
     private final Map<String, Deque<PeerLink>> links = new HashMap<>();
 
@@ -84,7 +83,7 @@
             EndpointTable endpoints,
             NodeClock clock,
             DecisionLog log,
-            BiFunction<String, TokenDemand, TokenOffer> grantToken,
+            BiFunction<String, Long, TokenOffer> grantToken,
             LongSupplier storeAgeMillis) {
         this.group = group;
         this.executor = group.next();
@@ -159,7 +158,7 @@
     }
 
     /** Asks a peer for a token; one that does not answer has none. */
-    void requestToken(String vm, String account, TokenDemand demand, Consumer<TokenOffer> listener) {
+    void requestToken(String vm, String account, long maximumWaitMillis, Consumer<TokenOffer> listener) {
         Optional<PeerLink> link = link(vm);
         if (link.isEmpty()) {
             listener.accept(TokenOffer.NONE);
@@ -167,9 +166,7 @@
         }
         long id = nextId++;
         pendingTokens.put(id, listener);
-        TokenRequest request = new TokenRequest(id, account, demand.maximumWaitMillis());
-        request.setHeadroomMillis(demand.headroomMillis());
-        link.get().send(Message.tokenRequest(request));
+        link.get().send(Message.tokenRequest(new TokenRequest(id, account, maximumWaitMillis)));
         executor.schedule(() -> answered(id, TokenOffer.NONE), TOKEN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -192,8 +189,7 @@
         if (request.getAccount() == null) {
             return;
         }
-        TokenOffer offer = grantToken.apply(
-                request.getAccount(), new TokenDemand(request.getMostWaitMillis(), request.getHeadroomMillis()));
+        TokenOffer offer = grantToken.apply(request.getAccount(), request.getMostWaitMillis());
         TokenAnswer answer = new TokenAnswer(request.getId(), offer.taken() ? offer.waitMillis() : NO_TOKEN);
         if (!offer.taken() && offer.waitMillis() != TokenOffer.NEVER) {
             answer.setShortestMillis(offer.waitMillis());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/QuotaManager.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/QuotaManager.java
@@ -8,7 +8,6 @@
 import org.quetzalshunt.core.quota.PeerTable;
 import org.quetzalshunt.core.quota.QuotaLeases;
 import org.quetzalshunt.core.quota.QuotaTerms;
-import org.quetzalshunt.core.quota.TokenDemand;
 import org.quetzalshunt.core.quota.TokenOffer;
 import org.quetzalshunt.core.quota.TokenSearch;
 import org.quetzalshunt.core.quota.VmLease;
@@ -82,31 +81,31 @@
     /**
      * Takes a token of an account's quota.
      *
-     * @param demand how long the request may wait for a token, and what it must leave for others
+     * @param maximumWaitMillis longest time for which the request may wait for a token that is still to be earned
      */
-    void take(AccountTerms account, TokenDemand demand, Consumer<TokenSearch.Result> listener) {
+    void take(AccountTerms account, long maximumWaitMillis, Consumer<TokenSearch.Result> listener) {
         if (!account.limited()) {
             listener.accept(new TokenSearch.Result.Granted(0));
             return;
         }
         TokenSearch.start(
                 leases.candidates(account.name()),
-                demand,
-                (holder, part, answer) -> ask(holder, account.name(), part, answer),
+                maximumWaitMillis,
+                (holder, most, answer) -> ask(holder, account.name(), most, answer),
                 listener);
     }
 
-    private void ask(String holder, String account, TokenDemand demand, Consumer<TokenOffer> answer) {
+    private void ask(String holder, String account, long maximumWaitMillis, Consumer<TokenOffer> answer) {
         if (holder.equals(self)) {
-            answer.accept(reserveHere(account, demand));
+            answer.accept(reserveHere(account, maximumWaitMillis));
             return;
         }
-        links.requestToken(holder, account, demand, answer);
+        links.requestToken(holder, account, maximumWaitMillis, answer);
     }
 
     /** Takes a token from this VM's share, for itself or for a peer, that may still have to be earned. */
-    TokenOffer reserveHere(String account, TokenDemand demand) {
-        return stopping ? TokenOffer.NONE : leases.reserve(account, demand);
+    TokenOffer reserveHere(String account, long maximumWaitMillis) {
+        return stopping ? TokenOffer.NONE : leases.reserve(account, maximumWaitMillis);
     }
 
     /** Whether this VM's lease on its shares is in force. */
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -239,8 +239,6 @@
   1: i64 id
   2: string account
   3: i64 mostWaitMillis
-  /** Tokens that the rate earns in this time must be left. */
-  4: optional i64 headroomMillis
 }
 
 /** Answer to a TokenRequest: how long the request must wait before it runs; negative when there is no token. */
