ChainExchange: the hash and the program's name from where they are, no empty name for nobody

From reading the whole change again; behaviour is the same. TurnDirectory.directoryOf was Rendezvous.winner under another name; the separator of an account and its program stood a second time; an empty VM name stood for no peer where an Optional says so; the transfer of no tokens was made in two places. GatewayTest, ProgramAllotmentTest, BudgetManagerTest, HomesTest and ConfigurationFollowerTest pass unchanged.

--- a/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
+++ b/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
@@ -18,7 +18,10 @@
  */
 public final class ProgramAllotment {
     /** Tokens that went from one VM to another, and the time of day until which they count, in Unix milliseconds. */
-    public record Transfer(long tokens, long untilMillis) {}
+    public record Transfer(long tokens, long untilMillis) {
+        /** No tokens. */
+        public static final Transfer NONE = new Transfer(0, 0);
+    }
 
     /** Turns that must still fit besides, for a turn to be sent ahead of its grant. */
     private static final int AMPLE_TURNS = 2;
--- a/core/src/main/java/org/quetzalshunt/core/turn/TurnDirectory.java
+++ b/core/src/main/java/org/quetzalshunt/core/turn/TurnDirectory.java
@@ -1,10 +1,8 @@
 package org.quetzalshunt.core.turn;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.quetzalshunt.core.membership.Rendezvous;
 
 /**
  * Which VM ran a turn, for the turns that this VM is the directory of; bounded, the oldest go first. Each turn has one
@@ -29,11 +27,6 @@
         return new TurnDirectory();
     }
 
-    /** The VM that is the directory of a turn, among those that can be reached; empty when there are none. */
-    public static Optional<String> directoryOf(String turn, List<String> vms) {
-        return Rendezvous.winner(turn, vms);
-    }
-
     /** A VM ran the turn and holds it. */
     public void put(String turn, String vm) {
         holders.put(turn, vm);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
@@ -70,7 +70,12 @@
 
     /** The program that the request belongs to, within its account. */
     Optional<String> program() {
-        return request.program().map(program -> accountName() + ":" + program);
+        return request.program().map(program -> programPrefix(accountName()) + program);
+    }
+
+    /** What the names of an account's programs begin with, as budgets and peers know them. */
+    static String programPrefix(String account) {
+        return account + ":";
     }
 
     /** The program whose budget the request spends, whether or not its route keeps history; empty without a budget. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
@@ -133,7 +133,7 @@
     /** Gives what this VM may still hand out for a program to another VM. */
     ProgramAllotment.Transfer giveOn(String program) {
         Row row = rows.get(program);
-        return row == null ? new ProgramAllotment.Transfer(0, 0) : row.allotment.giveOn();
+        return row == null ? ProgramAllotment.Transfer.NONE : row.allotment.giveOn();
     }
 
     /** Another VM gave what it might still have handed out for a program. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ChainExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ChainExchange.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.quetzalshunt.core.budget.ProgramAllotment;
+import org.quetzalshunt.core.membership.Rendezvous;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.turn.TurnDirectory;
 import org.quetzalshunt.core.turn.TurnRecord;
@@ -34,8 +35,6 @@
     /** A chain beyond this would hold up the loads and tokens that share its link. */
     private static final int LARGEST_CHAIN_BYTES = 256 * 1024;
 
-    private static final String NOBODY = "";
-
     private final EventExecutor executor;
     private final GatewaySettings settings;
     private final StoreClient map;
@@ -68,8 +67,8 @@
      */
     void fetch(AdmittedRequest admitted, Runnable then) {
         String turn = admitted.request().previousTurn().orElseThrow();
-        String holder = wanted(turn) ? holderOrDirectory(turn) : NOBODY;
-        if (holder.equals(NOBODY) || holder.equals(settings.vm())) {
+        Optional<String> peer = wanted(turn) ? holderOrDirectory(turn) : Optional.empty();
+        if (peer.isEmpty()) {
             then.run();
             return;
         }
@@ -77,7 +76,7 @@
         pending.put(id, then);
         ChainRequest request = new ChainRequest(
                 id, turn, admitted.accountName(), admitted.budgetedProgram().orElse(""), settings.vm());
-        links.send(holder, Message.chainRequest(request));
+        links.send(peer.get(), Message.chainRequest(request));
         executor.schedule(() -> proceed(id), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -86,15 +85,17 @@
         return settings.policy().has(Mechanism.PEER_HISTORY) && !history.holds(turn) && !map.failing();
     }
 
-    private String holderOrDirectory(String turn) {
+    /** The peer to ask for a turn. */
+    private Optional<String> holderOrDirectory(String turn) {
         String place = directoryOf(turn);
-        return place.equals(settings.vm()) ? directory.find(turn).orElse(NOBODY) : place;
+        Optional<String> peer = place.equals(settings.vm()) ? directory.find(turn) : Optional.of(place);
+        return peer.filter(vm -> !vm.equals(settings.vm()));
     }
 
     private String directoryOf(String turn) {
         List<String> vms = new ArrayList<>(links.connectedVms());
         vms.add(settings.vm());
-        return TurnDirectory.directoryOf(turn, vms).orElse(NOBODY);
+        return Rendezvous.winner(turn, vms).orElseThrow();
     }
 
     /** This VM keeps a turn that ended. */
@@ -147,9 +148,10 @@
         if (!links.isConnected(request.getRequester())) {
             return;
         }
-        boolean gives = !chain.isEmpty() && request.getProgram().startsWith(request.getAccount() + ":");
+        boolean gives = !chain.isEmpty()
+                && request.getProgram().startsWith(AdmittedRequest.programPrefix(request.getAccount()));
         ProgramAllotment.Transfer transfer =
-                gives ? budgets.giveOn(request.getProgram()) : new ProgramAllotment.Transfer(0, 0);
+                gives ? budgets.giveOn(request.getProgram()) : ProgramAllotment.Transfer.NONE;
         List<ChainTurn> turns = chain.stream()
                 .map(turn -> new ChainTurn(turn.id(), ByteBuffer.wrap(StoredRecords.encode(turn))))
                 .toList();
