Settings, configuration and messages for load control

Cause: decisions under load need the VM's capacity, routes' resumability, the caller's length estimate and new fields in the messages between gateways. Change: VmCapacity, loadControlRequested, Route.resumable and targetGapMillis, CallerRequest.lengthHint and lastEventId, optional fields of TokenRequest, TokenAnswer and EndpointLoads, mechanisms that take effect only under load control.

--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -56,7 +56,64 @@
      * Programs of the highest priority may wait longer for a rate token before they start. Without it: as long as
      * others. Has no effect while {@link #STARTS_WITHOUT_WAIT} is enabled.
      */
-    URGENT_STARTS;
+    URGENT_STARTS,
+    /**
+     * An account's quota admits whole programs: the first turn is admitted only if the quota covers the requests that
+     * its program is expected to send. Without it: if there is one token. Part of load control.
+     */
+    PROGRAM_ADMISSION(true),
+    /**
+     * Requests wait at the gateway, in order of their programs' slack, until an endpoint has a free slot. Without it:
+     * in the queues of the endpoints. Part of load control.
+     */
+    DISPATCH_QUEUE(true),
+    /** Engines rank requests by their programs' slack. Without it: by route and account. Part of load control. */
+    SLACK_PRIORITY(true),
+    /**
+     * While a service is short of capacity, accounts that use more than their share wait or are refused first. Without
+     * it: only their quotas limit them. Part of load control.
+     */
+    ACCOUNT_SHARES(true),
+    /**
+     * Samples endpoints in proportion to their free speed, which gateways report to each other. Without it: all
+     * endpoints alike. Part of load control.
+     */
+    SPEED_SAMPLING(true),
+    /**
+     * Avoids an endpoint whose events are overdue for as long as its slow phases last. Without it: it is avoided only
+     * after failures. Part of load control.
+     */
+    SLOWDOWN_DETECTION(true),
+    /**
+     * Sends work to the VM's own data centre while that has free capacity. Without it: to any data centre whose
+     * endpoint is expected to answer sooner. Part of load control.
+     */
+    LOCAL_FIRST(true),
+    /**
+     * Limits what is held in memory for callers, endpoints and peers. Without it: the memory is not limited. Part of
+     * load control.
+     */
+    MEMORY_LIMIT(true),
+    /**
+     * Continues a stream that broke at another endpoint where its route allows that. Without it: the response ends.
+     * Part of load control.
+     */
+    STREAM_RESUME(true);
+
+    private final boolean partOfLoadControl;
+
+    Mechanism() {
+        this(false);
+    }
+
+    Mechanism(boolean partOfLoadControl) {
+        this.partOfLoadControl = partOfLoadControl;
+    }
+
+    /** Whether the mechanism has an effect only in deployments whose settings or routes call for load control. */
+    public boolean isPartOfLoadControl() {
+        return partOfLoadControl;
+    }
 
     /** Name on the command line: lower case, with hyphens. */
     public String flag() {
--- a/core/src/main/java/org/quetzalshunt/core/route/Route.java
+++ b/core/src/main/java/org/quetzalshunt/core/route/Route.java
@@ -19,6 +19,8 @@
  * @param retentionMillis how long a stored turn is retained
  * @param keyless whether requests are accepted without a key
  * @param allowedRegions regions in which requests of the route may run; empty for any
+ * @param resumable whether a stream that broke may be continued by another run after its last event
+ * @param targetGapMillis longest pause between two events with which a stream is on time
  */
 public record Route(
         String name,
@@ -33,7 +35,14 @@
         boolean stateful,
         long retentionMillis,
         boolean keyless,
-        Set<String> allowedRegions) {
+        Set<String> allowedRegions,
+        boolean resumable,
+        long targetGapMillis) {
+
+    /** Whether a request is a stream that may be sent to one endpoint only. */
+    public boolean isSingleAttemptStream() {
+        return kind == RequestKind.STREAM && maximumAttempts == 1;
+    }
 
     /**
      * Picks the service for a request by the weights of the targets.
--- a/core/src/main/java/org/quetzalshunt/core/route/RouteTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/route/RouteTable.java
@@ -11,10 +11,12 @@
 public final class RouteTable {
     private final Map<String, List<Route>> byHost;
     private final int size;
+    private final boolean singleAttemptStreams;
 
-    private RouteTable(Map<String, List<Route>> byHost, int size) {
+    private RouteTable(Map<String, List<Route>> byHost, int size, boolean singleAttemptStreams) {
         this.byHost = byHost;
         this.size = size;
+        this.singleAttemptStreams = singleAttemptStreams;
     }
 
     /** Creates a table of the given routes. */
@@ -25,7 +27,7 @@
         byHost.values()
                 .forEach(list -> list.sort(Comparator.comparingInt(
                         (Route route) -> -route.pathPrefix().length())));
-        return new RouteTable(byHost, routes.size());
+        return new RouteTable(byHost, routes.size(), routes.stream().anyMatch(Route::isSingleAttemptStream));
     }
 
     /** Finds the route of a request; empty if none matches. */
@@ -38,6 +40,11 @@
         return Optional.empty();
     }
 
+    /** Whether some route has streams that may be sent to one endpoint only. */
+    public boolean hasSingleAttemptStreams() {
+        return singleAttemptStreams;
+    }
+
     /** Number of routes. */
     public int size() {
         return size;
--- a/core/src/test/java/org/quetzalshunt/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/route/RouteTableTest.java
@@ -12,8 +12,27 @@
 
 final class RouteTableTest {
     private static Route route(String name, String host, String prefix, RouteTarget... targets) {
+        return route(name, host, prefix, RequestKind.IDEMPOTENT, 2, targets);
+    }
+
+    private static Route route(
+            String name, String host, String prefix, RequestKind kind, int maximumAttempts, RouteTarget... targets) {
         return new Route(
-                name, host, prefix, RequestKind.IDEMPOTENT, 1, 1, 0, List.of(targets), 2, false, 0, false, Set.of());
+                name,
+                host,
+                prefix,
+                kind,
+                1,
+                1,
+                0,
+                List.of(targets),
+                maximumAttempts,
+                false,
+                0,
+                false,
+                Set.of(),
+                false,
+                1);
     }
 
     private final RouteTable table = RouteTable.of(List.of(
@@ -47,4 +66,13 @@
         }
         assertThat(counts).containsExactly("x", 900, "y", 100);
     }
+
+    @ParameterizedTest
+    @CsvSource({"STREAM,1,true", "STREAM,2,false", "IDEMPOTENT,1,false", "NON_IDEMPOTENT,1,false"})
+    void streamsWithOneAttemptAreFound(RequestKind kind, int maximumAttempts, boolean expected) {
+        RouteTable routes = RouteTable.of(List.of(
+                route("plain", "h", "/a/", RequestKind.IDEMPOTENT, 2),
+                route("chat", "h", "/b/", kind, maximumAttempts)));
+        assertThat(routes.hasSingleAttemptStreams()).isEqualTo(expected);
+    }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CallerRequest.java
@@ -22,6 +22,8 @@
  * @param prefixParts parts of the prompt in order; requests with equal first parts share these in an engine's
  *     prompt cache
  * @param maximumTokens maximum number of tokens that this turn may generate
+ * @param lengthHint caller's estimate of the tokens that this turn will generate; accurate at the median only
+ * @param lastEventId id of the last event that the caller has of a stream that broke
  */
 public record CallerRequest(
         String id,
@@ -36,4 +38,6 @@
         OptionalLong tokenBudget,
         OptionalLong promptTokens,
         List<PrefixPart> prefixParts,
-        OptionalLong maximumTokens) {}
+        OptionalLong maximumTokens,
+        OptionalLong lengthHint,
+        OptionalLong lastEventId) {}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -39,6 +39,24 @@
 
     private static final int REMAINING_TIME_DIVISOR = 3;
 
+    /**
+     * Whether load control is on: the settings request it, or the configuration has streams that may be sent to one
+     * endpoint only. Such a stream cannot be retried elsewhere if its endpoint is full, so the gateway must decide when
+     * and where to send it.
+     */
+    boolean isLoadControlled() {
+        return settings.loadControlRequested()
+                || configuration
+                        .current()
+                        .filter(current -> current.routes().hasSingleAttemptStreams())
+                        .isPresent();
+    }
+
+    /** Whether a mechanism is enabled and has an effect in this deployment. */
+    boolean isEnabled(Mechanism mechanism) {
+        return settings.policy().isEnabled(mechanism) && (!mechanism.isPartOfLoadControl() || isLoadControlled());
+    }
+
     /** Retry-After for a request that another VM may be able to serve, in milliseconds. */
     long retryAfterMillis(long remainingMillis) {
         return links.anyPeerReachesStore() && !store.isUnavailable()
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import org.quetzalshunt.core.policy.Policy;
+import org.quetzalshunt.core.vm.VmCapacity;
 
 /**
  * Settings of a gateway process.
@@ -18,6 +19,8 @@
  * @param stopMillis maximum duration of a planned stop
  * @param regions region of each data centre
  * @param policy mechanisms that are enabled for decisions under load
+ * @param loadControlRequested whether the settings request load control, whatever the configured routes
+ * @param capacity capacity of this VM
  */
 public record GatewaySettings(
         String vm,
@@ -29,7 +32,9 @@
         long maximumKeyAgeMillis,
         long stopMillis,
         Map<String, String> regions,
-        Policy policy) {
+        Policy policy,
+        boolean loadControlRequested,
+        VmCapacity capacity) {
     /** A copy with another policy. */
     public GatewaySettings withPolicy(Policy other) {
         return new GatewaySettings(
@@ -42,7 +47,9 @@
                 maximumKeyAgeMillis,
                 stopMillis,
                 regions,
-                other);
+                other,
+                loadControlRequested,
+                capacity);
     }
 
     /** Identifies this incarnation of the VM in keys of the store; no other incarnation has the same id. */
--- a/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalshunt.core.budget.ProgramAllotment;
 import org.quetzalshunt.core.policy.Policy;
+import org.quetzalshunt.core.vm.VmCapacity;
 
 final class BudgetManagerTest {
     private static final String PROGRAM = "arusha:loop";
@@ -72,7 +73,18 @@
             InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
             for (int gateway = 0; gateway < GATEWAYS; gateway++) {
                 GatewaySettings settings = new GatewaySettings(
-                        "vm-" + gateway, 1, "a", any, any, any, 5_000, 1_000, Map.of(), Policy.allEnabled());
+                        "vm-" + gateway,
+                        1,
+                        "a",
+                        any,
+                        any,
+                        any,
+                        5_000,
+                        1_000,
+                        Map.of(),
+                        Policy.allEnabled(),
+                        false,
+                        VmCapacity.UNKNOWN);
                 managers.add(new BudgetManager(
                         executor, new StoreClient(map, clock), clock, settings, () -> false, this::notifyPeers));
             }
--- a/server/src/test/java/org/quetzalshunt/server/gateway/HomeDataCentresTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/HomeDataCentresTest.java
@@ -36,7 +36,9 @@
                 true,
                 60_000,
                 false,
-                routeRegions);
+                routeRegions,
+                false,
+                200);
         CallerRequest request = new CallerRequest(
                 "q",
                 "host",
@@ -50,6 +52,8 @@
                 OptionalLong.empty(),
                 OptionalLong.empty(),
                 List.of(),
+                OptionalLong.empty(),
+                OptionalLong.empty(),
                 OptionalLong.empty());
         ServiceConfiguration service = new ServiceConfiguration("llm", 100, 0, Optional.empty());
         Optional<AccountConfiguration> account =
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -239,6 +239,12 @@
   1: i64 id
   2: string account
   3: i64 mostWaitMillis
+  /** Program that the request belongs to; absent outside programs. */
+  4: optional string program
+  /** Kind of the program that the request starts; absent if it does not start one. */
+  5: optional string startedKind
+  /** Urgency of the program that the request starts, 0 being the most urgent. */
+  6: optional i32 urgency
 }
 
 /** Answer to a TokenRequest: the time that the request must wait before it runs, negative if no token is granted. */
@@ -246,6 +252,8 @@
   1: i64 id
   2: i64 waitMillis
   3: optional i64 shortestMillis
+  /** Set if the request may not start a program now: the time until the quota is expected to cover a program. */
+  4: optional i64 startAfterMillis
 }
 
 /** A part of a prompt that an endpoint has processed for the sender and may have in its prefix cache. */
@@ -255,6 +263,18 @@
   3: i64 tokens
 }
 
+/** Speed of an endpoint as measured by the sender. */
+struct EndpointPace {
+  /** Time per generated token, in milliseconds; 0 if unknown. */
+  1: double millisPerToken
+  /** Prompt tokens prefilled per millisecond; 0 if unknown. */
+  2: double prefillTokensPerMilli
+  /** Time of a request without a prompt, relative to the other endpoints of its service; 0 if unknown. */
+  3: double relativeTime
+  /** Number of measurements, up to a limit. */
+  4: i32 samples
+}
+
 /**
  * Number of running requests of the sender at each endpoint, without the endpoints that run none. The proof age is the
  * age of the sender's last proof that its configuration is current.
@@ -266,6 +286,12 @@
   4: optional list<PromptPlaced> placed
   /** Prompt tokens in requests of the sender that each endpoint has not processed yet. */
   5: optional map<string, i64> unread
+  /** Speeds of endpoints that the sender has measured since its last message. */
+  6: optional map<string, EndpointPace> paces
+  /** Slots that the sender's requests use, by service and client account; only while a service is short of slots. */
+  7: optional map<string, map<string, double>> accountUse
+  /** Requests that wait at the sender for a free slot, by service; services without any are left out. */
+  8: optional map<string, i32> waiting
 }
 
 /** Registers the sender at a turn's directory VM as the holder of the turn and of all turns before it. */
