Endpoint speeds shared between gateways, and sampling by free speed

Cause: selection compared two random endpoints by this gateway's own few measurements, so turns ran on slow engines while fast ones had free slots.

With SPEED_SAMPLING on, candidates are drawn in proportion to free slots times speed, and compared by expected completion time. The mechanisms that are on come with each RoutingRequest; without them selection draws the same random numbers as before.

--- /dev/null
+++ b/core/src/main/java/org/quetzalshunt/core/routing/CompletionTime.java
@@ -0,0 +1,55 @@
+package org.quetzalshunt.core.routing;
+
+/**
+ * Expected completion time of a request by the measured speed of an endpoint, its queue and its prefill backlog.
+ *
+ * <p>Load pattern: engines of unequal speed. A slow engine that is idle completes a turn later than a fast one that is
+ * nearly full, and a prompt that it has cached is sometimes cheaper to prefill at a fast engine.
+ */
+final class CompletionTime {
+    /** Added latency per running request, as in {@link EndpointCost}. */
+    private static final double SLOWDOWN_PER_REQUEST = 0.03;
+
+    /** Free slots assumed at a full endpoint, so that it is still sampled when all are full. */
+    private static final double MINIMUM_FREE_SLOTS = 0.1;
+
+    private final ServicePace pace;
+    private final EngineSpeed speed;
+    private final RoutingRequest request;
+
+    CompletionTime(ServicePace pace, EngineSpeed speed, RoutingRequest request) {
+        this.pace = pace;
+        this.speed = speed;
+        this.request = request;
+    }
+
+    /**
+     * Returns the expected time from sending the request to its end, and the delay that its prefill causes to the
+     * requests running there.
+     */
+    double millis(EndpointRow row, long uncachedTokens) {
+        int load = row.load();
+        int slots = row.slots();
+        double unloadedMillis = unloadedMillis(row);
+        double millis = unloadedMillis * (1 + SLOWDOWN_PER_REQUEST * Math.min(load, slots));
+        if (load >= slots) {
+            millis += unloadedMillis * (load - slots + 1) / slots;
+        }
+        double prefillMillis = pace.prefillMillisPerToken(row, speed);
+        millis += prefillMillis * (row.prefillBacklogTokens + row.peersPrefillBacklogTokens);
+        return millis + prefillMillis * uncachedTokens * (2 + load);
+    }
+
+    /** Time of the request at an idle endpoint that has cached its prompt. */
+    private double unloadedMillis(EndpointRow row) {
+        double millis = request.prompt().isEmpty()
+                ? pace.routeMillis(request.options().route()) * pace.relativeTime(row)
+                : pace.millisPerToken(row) * speed.tokensPerAnswer();
+        return millis > 0 ? millis : row.latencyMillis;
+    }
+
+    /** Free slots of an endpoint times its speed. */
+    double freeSpeed(EndpointRow row) {
+        return Math.max(MINIMUM_FREE_SLOTS, row.slots() - row.load()) / unloadedMillis(row);
+    }
+}
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointCost.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointCost.java
@@ -60,6 +60,15 @@
         return cost + speed.prefillMillis(uncachedTokens) * (2 + load);
     }
 
+    /**
+     * Returns the cost of a request by its expected completion time, with the failures of the endpoint and the price of
+     * the traffic.
+     */
+    double millis(long nowMillis, EndpointRow row, double completionMillis) {
+        boolean local = row.registration.dataCentre().equals(dataCentre);
+        return completionMillis + penaltyMillis(nowMillis, row) + (local ? 0 : CROSS_DATA_CENTRE_COST_MILLIS);
+    }
+
     /** Whether an endpoint is neither full nor ejected, and its failure rate is low. */
     boolean isHealthy(long nowMillis, EndpointRow row) {
         return penaltyMillis(nowMillis, row) < HEALTHY_PENALTY_MILLIS;
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
@@ -34,6 +34,7 @@
 
     final PrefixCache prefixCache = new PrefixCache();
     final ColdStartLimiter coldStart = new ColdStartLimiter();
+    final EndpointPaces paces = new EndpointPaces();
     Registration registration;
     int inFlight;
     int peersInFlight;
@@ -61,6 +62,15 @@
         this.latencyMillis = latencyMillis;
     }
 
+    /** Requests of this VM and its peers in flight. */
+    int load() {
+        return inFlight + peersInFlight;
+    }
+
+    int slots() {
+        return Math.max(1, registration.slots());
+    }
+
     void recordSuccess(long nowMillis, long tookMillis) {
         failures = 0;
         ejectedUntilMillis = Long.MIN_VALUE / 2;
@@ -132,9 +142,10 @@
         return rate * Math.pow(0.5, Math.max(0, nowMillis - sinceMillis) / FAILURE_HALF_LIFE_MILLIS);
     }
 
-    /** Clears the cache contents and the failures of the previous process after a restart under the same id. */
+    /** Clears the cache contents, the speed and the failures of the previous process after a restart under the same id. */
     void resetAfterRestart() {
         prefixCache.clear();
+        paces.clear();
         prefillBacklogTokens = 0;
         failureRate = 0;
         peersFailureRate = 0;
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointRows.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointRows.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Stream;
 
 /** The rows of all registered endpoints, by id and by service. */
@@ -14,6 +15,12 @@
     /** Latency assumed for an endpoint that has not answered yet. */
     private static final double FIRST_LATENCY_MILLIS = 100;
 
+    /**
+     * Minimum failure rate that is reported to peers: two failures among the last requests. A single failure is not
+     * significant.
+     */
+    private static final double MINIMUM_REPORTED_FAILURE_RATE = 0.2;
+
     private final Map<String, EndpointRow> byId = new HashMap<>();
     private final Map<String, List<EndpointRow>> byService = new HashMap<>();
     private Set<String> evacuatedDataCentres = Set.of();
@@ -65,6 +72,30 @@
         return byId.values();
     }
 
+    /** Counts by endpoint; endpoints with none are left out. */
+    <N extends Number> Map<String, N> nonZeroCounts(Function<EndpointRow, N> count) {
+        Map<String, N> counts = new HashMap<>();
+        for (EndpointRow row : byId.values()) {
+            N value = count.apply(row);
+            if (value.longValue() > 0) {
+                counts.put(row.registration.id(), value);
+            }
+        }
+        return counts;
+    }
+
+    /** Failure rates of this VM's own requests, for the endpoints with a significant rate. */
+    Map<String, Double> failureRates(long nowMillis) {
+        Map<String, Double> failing = new HashMap<>();
+        for (EndpointRow row : byId.values()) {
+            double failureRate = row.ownFailureRate(nowMillis);
+            if (failureRate >= MINIMUM_REPORTED_FAILURE_RATE) {
+                failing.put(row.registration.id(), failureRate);
+            }
+        }
+        return failing;
+    }
+
     void setEvacuated(Set<String> dataCentres) {
         evacuatedDataCentres = Set.copyOf(dataCentres);
     }
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 
@@ -17,26 +18,38 @@
     private final EndpointCost cost;
     private final Policy policy;
     private final SplittableRandom random;
+    private final EndpointSpeeds speeds;
 
-    EndpointSelector(String dataCentre, PrefixPlacement placement, Policy policy, SplittableRandom random) {
+    EndpointSelector(
+            String dataCentre,
+            PrefixPlacement placement,
+            Policy policy,
+            SplittableRandom random,
+            EndpointSpeeds speeds) {
         this.dataCentre = dataCentre;
         this.placement = placement;
         this.cost = new EndpointCost(dataCentre, policy);
         this.policy = policy;
         this.random = random;
+        this.speeds = speeds;
     }
 
     /** Returns the best of the given endpoints; empty when none can be used. */
     Optional<Selection> select(long nowMillis, List<EndpointRow> open, EngineSpeed speed, RoutingRequest request) {
         Optional<PrefixPlacement.Assignment> assignment = assignment(nowMillis, open, request);
+        Optional<CompletionTime> completion = completionTime(nowMillis, speed, request);
         Selection best = null;
-        for (EndpointRow row : candidates(nowMillis, open, assignment, request)) {
+        for (EndpointRow row : candidates(nowMillis, open, assignment, completion, request)) {
             long uncached = uncachedTokens(nowMillis, row, request.prompt());
             long credited = assignment
                     .filter(each -> each.endpoint().equals(row.registration.id()))
                     .map(PrefixPlacement.Assignment::creditedTokens)
                     .orElse(0L);
-            double millis = cost.millis(nowMillis, row, speed, Math.max(0, uncached - credited)) + random.nextDouble();
+            long prefilled = Math.max(0, uncached - credited);
+            double millis = completion
+                            .map(each -> cost.millis(nowMillis, row, each.millis(row, prefilled)))
+                            .orElseGet(() -> cost.millis(nowMillis, row, speed, prefilled))
+                    + random.nextDouble();
             if (best == null || millis < best.expectedMillis()) {
                 best = new Selection(row.registration, uncached, millis);
             }
@@ -44,6 +57,13 @@
         return Optional.ofNullable(best);
     }
 
+    /** Expected completion times by measured speeds; empty if the endpoints are compared without them. */
+    private Optional<CompletionTime> completionTime(long nowMillis, EngineSpeed speed, RoutingRequest request) {
+        return request.options().speedSampling()
+                ? Optional.of(new CompletionTime(speeds.service(nowMillis, request.service()), speed, request))
+                : Optional.empty();
+    }
+
     private Optional<PrefixPlacement.Assignment> assignment(
             long nowMillis, List<EndpointRow> open, RoutingRequest request) {
         boolean usesPlacement = policy.isEnabled(Mechanism.PREFIX_AFFINITY)
@@ -60,6 +80,7 @@
             long nowMillis,
             List<EndpointRow> open,
             Optional<PrefixPlacement.Assignment> assignment,
+            Optional<CompletionTime> completion,
             RoutingRequest request) {
         List<EndpointRow> usable = open.stream()
                 .filter(row -> row.inFlight < request.limits().maximumInFlight())
@@ -75,11 +96,11 @@
         if (healthy.isEmpty()) {
             return usable;
         }
-        return CandidateSample.of(
-                healthy,
-                random,
-                row -> row.registration.dataCentre().equals(dataCentre),
-                row -> hasAffinity(row, assignment, request.prompt()));
+        Predicate<EndpointRow> affinity = row -> hasAffinity(row, assignment, request.prompt());
+        return completion
+                .map(each -> SpeedSample.of(healthy, random, each::freeSpeed, affinity))
+                .orElseGet(() -> CandidateSample.of(
+                        healthy, random, row -> row.registration.dataCentre().equals(dataCentre), affinity));
     }
 
     private boolean hasAffinity(
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.Function;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 
@@ -20,12 +19,6 @@
     /** Time after a rejection at capacity in which the endpoint is used only if no other has free slots. */
     private static final long FULL_PENALTY_MILLIS = 40;
 
-    /**
-     * Minimum failure rate that is reported to peers: two failures among the last requests. A single failure is not
-     * significant.
-     */
-    private static final double MINIMUM_REPORTED_FAILURE_RATE = 0.2;
-
     /** Maximum number of prefix locations in one report to peers; the newest are kept. */
     private static final int MAXIMUM_NEW_LOCATIONS = 512;
 
@@ -34,6 +27,7 @@
     private final EndpointSelector selector;
     private final Policy policy;
     private final EndpointRows rows = new EndpointRows();
+    private final EndpointSpeeds measuredSpeeds = new EndpointSpeeds(rows);
     private final PeerCounts peersInFlight = new PeerCounts(this::addPeerInFlight);
     private final PeerCounts peersPrefillBacklog = new PeerCounts(this::addPeerPrefillBacklog);
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
@@ -42,7 +36,7 @@
     private EndpointTable(String dataCentre, long startedMillis, Policy policy) {
         this.placement = new PrefixPlacement(startedMillis);
         this.random = new SplittableRandom(startedMillis);
-        this.selector = new EndpointSelector(dataCentre, placement, policy, random);
+        this.selector = new EndpointSelector(dataCentre, placement, policy, random, measuredSpeeds);
         this.policy = policy;
     }
 
@@ -223,14 +217,7 @@
 
     /** Failure rates of this VM's own requests, for the endpoints with a significant rate. */
     public Map<String, Double> failureRates(long nowMillis) {
-        Map<String, Double> failing = new HashMap<>();
-        for (EndpointRow row : rows.all()) {
-            double failureRate = row.ownFailureRate(nowMillis);
-            if (failureRate >= MINIMUM_REPORTED_FAILURE_RATE) {
-                failing.put(row.registration.id(), failureRate);
-            }
-        }
-        return failing;
+        return rows.failureRates(nowMillis);
     }
 
     /** Records the failure rates that a peer reported. */
@@ -273,29 +260,24 @@
     public void removePeer(String vm) {
         peersInFlight.remove(vm);
         peersPrefillBacklog.remove(vm);
+        measuredSpeeds.removePeer(vm);
+    }
+
+    /** Speeds of the endpoints as this VM and its peers measure them. */
+    public EndpointSpeeds speeds() {
+        return measuredSpeeds;
     }
 
     /** Requests of this VM in flight by endpoint; endpoints without any are left out. */
     public Map<String, Integer> requestsInFlight() {
-        return nonZeroCounts(row -> row.inFlight);
+        return rows.nonZeroCounts(row -> row.inFlight);
     }
 
     /**
      * Prompt tokens by endpoint that this VM sent and that are not prefilled yet; endpoints without any are left out.
      */
     public Map<String, Long> prefillBacklog() {
-        return nonZeroCounts(row -> row.prefillBacklogTokens);
-    }
-
-    private <N extends Number> Map<String, N> nonZeroCounts(Function<EndpointRow, N> count) {
-        Map<String, N> counts = new HashMap<>();
-        for (EndpointRow row : rows.all()) {
-            N value = count.apply(row);
-            if (value.longValue() > 0) {
-                counts.put(row.registration.id(), value);
-            }
-        }
-        return counts;
+        return rows.nonZeroCounts(row -> row.prefillBacklogTokens);
     }
 
     /** Whether a service has endpoints that accept work in the data centres that the limits allow. */
--- a/core/src/main/java/org/quetzalshunt/core/routing/RoutingRequest.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/RoutingRequest.java
@@ -11,9 +11,21 @@
  * @param prompt parts of the prompt in order; empty for a request without a prompt
  * @param memoryTokens capacity of an engine's prefix cache in tokens
  * @param limits limits on this VM's use of the endpoints
+ * @param options parts of load control that are on
  */
 public record RoutingRequest(
-        String service, Set<String> excluded, List<PrefixPart> prompt, long memoryTokens, EndpointLimits limits) {
+        String service,
+        Set<String> excluded,
+        List<PrefixPart> prompt,
+        long memoryTokens,
+        EndpointLimits limits,
+        RoutingOptions options) {
+    /** Creates a routing request with all parts of load control off. */
+    public RoutingRequest(
+            String service, Set<String> excluded, List<PrefixPart> prompt, long memoryTokens, EndpointLimits limits) {
+        this(service, excluded, prompt, memoryTokens, limits, RoutingOptions.OFF);
+    }
+
     /** Creates a routing request without a prompt. */
     public static RoutingRequest plain(String service, Set<String> excluded, EndpointLimits limits) {
         return new RoutingRequest(service, excluded, List.of(), 0, limits);
--- a/core/src/test/java/org/quetzalshunt/core/routing/EngineSimulation.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EngineSimulation.java
@@ -64,18 +64,39 @@
         }
     }
 
+    /**
+     * Parts of load control in a simulation, and differences between the engines.
+     *
+     * @param slowness time per token of each engine, relative to the shape; repeated over all engines
+     * @param options parts of load control that are on
+     * @param arrivalMillis time in which programs arrive
+     */
+    record Conditions(List<Double> slowness, RoutingOptions options, long arrivalMillis) {
+        static final Conditions ALIKE = new Conditions(List.of(1.0), RoutingOptions.OFF, ARRIVAL_MILLIS);
+    }
+
     /**
      * Result of a simulation.
      *
      * @param meanTurnMillis mean time from the arrival of a turn to its end
+     * @param p95TurnMillis 95th percentile of that time, over the turns that arrived after the first quarter
+     * @param busiest share of time in which an engine works, of the busiest engine relative to the mean
+     * @param slowShare share of turns that ran on an engine slower than the fastest
      * @param tokensRead tokens prefilled by all engines
      * @param queuedShare share of turns that waited for a slot while another engine had one free
      */
-    record Result(double meanTurnMillis, long tokensRead, double queuedShare) {}
+    record Result(
+            double meanTurnMillis,
+            long tokensRead,
+            double queuedShare,
+            double p95TurnMillis,
+            double busiest,
+            double slowShare) {}
 
     private static final int COMMON_PARTS = 8;
     private static final int TURNS_PER_PROGRAM = 5;
     private static final int TICK_MILLIS = 5;
+    private static final int PACES_PER_REPORT = 16;
     private static final int ARRIVAL_MILLIS = 20_000;
     private static final double SLOWDOWN_PER_REQUEST = 0.02;
     private static final long TURN_TOKENS = 900;
@@ -102,13 +123,19 @@
     }
 
     private static final class Engine {
+        double slowness;
+        double busyMillis;
         final PrefixCache memory = new PrefixCache();
         final ArrayDeque<Turn> waiting = new ArrayDeque<>();
         final List<Turn> running = new ArrayList<>();
     }
 
     private final Shape shape;
+    private final Conditions conditions;
     private final Random random;
+    private final List<Long> turnMillis = new ArrayList<>();
+    private final long[] nextPaceMillis;
+    private long slowTurns;
     private final List<Engine> engines = new ArrayList<>();
     private final List<EndpointTable> gateways = new ArrayList<>();
     private final PriorityQueue<Turn> arrivals =
@@ -118,11 +145,16 @@
     private double read;
     private long queued;
 
-    private EngineSimulation(Shape shape, Policy policy, long seed) {
+    private EngineSimulation(Shape shape, Conditions conditions, Policy policy, long seed) {
         this.shape = shape;
+        this.conditions = conditions;
+        this.nextPaceMillis = new long[shape.gateways()];
         this.random = new Random(seed);
         for (int number = 0; number < shape.engines(); number++) {
-            engines.add(new Engine());
+            Engine engine = new Engine();
+            engine.slowness =
+                    conditions.slowness().get(number % conditions.slowness().size());
+            engines.add(engine);
         }
         for (int gateway = 0; gateway < shape.gateways(); gateway++) {
             EndpointTable table = EndpointTable.create(dataCentre(gateway), gateway, policy);
@@ -149,18 +181,37 @@
 
     /** Simulates twenty seconds of arrivals until all turns have ended. */
     static Result simulate(Shape shape, Policy policy, long seed) {
-        EngineSimulation simulation = new EngineSimulation(shape, policy, seed);
+        return simulate(shape, Conditions.ALIKE, policy, seed);
+    }
+
+    /** Simulates the time of arrivals until all turns have ended. */
+    static Result simulate(Shape shape, Conditions conditions, Policy policy, long seed) {
+        EngineSimulation simulation = new EngineSimulation(shape, conditions, policy, seed);
         simulation.scheduleArrivals();
         simulation.run();
+        return simulation.result();
+    }
+
+    private Result result() {
+        List<Long> sorted = turnMillis.stream().sorted().toList();
+        double meanBusy = engines.stream()
+                .mapToDouble(engine -> engine.busyMillis)
+                .average()
+                .orElseThrow();
+        double mostBusy =
+                engines.stream().mapToDouble(engine -> engine.busyMillis).max().orElseThrow();
         return new Result(
-                simulation.totalTurnMillis / simulation.turns,
-                Math.round(simulation.read),
-                simulation.queued / (double) simulation.turns);
+                totalTurnMillis / turns,
+                Math.round(read),
+                queued / (double) turns,
+                sorted.get(sorted.size() * 95 / 100),
+                mostBusy / meanBusy,
+                slowTurns / (double) turns);
     }
 
     private void scheduleArrivals() {
         double now = 0;
-        for (int program = 0; now < ARRIVAL_MILLIS; program++) {
+        for (int program = 0; now < conditions.arrivalMillis(); program++) {
             now += -Math.log(1 - random.nextDouble()) * 1_000 / shape.programsPerSecond();
             Turn first = new Turn();
             first.conversation = "line-" + program;
@@ -172,7 +223,7 @@
     }
 
     private void run() {
-        for (long now = 0; now < 6 * ARRIVAL_MILLIS; now += TICK_MILLIS) {
+        for (long now = 0; now < 6 * conditions.arrivalMillis(); now += TICK_MILLIS) {
             while (!arrivals.isEmpty() && arrivals.peek().arrivedMillis <= now) {
                 send(now, arrivals.poll());
             }
@@ -186,7 +237,12 @@
     private void send(long now, Turn turn) {
         turn.gateway = gateways.get(random.nextInt(shape.gateways()));
         RoutingRequest request = new RoutingRequest(
-                "llm", Set.of(), turn.prompt(), shape.memoryTokens(), EndpointLimits.inFlight(Integer.MAX_VALUE));
+                "llm",
+                Set.of(),
+                turn.prompt(),
+                shape.memoryTokens(),
+                EndpointLimits.inFlight(Integer.MAX_VALUE),
+                conditions.options());
         turn.selection = turn.gateway.select(now, request).orElseThrow();
         String id = turn.selection.registration().id();
         turn.gateway.started(id);
@@ -206,13 +262,16 @@
         while (engine.running.size() < shape.slots() && !engine.waiting.isEmpty()) {
             admit(engine, engine.waiting.poll());
         }
+        engine.busyMillis += engine.running.isEmpty() ? 0 : TICK_MILLIS;
+        double readTokensPerMilli = shape.readTokensPerMilli() / engine.slowness;
         double left = TICK_MILLIS;
         for (Turn turn : engine.running) {
-            double tokens = Math.min(turn.unread, left * shape.readTokensPerMilli());
+            double tokens = Math.min(turn.unread, left * readTokensPerMilli);
             turn.unread -= tokens;
-            left -= tokens / shape.readTokensPerMilli();
+            left -= tokens / readTokensPerMilli;
         }
-        double tokens = left / (shape.stepMillis() * (1 + SLOWDOWN_PER_REQUEST * engine.running.size()));
+        double stepMillis = shape.stepMillis() * engine.slowness;
+        double tokens = left / (stepMillis * (1 + SLOWDOWN_PER_REQUEST * engine.running.size()));
         for (Iterator<Turn> each = engine.running.iterator(); each.hasNext(); ) {
             Turn turn = each.next();
             if (turn.unread <= 0 && generate(now, turn, tokens)) {
@@ -234,7 +293,9 @@
             turn.firstEventMillis = now;
             String id = turn.selection.registration().id();
             turn.gateway.recordPrefillDone(id, turn.selection.uncachedTokens());
-            turn.gateway.onFirstEvent(id, turn.selection.uncachedTokens(), now - turn.sentMillis + TICK_MILLIS);
+            long tookMillis = now - turn.sentMillis + TICK_MILLIS;
+            turn.gateway.onFirstEvent(id, turn.selection.uncachedTokens(), tookMillis);
+            turn.gateway.speeds().recordFirstEvent(id, turn.selection.uncachedTokens(), 1, tookMillis);
         }
         turn.remainingTokens -= tokens;
         return turn.remainingTokens <= 0;
@@ -243,9 +304,18 @@
     private void recordEnd(long now, Turn turn) {
         String id = turn.selection.registration().id();
         turn.gateway.recordGeneration(id, turn.generated, now - turn.firstEventMillis);
+        turn.gateway.speeds().recordGeneration(id, turn.generated, now - turn.firstEventMillis);
         turn.gateway.finished(now, id, AttemptOutcome.ANSWERED, now - turn.sentMillis);
         totalTurnMillis += now - turn.arrivedMillis;
         turns++;
+        if (turn.arrivedMillis > conditions.arrivalMillis() / 4) {
+            turnMillis.add(now - turn.arrivedMillis);
+        }
+        double fastest = conditions.slowness().stream()
+                .mapToDouble(Double::doubleValue)
+                .min()
+                .orElseThrow();
+        slowTurns += engines.get(Integer.parseInt(id)).slowness > fastest ? 1 : 0;
         if (turn.number + 1 < TURNS_PER_PROGRAM) {
             Turn next = new Turn();
             next.number = turn.number + 1;
@@ -262,21 +332,34 @@
         for (int one = 0; one < shape.gateways(); one++) {
             long offset = one * shape.reportMillis() / shape.gateways();
             if ((now - offset) / shape.reportMillis() != (now - TICK_MILLIS - offset) / shape.reportMillis()) {
-                report(one);
+                report(now, one);
             }
         }
     }
 
-    private void report(int one) {
+    private Map<String, EndpointPaceReport> takePaces(long now, int one) {
+        if (!conditions.options().speedSampling() || now < nextPaceMillis[one]) {
+            return Map.of();
+        }
+        Map<String, EndpointPaceReport> paces = gateways.get(one).speeds().takeChanged(PACES_PER_REPORT);
+        if (!paces.isEmpty()) {
+            nextPaceMillis[one] = now + EndpointSpeeds.reportIntervalMillis(shape.gateways() - 1);
+        }
+        return paces;
+    }
+
+    private void report(long now, int one) {
         EndpointTable reporter = gateways.get(one);
         List<PrefixLocation> locations = reporter.takeNewLocations();
         Map<String, Integer> running = reporter.requestsInFlight();
         Map<String, Long> unread = reporter.prefillBacklog();
+        Map<String, EndpointPaceReport> paces = takePaces(now, one);
         for (int other = 0; other < shape.gateways(); other++) {
             if (other != one) {
                 gateways.get(other).onPeerPrefixLocations(locations);
                 gateways.get(other).onPeerRunning("vm-" + one, running);
                 gateways.get(other).onPeerPrefillBacklog("vm-" + one, unread);
+                gateways.get(other).speeds().onPeerReports(now, "vm-" + one, paces);
             }
         }
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.core.route.EngineCapacity;
@@ -16,6 +17,7 @@
 import org.quetzalshunt.core.routing.AttemptOutcome;
 import org.quetzalshunt.core.routing.EndpointLimits;
 import org.quetzalshunt.core.routing.Registration;
+import org.quetzalshunt.core.routing.RoutingOptions;
 import org.quetzalshunt.core.routing.RoutingRequest;
 import org.quetzalshunt.core.routing.Selection;
 import org.quetzalshunt.server.http.CallTimeouts;
@@ -216,8 +218,10 @@
                 maximumInFlight,
                 coldRequestsPerSecond > 0 ? coldRequestsPerSecond : Double.POSITIVE_INFINITY,
                 admitted.homeDataCentres(gateway.settings().regions()));
+        RoutingOptions options = new RoutingOptions(
+                gateway.isEnabled(Mechanism.SPEED_SAMPLING), admitted.route().name());
         return new RoutingRequest(
-                admitted.service().name(), excluded, admitted.request().prefixParts(), cacheTokens, limits);
+                admitted.service().name(), excluded, admitted.request().prefixParts(), cacheTokens, limits, options);
     }
 
     private void onNoEndpoint(long remainingMillis, EndpointLimits limits) {
@@ -302,10 +306,21 @@
         headersTimeout.cancel(false);
         long now = gateway.clock().now();
         markPrefillDone();
+        recordPlainTime(now, outcome);
         gateway.endpoints().finished(now, endpoint.id(), outcome, now - sentMillis);
         gateway.metrics().countAttempt(outcome.name().toLowerCase(Locale.ROOT));
     }
 
+    private void recordPlainTime(long now, AttemptOutcome outcome) {
+        if (outcome == AttemptOutcome.ANSWERED
+                && admitted.request().prefixParts().isEmpty()
+                && gateway.isEnabled(Mechanism.SPEED_SAMPLING)) {
+            gateway.endpoints()
+                    .speeds()
+                    .recordPlain(now, endpoint.id(), admitted.route().name(), now - sentMillis);
+        }
+    }
+
     /** Handles the response to the current attempt. */
     private final class ResponseHandler implements HttpResponseListener {
         private ResponseKind head;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
@@ -36,6 +36,7 @@
                         .put("dataCentre", endpoint.dataCentre())
                         .put("leaving", endpoint.leaving())
                         .put("coldMillisWhenRead", endpoint.coldMillis()));
+        RoutingReports.addSection(dump, gateway, gateway.endpoints().ids());
         return dump.toString();
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.quota.PeerTable;
 import org.quetzalshunt.core.quota.VmLease;
 import org.quetzalshunt.core.route.TrafficConfiguration;
@@ -88,6 +89,7 @@
                 group,
                 settings,
                 endpoints,
+                new SpeedExchange(endpoints.speeds(), clock, () -> gateway.isEnabled(Mechanism.SPEED_SAMPLING)),
                 clock,
                 log,
                 quotas::reserveLocally,
@@ -159,6 +161,7 @@
                 "quetzalshunt.connections.opened",
                 "connections opened to endpoints and to the platform since the start",
                 () -> gateway.http().connectionsOpened());
+        RoutingReports.registerGauges(metrics, () -> gateway);
         metrics.registerGauge("quetzalshunt.vms", "gateways believed to be live", () -> gateway.quotas()
                 .liveVms());
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GenerationMeter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GenerationMeter.java
@@ -1,5 +1,8 @@
 package org.quetzalshunt.server.gateway;
 
+import org.quetzalshunt.core.policy.Mechanism;
+import org.quetzalshunt.core.routing.Selection;
+
 /** Measures the prefill time of an endpoint and its time per output token, by one streamed response. */
 final class GenerationMeter {
     private final Gateway gateway;
@@ -17,19 +20,28 @@
         if (events == 0 && count > 0) {
             firstEventMillis = gateway.clock().now();
             call.markPrefillDone();
-            call.selection().ifPresent(selection -> gateway.endpoints()
-                    .onFirstEvent(
-                            selection.registration().id(),
-                            selection.uncachedTokens(),
-                            firstEventMillis - call.sentMillis()));
+            call.selection().ifPresent(selection -> recordFirstEvent(selection, firstEventMillis - call.sentMillis()));
         }
         events += count;
     }
 
+    private void recordFirstEvent(Selection selection, long tookMillis) {
+        String id = selection.registration().id();
+        gateway.endpoints().onFirstEvent(id, selection.uncachedTokens(), tookMillis);
+        if (gateway.isEnabled(Mechanism.SPEED_SAMPLING)) {
+            gateway.endpoints().speeds().recordFirstEvent(id, selection.uncachedTokens(), tokensPerEvent, tookMillis);
+        }
+    }
+
     /** Reports the generation time of a completed response. */
     void onEnd(EndpointCall call) {
         long tokens = Math.max(0, events - 1) * tokensPerEvent;
         long tookMillis = gateway.clock().now() - firstEventMillis;
-        call.endpoint().ifPresent(endpoint -> gateway.endpoints().recordGeneration(endpoint.id(), tokens, tookMillis));
+        call.endpoint().ifPresent(endpoint -> {
+            gateway.endpoints().recordGeneration(endpoint.id(), tokens, tookMillis);
+            if (gateway.isEnabled(Mechanism.SPEED_SAMPLING)) {
+                gateway.endpoints().speeds().recordGeneration(endpoint.id(), tokens, tookMillis);
+            }
+        });
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
@@ -4,6 +4,8 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -15,12 +17,13 @@
 import org.quetzalshunt.core.routing.PrefixPart;
 import org.quetzalshunt.server.transport.PeerLink;
 import org.quetzalshunt.wire.generated.EndpointLoads;
+import org.quetzalshunt.wire.generated.EndpointPace;
 import org.quetzalshunt.wire.generated.Message;
 import org.quetzalshunt.wire.generated.PromptPlaced;
 
 /**
- * Sends peers the load of this VM at each endpoint, the failure rates that it sees there, and the endpoints to which
- * it sent prompt prefixes. These messages are also the heartbeats of the links.
+ * Sends peers the load of this VM at each endpoint, the failure rates and speeds that it measures there, and the
+ * endpoints to which it sent prompt prefixes. These messages are also the heartbeats of the links.
  */
 final class LoadBroadcast {
     /** Interval at which peers are checked for a due message. */
@@ -34,6 +37,7 @@
 
     private static final class PeerState {
         final ArrayDeque<PromptPlaced> pendingLocations = new ArrayDeque<>();
+        final Map<String, EndpointPace> pendingPaces = new LinkedHashMap<>();
         long sentMillis = Long.MIN_VALUE / 2;
 
         void addLocations(List<PromptPlaced> locations) {
@@ -42,12 +46,25 @@
                 pendingLocations.removeFirst();
             }
         }
+
+        Map<String, EndpointPace> takePaces() {
+            Map<String, EndpointPace> paces = new HashMap<>();
+            Iterator<Map.Entry<String, EndpointPace>> pending =
+                    pendingPaces.entrySet().iterator();
+            while (pending.hasNext() && paces.size() < SpeedExchange.MAXIMUM_PER_MESSAGE) {
+                Map.Entry<String, EndpointPace> next = pending.next();
+                paces.put(next.getKey(), next.getValue());
+                pending.remove();
+            }
+            return paces;
+        }
     }
 
     private final EventExecutor executor;
     private final NodeClock clock;
     private final String dataCentre;
     private final EndpointTable endpoints;
+    private final SpeedExchange speeds;
     private final LongSupplier storeAgeMillis;
     private final Supplier<Collection<PeerLink>> links;
     private final Map<String, PeerState> peers = new HashMap<>();
@@ -63,12 +80,14 @@
             NodeClock clock,
             String dataCentre,
             EndpointTable endpoints,
+            SpeedExchange speeds,
             LongSupplier storeAgeMillis,
             Supplier<Collection<PeerLink>> links) {
         this.executor = executor;
         this.clock = clock;
         this.dataCentre = dataCentre;
         this.endpoints = endpoints;
+        this.speeds = speeds;
         this.storeAgeMillis = storeAgeMillis;
         this.links = links;
     }
@@ -85,12 +104,14 @@
     private void sendDueMessages() {
         Collection<PeerLink> open = links.get();
         List<PromptPlaced> newLocations = newLocations();
+        Map<String, EndpointPace> changedPaces = speeds.takeChanges(open.size());
         int remotePeers = (int) open.stream().filter(link -> !isLocal(link)).count();
         long now = clock.now();
         EndpointLoads loads = null;
         for (PeerLink link : open) {
-            PeerState peer = peers.computeIfAbsent(link.remote().id().name(), ignored -> new PeerState());
+            PeerState peer = peers.computeIfAbsent(link.remote().id().name(), ignored -> newPeer(open.size()));
             peer.addLocations(newLocations);
+            peer.pendingPaces.putAll(changedPaces);
             boolean due = now - peer.sentMillis >= BroadcastInterval.millis(isLocal(link), remotePeers);
             if (due && link.isWritable()) {
                 loads = loads == null ? loads(now) : loads;
@@ -99,9 +120,19 @@
         }
     }
 
+    private PeerState newPeer(int peerCount) {
+        PeerState peer = new PeerState();
+        peer.pendingPaces.putAll(speeds.forNewPeer(peerCount));
+        return peer;
+    }
+
     private static void send(long now, PeerLink link, PeerState peer, EndpointLoads loads) {
         EndpointLoads message = new EndpointLoads(loads);
         message.setPlaced(List.copyOf(peer.pendingLocations));
+        Map<String, EndpointPace> paces = peer.takePaces();
+        if (!paces.isEmpty()) {
+            message.setPaces(paces);
+        }
         link.send(Message.endpointLoads(message));
         peer.pendingLocations.clear();
         peer.sentMillis = now;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -61,6 +61,7 @@
     private final EventExecutor executor;
     private final GatewaySettings settings;
     private final EndpointTable endpoints;
+    private final SpeedExchange speeds;
     private final NodeClock clock;
     private final DecisionLog log;
     private final BiFunction<String, Long, TokenOffer> grantToken;
@@ -85,6 +86,7 @@
             EventLoopGroup group,
             GatewaySettings settings,
             EndpointTable endpoints,
+            SpeedExchange speeds,
             NodeClock clock,
             DecisionLog log,
             BiFunction<String, Long, TokenOffer> grantToken,
@@ -93,12 +95,13 @@
         this.executor = group.next();
         this.settings = settings;
         this.endpoints = endpoints;
+        this.speeds = speeds;
         this.clock = clock;
         this.log = log;
         this.grantToken = grantToken;
         this.storeContacts = new StoreContacts(clock);
-        this.broadcast =
-                new LoadBroadcast(executor, clock, settings.dataCentre(), endpoints, storeAgeMillis, this::openLinks);
+        this.broadcast = new LoadBroadcast(
+                executor, clock, settings.dataCentre(), endpoints, speeds, storeAgeMillis, this::openLinks);
     }
 
     /** Sets the receiver of messages about turns and budgets; must be called before the start. */
@@ -240,6 +243,7 @@
             endpoints.onPeerPrefillBacklog(vm, loads.getUnread());
         }
         endpoints.onPeerPrefixLocations(LoadBroadcast.locations(loads));
+        speeds.onLoads(vm, loads);
         storeContacts.onReport(vm, peer.dataCentre(), loads.getProofAgeMillis());
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
@@ -68,7 +68,10 @@
             endpointCall
                     .firstSentMillis()
                     .ifPresent(sent -> line.put("sentAfterMillis", sent - admitted.arrivedMillis()));
-            endpointCall.endpoint().map(Registration::id).ifPresent(id -> line.put("endpoint", id));
+            endpointCall.endpoint().map(Registration::id).ifPresent(id -> {
+                line.put("endpoint", id);
+                RoutingReports.addTo(line, gateway, id);
+            });
             endpointCall.selection().ifPresent(selection -> line.put(
                             "expectedMillis", Math.round(selection.expectedMillis()))
                     .put("uncachedTokens", selection.uncachedTokens()));
