Program admission within a quota

A first turn needed one token of its account's quota, so a burst of first turns took the tokens that the programs' later requests need, and all programs of the account ended late.

Owners of quota shares now keep a second bucket, from which a first turn takes the tokens of its whole program (mean of its kind, learnt from the tokens that programs take). A first turn that is not covered is refused at once with the time at which it is; one owner keeps its tokens until then. Tokens of programs whose start the owner has not seen are taken from the second bucket one by one. A late grant of a start is cancelled. Requests and grants of tokens move from PeerConnections to TokenExchange, the terms of a request for a token from AdmissionPipeline to RateAdmission.

--- a/core/src/main/java/org/quetzalshunt/core/quota/QuotaLeases.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/QuotaLeases.java
@@ -251,6 +251,11 @@
         return holdings.get(account).bucket.reserve(clock.getAsLong(), maximumWaitMillis);
     }
 
+    /** The tokens of the share of an account that this VM may use now; empty if it holds none. */
+    public Optional<TokenBucket> share(String account) {
+        return parts(account) == 0 ? Optional.empty() : Optional.of(holdings.get(account).bucket);
+    }
+
     /** The VMs to ask for a token of the account, in this order. This VM may be one of them. */
     public List<String> candidates(String account) {
         return allocation.candidates(account);
--- a/core/src/main/java/org/quetzalshunt/core/quota/TokenBucket.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/TokenBucket.java
@@ -62,6 +62,39 @@
         return TokenOffer.taken(wait);
     }
 
+    /** Returns a token that was taken and not used. */
+    public void giveBack(long nowMillis) {
+        refill(nowMillis);
+        tokens = Math.min(capacity, tokens + 1);
+    }
+
+    /** The time until a token is available, in milliseconds; 0 if there is one now. */
+    public long waitMillis(long nowMillis) {
+        refill(nowMillis);
+        if (tokens >= 1) {
+            return 0;
+        }
+        return ratePerSecond <= 0
+                ? TokenOffer.NEVER
+                : (long) Math.ceil((1 - tokens) / ratePerSecond * MILLIS_PER_SECOND);
+    }
+
+    /** Number of tokens available; negative while some are reserved that have yet to be earned. */
+    public double tokens(long nowMillis) {
+        refill(nowMillis);
+        return tokens;
+    }
+
+    /** Number of tokens earned per second. */
+    public double ratePerSecond() {
+        return ratePerSecond;
+    }
+
+    /** Largest number of tokens held. */
+    public double capacity() {
+        return capacity;
+    }
+
     private void refill(long nowMillis) {
         long elapsed = Math.max(0, nowMillis - refilledMillis);
         refilledMillis = nowMillis;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -1,12 +1,11 @@
 package org.quetzalshunt.server.gateway;
 
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.quetzalshunt.core.admission.ProgramRequest;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.quota.OutageWaitPolicy;
-import org.quetzalshunt.core.quota.QuotaWaitPolicy;
 import org.quetzalshunt.core.quota.TokenSearch;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
@@ -26,9 +25,6 @@
     /** Caller timeout assumed when the request states none. */
     private static final long DEFAULT_CALLER_TIMEOUT_MILLIS = 10_000;
 
-    /** Priority of the most urgent routes; larger numbers are less urgent. */
-    private static final int HIGHEST_PRIORITY = 0;
-
     /**
      * Retry-After when no holder of the quota answered: a lost owner is replaced or reconnected within about a second.
      */
@@ -199,19 +195,14 @@
     }
 
     private void takeRateToken(ReceivedRequest received, AdmittedRequest admitted, AccountConfiguration account) {
-        long left = admitted.deadlineMillis() - gateway.clock().now();
-        boolean urgent = gateway.settings().policy().isEnabled(Mechanism.URGENT_STARTS)
-                && admitted.route().priority() == HIGHEST_PRIORITY;
-        boolean startsWithoutWait =
-                gateway.settings().policy().isEnabled(Mechanism.STARTS_WITHOUT_WAIT) && admitted.beginsProgram();
-        long maximumWait = startsWithoutWait
-                ? QuotaWaitPolicy.START_WAIT_MILLIS
-                : QuotaWaitPolicy.maximumWaitMillis(admitted.beginsProgram(), urgent, left);
-        gateway.quotas().takeToken(account, maximumWait, result -> {
+        ProgramRequest request = RateAdmission.programRequest(gateway, admitted);
+        long maximumWait = RateAdmission.maximumWaitMillis(gateway, admitted, request);
+        gateway.quotas().takeToken(account, request, maximumWait, result -> {
             if (result instanceof TokenSearch.Result.Granted granted) {
                 runAfter(granted.waitMillis(), admitted);
             } else if (result instanceof TokenSearch.Result.OverQuota overQuota) {
-                refuseOverQuota(admitted, account, overQuota.shortestWaitMillis());
+                Refusal refusal = RateAdmission.refusal(gateway, admitted, account, request, overQuota);
+                ResultReporter.refuse(gateway, admitted, refusal, Optional.empty());
             } else {
                 refuseNoHolder(received, admitted);
             }
@@ -266,17 +257,6 @@
         ResultReporter.refuse(gateway, admitted, refusal, Optional.empty());
     }
 
-    private void refuseOverQuota(AdmittedRequest admitted, AccountConfiguration account, long shortestWaitMillis) {
-        boolean delayedStart =
-                gateway.settings().policy().isEnabled(Mechanism.PROGRAM_START_DELAY) && admitted.beginsProgram();
-        long left = admitted.deadlineMillis() - gateway.clock().now();
-        double chance = ThreadLocalRandom.current().nextDouble();
-        long wait = QuotaWaitPolicy.retryAfterMillis(delayedStart, account.ratePerSecond(), left, chance);
-        String detail = "rate " + account.ratePerSecond() + ", token in " + shortestWaitMillis + " ms";
-        Refusal refusal = Refusal.notRunRetryAfter(ResultCode.RATE_EXCEEDED, detail, wait);
-        ResultReporter.refuse(gateway, admitted, refusal, Optional.empty());
-    }
-
     private Refusal refusalWithRetry(ReceivedRequest received, ResultCode code, String detail) {
         long waited = gateway.clock().now() - received.arrivedMillis();
         return Refusal.notRunRetryAfter(
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
@@ -51,6 +51,11 @@
         Gauge.builder(name, value).description(description).register(registry);
     }
 
+    /** Registers a gauge with one label, whose number of values must be bounded. */
+    void registerGauge(String name, String description, String label, String value, Supplier<Number> supplier) {
+        Gauge.builder(name, supplier).description(description).tag(label, value).register(registry);
+    }
+
     String scrape() {
         return registry.scrape();
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.quota.PeerTable;
 import org.quetzalshunt.core.quota.VmLease;
 import org.quetzalshunt.core.route.TrafficConfiguration;
@@ -82,7 +83,16 @@
                 new RegistrationFollower(group.next(), store, dialect, clock, log, endpoints);
         PeerTable peers = PeerTable.create(settings.vm());
         VmLease lease = VmLease.create(settings.incarnation(), IpPort.format(settings.linkAddress()));
-        QuotaManager quotas = new QuotaManager(store, clock, log, settings, configuration::current, peers, lease);
+        QuotaManager quotas = new QuotaManager(
+                store,
+                clock,
+                log,
+                settings,
+                configuration::current,
+                peers,
+                lease,
+                AdmissionReport.observedAdmissions(log, metrics, clock),
+                () -> gateway.isEnabled(Mechanism.PROGRAM_ADMISSION));
         fleet = new FleetFollower(group.next(), store, clock, log, settings, peers, lease, quotas::isSettled);
         PeerConnections links = new PeerConnections(
                 group,
@@ -90,7 +100,7 @@
                 endpoints,
                 clock,
                 log,
-                quotas::reserveLocally,
+                quotas,
                 () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis());
         CrashReporter crashes = new CrashReporter(group.next(), http, store, clock, log, settings);
         TurnHistory history = new TurnHistory(group.next(), store, clock, () -> gateway.isolatedFromStore());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -13,10 +13,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.quetzalshunt.core.admission.ProgramRequest;
 import org.quetzalshunt.core.quota.TokenOffer;
 import org.quetzalshunt.core.quota.VmHeartbeat;
 import org.quetzalshunt.core.routing.BroadcastInterval;
@@ -32,8 +31,6 @@
 import org.quetzalshunt.server.transport.PeerLink;
 import org.quetzalshunt.wire.generated.EndpointLoads;
 import org.quetzalshunt.wire.generated.Message;
-import org.quetzalshunt.wire.generated.TokenAnswer;
-import org.quetzalshunt.wire.generated.TokenRequest;
 
 /**
  * Links to the other gateways, for short-lived messages: requests for single tokens of an account's quota, loads of
@@ -41,12 +38,6 @@
  * depends on them, and a gateway also works without them, with lower performance.
  */
 final class PeerConnections implements LinkListener {
-    /**
-     * Timeout of a token request: ten round trips between data centres. An owner that takes longer is overloaded or
-     * unreachable.
-     */
-    private static final long TOKEN_TIMEOUT_MILLIS = 25;
-
     /**
      * Reported instead of the time since the last contact with the store by a VM that finds the store unavailable.
      * Guards against a full outage in which each VM sends its callers to the others, because their last contacts are
@@ -54,30 +45,25 @@
      */
     static final long STORE_UNAVAILABLE = Long.MAX_VALUE;
 
-    /** Wait time on the wire when no token is granted. A negative shortest wait means that none becomes available. */
-    private static final long NO_TOKEN = -1;
-
     private final EventLoopGroup group;
     private final EventExecutor executor;
     private final GatewaySettings settings;
     private final EndpointTable endpoints;
     private final NodeClock clock;
     private final DecisionLog log;
-    private final BiFunction<String, Long, TokenOffer> grantToken;
     /** Open links by peer, newest first. A peer has two links when both VMs connect to each other at the same time. */
     private final Map<String, Deque<PeerLink>> links = new HashMap<>();
 
-    private final Map<Long, Consumer<TokenOffer>> pendingTokens = new HashMap<>();
+    private final TokenExchange tokens;
     private final StoreContacts storeContacts;
     private final LoadBroadcast broadcast;
     private ChainExchange chains;
     private LinkConnector connector;
-    private long nextId;
 
     /**
      * Creates connections that are not started before the shared secret is known.
      *
-     * @param grantToken takes a token of an account from this VM's share, for a peer
+     * @param owner takes tokens of an account from this VM's share, for peers
      * @param storeAgeMillis time since this VM last reached the store, or {@link #STORE_UNAVAILABLE} while it finds the
      *     store unavailable
      */
@@ -87,7 +73,7 @@
             EndpointTable endpoints,
             NodeClock clock,
             DecisionLog log,
-            BiFunction<String, Long, TokenOffer> grantToken,
+            TokenExchange.Owner owner,
             LongSupplier storeAgeMillis) {
         this.group = group;
         this.executor = group.next();
@@ -95,7 +81,7 @@
         this.endpoints = endpoints;
         this.clock = clock;
         this.log = log;
-        this.grantToken = grantToken;
+        this.tokens = new TokenExchange(executor, owner, this::send);
         this.storeContacts = new StoreContacts(clock);
         this.broadcast =
                 new LoadBroadcast(executor, clock, settings.dataCentre(), endpoints, storeAgeMillis, this::openLinks);
@@ -165,43 +151,13 @@
     }
 
     /** Requests a token from a peer. A missing link or answer counts as no token. */
-    void requestToken(String vm, String account, long maximumWaitMillis, Consumer<TokenOffer> listener) {
-        Optional<PeerLink> link = link(vm);
-        if (link.isEmpty()) {
+    void requestToken(
+            String vm, String account, ProgramRequest request, long maximumWaitMillis, Consumer<TokenOffer> listener) {
+        if (!isConnected(vm)) {
             listener.accept(TokenOffer.NONE);
             return;
         }
-        long id = nextId++;
-        pendingTokens.put(id, listener);
-        link.get().send(Message.tokenRequest(new TokenRequest(id, account, maximumWaitMillis)));
-        executor.schedule(() -> completeTokenRequest(id, TokenOffer.NONE), TOKEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void completeTokenRequest(long id, TokenOffer offer) {
-        Consumer<TokenOffer> listener = pendingTokens.remove(id);
-        if (listener != null) {
-            listener.accept(offer);
-        }
-    }
-
-    private static TokenOffer toOffer(TokenAnswer answer) {
-        if (answer.getWaitMillis() >= 0) {
-            return TokenOffer.taken(answer.getWaitMillis());
-        }
-        boolean availableLater = answer.isSetShortestMillis() && answer.getShortestMillis() >= 0;
-        return availableLater ? TokenOffer.unavailableFor(answer.getShortestMillis()) : TokenOffer.NONE;
-    }
-
-    private void grantToken(PeerLink link, TokenRequest request) {
-        if (request.getAccount() == null) {
-            return;
-        }
-        TokenOffer offer = grantToken.apply(request.getAccount(), request.getMostWaitMillis());
-        TokenAnswer answer = new TokenAnswer(request.getId(), offer.taken() ? offer.waitMillis() : NO_TOKEN);
-        if (!offer.taken() && offer.waitMillis() != TokenOffer.NEVER) {
-            answer.setShortestMillis(offer.waitMillis());
-        }
-        link.send(Message.tokenAnswer(answer));
+        tokens.request(vm, account, request, maximumWaitMillis, listener);
     }
 
     @Override
@@ -214,9 +170,9 @@
     @Override
     public void onMessage(PeerLink link, Message message) {
         if (message.isSetTokenRequest()) {
-            grantToken(link, message.getTokenRequest());
+            tokens.onRequest(link.remote().id().name(), message.getTokenRequest());
         } else if (message.isSetTokenAnswer()) {
-            completeTokenRequest(message.getTokenAnswer().getId(), toOffer(message.getTokenAnswer()));
+            tokens.onAnswer(link.remote().id().name(), message.getTokenAnswer());
         } else if (message.isSetTurnLocation()) {
             chains.onLocation(link.remote().id().name(), message.getTurnLocation());
         } else if (message.isSetChainRequest()) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/QuotaManager.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/QuotaManager.java
@@ -3,8 +3,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.quetzalshunt.core.admission.ProgramAdmissions;
+import org.quetzalshunt.core.admission.ProgramRequest;
+import org.quetzalshunt.core.admission.StartSearch;
 import org.quetzalshunt.core.quota.PeerTable;
 import org.quetzalshunt.core.quota.QuotaLeases;
 import org.quetzalshunt.core.quota.QuotaTerms;
@@ -18,7 +22,7 @@
  * Takes tokens of accounts' rate quotas, from the shares of this VM or over links from other VMs that hold a share of
  * the account.
  */
-final class QuotaManager {
+final class QuotaManager implements TokenExchange.Owner {
     private final NodeClock clock;
     private final DecisionLog log;
     private final String self;
@@ -26,9 +30,16 @@
     private final PeerTable peers;
     private final VmLease lease;
     private final QuotaLeases leases;
+    private final ProgramAdmissions programs;
+    private final BooleanSupplier admitsPrograms;
     private PeerConnections links;
     private boolean stopping;
 
+    /**
+     * Creates a manager that holds no share.
+     *
+     * @param admitsPrograms whether a first turn is admitted only if the quota covers its whole program
+     */
     QuotaManager(
             StoreClient store,
             NodeClock clock,
@@ -36,13 +47,17 @@
             GatewaySettings settings,
             Supplier<Optional<TrafficConfiguration>> configuration,
             PeerTable peers,
-            VmLease lease) {
+            VmLease lease,
+            ProgramAdmissions programs,
+            BooleanSupplier admitsPrograms) {
         this.clock = clock;
         this.log = log;
         this.self = settings.vm();
         this.configuration = configuration;
         this.peers = peers;
         this.lease = lease;
+        this.programs = programs;
+        this.admitsPrograms = admitsPrograms;
         this.leases = QuotaLeases.create(self, clock::now, peers, lease, new QuotaShareStore(store), this::logShare);
     }
 
@@ -76,39 +91,72 @@
                 .forEach(account ->
                         quotas.put(account.name(), new QuotaTerms(account.ratePerSecond(), account.burst())));
         leases.setAccounts(quotas);
+        programs.retain(quotas.keySet());
         leases.reconcile();
     }
 
     /**
-     * Takes a token of an account's quota.
+     * Takes a token of an account's quota, or the tokens of the program that the request starts.
      *
-     * @param maximumWaitMillis maximum time for which the request may wait for a token that is not available yet
+     * @param maximumWaitMillis maximum time for which the request may wait for a token that is not available yet, or
+     *     after which its caller may return to start a program
      */
-    void takeToken(AccountConfiguration account, long maximumWaitMillis, Consumer<TokenSearch.Result> listener) {
+    void takeToken(
+            AccountConfiguration account,
+            ProgramRequest request,
+            long maximumWaitMillis,
+            Consumer<TokenSearch.Result> listener) {
         if (!account.isRateLimited()) {
             listener.accept(new TokenSearch.Result.Granted(0));
             return;
         }
-        TokenSearch.start(
-                leases.candidates(account.name()),
-                maximumWaitMillis,
-                (holder, maximumWait, answer) -> requestToken(holder, account.name(), maximumWait, answer),
-                listener);
+        TokenSearch.TokenRequester requester =
+                (holder, maximumWait, answer) -> requestToken(holder, account.name(), request, maximumWait, answer);
+        if (request.startsProgram()) {
+            StartSearch.start(leases.candidates(account.name()), maximumWaitMillis, requester, listener);
+            return;
+        }
+        TokenSearch.start(leases.candidates(account.name()), maximumWaitMillis, requester, listener);
     }
 
-    private void requestToken(String holder, String account, long maximumWaitMillis, Consumer<TokenOffer> answer) {
+    private void requestToken(
+            String holder,
+            String account,
+            ProgramRequest request,
+            long maximumWaitMillis,
+            Consumer<TokenOffer> answer) {
         if (holder.equals(self)) {
-            answer.accept(reserveLocally(account, maximumWaitMillis));
+            answer.accept(reserveLocally(account, request, maximumWaitMillis));
             return;
         }
-        links.requestToken(holder, account, maximumWaitMillis, answer);
+        links.requestToken(holder, account, request, maximumWaitMillis, answer);
     }
 
     /**
      * Takes a token from this VM's share for itself or for a peer. The token may become available only after a wait.
      */
-    TokenOffer reserveLocally(String account, long maximumWaitMillis) {
-        return stopping ? TokenOffer.NONE : leases.reserve(account, maximumWaitMillis);
+    @Override
+    public TokenOffer reserveLocally(String account, ProgramRequest request, long maximumWaitMillis) {
+        if (stopping) {
+            return TokenOffer.NONE;
+        }
+        if (!admitsPrograms.getAsBoolean()) {
+            programs.clear();
+            return leases.reserve(account, maximumWaitMillis);
+        }
+        return leases.share(account)
+                .map(share -> programs.reserve(clock.now(), account, share, request, maximumWaitMillis))
+                .orElse(TokenOffer.NONE);
+    }
+
+    @Override
+    public void cancelStart(String account, String program) {
+        programs.cancelStart(clock.now(), account, program);
+    }
+
+    /** The admission of programs by this VM, as an owner of shares. */
+    ProgramAdmissions programs() {
+        return programs;
     }
 
     /** Whether this VM's lease on its shares is in force. */
