--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -83,7 +83,16 @@
                 new RegistrationFollower(group.next(), store, dialect, clock, log, endpoints);
         PeerTable peers = PeerTable.create(settings.vm());
         VmLease lease = VmLease.create(settings.incarnation(), IpPort.format(settings.linkAddress()));
-        QuotaManager quotas = new QuotaManager(store, clock, log, settings, configuration::current, peers, lease);
+        QuotaManager quotas = new QuotaManager(
+                store,
+                clock,
+                log,
+                settings,
+                configuration::current,
+                peers,
+                lease,
+                AdmissionReport.observedAdmissions(log, metrics, clock),
+                () -> gateway.isEnabled(Mechanism.PROGRAM_ADMISSION));
         fleet = new FleetFollower(group.next(), store, clock, log, settings, peers, lease, quotas::isSettled);
         PeerConnections links = new PeerConnections(
                 group,
@@ -92,7 +101,7 @@
                 new SpeedExchange(endpoints.speeds(), clock, () -> gateway.isEnabled(Mechanism.SPEED_SAMPLING)),
                 clock,
                 log,
-                quotas::reserveLocally,
+                quotas,
                 () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis());
         CrashReporter crashes = new CrashReporter(group.next(), http, store, clock, log, settings);
         TurnHistory history = new TurnHistory(group.next(), store, clock, () -> gateway.isolatedFromStore());
