Dispatch order: first turns wait for free slots

Cause: bursts start more programs than the engines have slots; all become late. Change: core.dispatch decides which first turns are sent, wait or are refused; the gateway asks it before it takes a rate token; gateways report the length of their queues; engines rank all requests alike unless far too many are in flight.

--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -63,11 +63,15 @@
      */
     PROGRAM_ADMISSION(true),
     /**
-     * Requests wait at the gateway, in order of their programs' slack, until an endpoint has a free slot. Without it:
-     * in the queues of the endpoints. Part of load control.
+     * First turns of programs wait at the gateway, in order of urgency and slack, until an endpoint has a free slot.
+     * Without it: in the queues of the endpoints. Part of load control.
      */
     DISPATCH_QUEUE(true),
-    /** Engines rank requests by their programs' slack. Without it: by route and account. Part of load control. */
+    /**
+     * Engines rank all requests alike, since the gateways send first turns in order of urgency and slack; by route and
+     * account only while far more requests are in flight than there are slots. Has an effect only with {@link
+     * #DISPATCH_QUEUE}. Without it: always by route and account. Part of load control.
+     */
     SLACK_PRIORITY(true),
     /**
      * While a service is short of capacity, accounts that use more than their share wait or are refused first. Without
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -298,6 +298,11 @@
         return counts;
     }
 
+    /** Slots of the healthy endpoints of a service, and their use by this VM and its peers. */
+    public ServiceUse use(long nowMillis, String service) {
+        return ServiceUse.of(nowMillis, rows.open(service), peersInFlight.peers());
+    }
+
     /** Whether a service has endpoints that accept work in the data centres that the limits allow. */
     public Availability availability(String service, EndpointLimits limits) {
         if (rows.open(service).stream().anyMatch(row -> limits.allows(row.registration.dataCentre()))) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -19,7 +19,7 @@
 
 /**
  * Decides whether a fully received request may run. The checks run in this order: age of the configuration, route, API
- * key, size of the body, quarantine, availability of the store, token budget, rate quota. Where API keys are required,
+ * key, size of the body, quarantine, availability of the store, token budget, free slot, rate quota. Where API keys are required,
  * a configuration that may be out of date never causes a rejection for an unknown route or key.
  */
 final class AdmissionPipeline {
@@ -191,11 +191,16 @@
                     gateway, admitted, StreamForwarder.exhaustedRefusal(exhausted.get()), Optional.empty());
             return;
         }
-        if (account.isEmpty()) {
+        // A slot first: no token is taken for a request that has no slot.
+        gateway.starts().await(gateway, admitted, () -> runWithToken(received, admitted));
+    }
+
+    private void runWithToken(ReceivedRequest received, AdmittedRequest admitted) {
+        if (admitted.account().isEmpty()) {
             run(admitted);
             return;
         }
-        takeRateToken(received, admitted, account.get());
+        takeRateToken(received, admitted, admitted.account().get());
     }
 
     private void takeRateToken(ReceivedRequest received, AdmittedRequest admitted, AccountConfiguration account) {
@@ -210,7 +215,10 @@
         gateway.quotas().takeToken(account, maximumWait, result -> {
             if (result instanceof TokenSearch.Result.Granted granted) {
                 runAfter(granted.waitMillis(), admitted);
-            } else if (result instanceof TokenSearch.Result.OverQuota overQuota) {
+                return;
+            }
+            gateway.starts().onNotSent(gateway, admitted);
+            if (result instanceof TokenSearch.Result.OverQuota overQuota) {
                 refuseOverQuota(admitted, account, overQuota.shortestWaitMillis());
             } else {
                 refuseNoHolder(received, admitted);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -263,7 +263,7 @@
                                 endpoint.id(),
                                 remainingMillis,
                                 admitted.account().map(account -> account.name()),
-                                admitted.urgency()));
+                                gateway.starts().enginePriority(gateway, admitted)));
         return new OutboundRequest(
                 address(endpoint.address()),
                 admitted.exchange().method(),
@@ -304,6 +304,9 @@
         markPrefillDone();
         gateway.endpoints().finished(now, endpoint.id(), outcome, now - sentMillis);
         gateway.metrics().countAttempt(outcome.name().toLowerCase(Locale.ROOT));
+        if (outcome == AttemptOutcome.ANSWERED) {
+            gateway.starts().onTurnEnded(gateway, admitted, now - sentMillis);
+        }
     }
 
     /** Handles the response to the current attempt. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
@@ -12,7 +12,8 @@
 
 /**
  * Metrics of a gateway in the Prometheus format. All labels have a bounded number of values: request kinds, result
- * codes and attempt outcomes.
+ * codes, attempt outcomes, outcomes of starts, and services with
+ * their urgencies.
  */
 final class GatewayMetrics {
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -47,6 +48,25 @@
         registry.counter("quetzalshunt.attempts", "outcome", outcome).increment();
     }
 
+    /** Counts a first turn of a program that asked for a slot, by what became of it. */
+    void countStart(String outcome) {
+        registry.counter("quetzalshunt.dispatch.starts", "outcome", outcome).increment();
+    }
+
+    /** Records how long a first turn waited for a slot before it was sent. */
+    void recordSlotWait(long millis) {
+        registry.timer("quetzalshunt.dispatch.wait").record(millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Registers a gauge for a service and an urgency. */
+    void registerGauge(String name, String description, String service, int urgency, Supplier<Number> value) {
+        Gauge.builder(name, value)
+                .description(description)
+                .tag("service", service)
+                .tag("urgency", Integer.toString(urgency))
+                .register(registry);
+    }
+
     void registerGauge(String name, String description, Supplier<Number> value) {
         Gauge.builder(name, value).description(description).register(registry);
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -103,6 +103,8 @@
                 (program, allotted) -> gateway.chains().broadcastExhausted(program, allotted));
         ChainExchange chains = new ChainExchange(group.next(), settings, store, history, budgets, links);
         links.setChains(chains);
+        StartDispatch starts = StartDispatch.create(endpoints, quotas::liveVms, settings.incarnation());
+        links.setDispatcher(starts.dispatcher());
         gateway = new Gateway(
                 settings,
                 group.next(),
@@ -122,7 +124,8 @@
                 links,
                 chains,
                 crashes,
-                new RecoveryQueue(group.next(), clock));
+                new RecoveryQueue(group.next(), clock),
+                starts);
         pipeline = new AdmissionPipeline(gateway, () -> stopping);
         registerGauges(metrics);
         log.write(log.event("start")
@@ -159,6 +162,7 @@
                 "quetzalshunt.connections.opened",
                 "connections opened to endpoints and to the platform since the start",
                 () -> gateway.http().connectionsOpened());
+        gateway.starts().registerGauges(metrics);
         metrics.registerGauge("quetzalshunt.vms", "gateways believed to be live", () -> gateway.quotas()
                 .liveVms());
     }
@@ -237,6 +241,7 @@
                 return;
             }
             stopping = true;
+            gateway.starts().stop(gateway);
             log.write(log.event("stop").put("connections", callers.connections()));
             group.next().schedule(this::stopAccepting, BALANCER_REMOVAL_MILLIS, TimeUnit.MILLISECONDS);
             long delayMillis = Math.max(0, settings.stopMillis() - LAST_RESPONSES_MILLIS);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
@@ -51,6 +51,7 @@
     private final LongSupplier storeAgeMillis;
     private final Supplier<Collection<PeerLink>> links;
     private final Map<String, PeerState> peers = new HashMap<>();
+    private Supplier<Map<String, Integer>> waiting = Map::of;
 
     /**
      * Creates a broadcast that is not started.
@@ -73,6 +74,11 @@
         this.links = links;
     }
 
+    /** Sets the source of the numbers of requests that wait for a slot, by service. */
+    void setWaiting(Supplier<Map<String, Integer>> source) {
+        waiting = source;
+    }
+
     void start() {
         executor.scheduleWithFixedDelay(this::sendDueMessages, 0, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -111,6 +117,10 @@
         EndpointLoads loads = new EndpointLoads(endpoints.requestsInFlight(), storeAgeMillis.getAsLong());
         loads.setFailing(endpoints.failureRates(now));
         loads.setUnread(endpoints.prefillBacklog());
+        Map<String, Integer> waitingNow = waiting.get();
+        if (!waitingNow.isEmpty()) {
+            loads.setWaiting(waitingNow);
+        }
         return loads;
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -17,6 +17,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.quetzalshunt.core.dispatch.Dispatcher;
 import org.quetzalshunt.core.quota.TokenOffer;
 import org.quetzalshunt.core.quota.VmHeartbeat;
 import org.quetzalshunt.core.routing.BroadcastInterval;
@@ -71,6 +72,7 @@
     private final StoreContacts storeContacts;
     private final LoadBroadcast broadcast;
     private ChainExchange chains;
+    private Dispatcher dispatcher;
     private LinkConnector connector;
     private long nextId;
 
@@ -106,6 +108,12 @@
         chains = exchange;
     }
 
+    /** Sets the receiver of the peers' numbers of waiting requests; must be called before the start. */
+    void setDispatcher(Dispatcher receiver) {
+        dispatcher = receiver;
+        broadcast.setWaiting(receiver::waiting);
+    }
+
     /** Starts listening for peer connections, authenticated with the shared secret. */
     void start(byte[] secret) {
         if (connector != null) {
@@ -239,6 +247,7 @@
         if (loads.isSetUnread()) {
             endpoints.onPeerPrefillBacklog(vm, loads.getUnread());
         }
+        dispatcher.onPeerWaiting(vm, loads.isSetWaiting() ? loads.getWaiting() : Map.of());
         endpoints.onPeerPrefixLocations(LoadBroadcast.locations(loads));
         storeContacts.onReport(vm, peer.dataCentre(), loads.getProofAgeMillis());
     }
@@ -268,6 +277,7 @@
         if (open != null && open.remove(link) && open.isEmpty()) {
             links.remove(vm);
             endpoints.removePeer(vm);
+            dispatcher.removePeer(vm);
             storeContacts.removePeer(vm);
             broadcast.removePeer(vm);
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RequestTimeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RequestTimeline.java
@@ -11,6 +11,7 @@
 final class RequestTimeline {
     /** Steps in processing order; a step that was not reached is left out of the log line. */
     enum Step {
+        SLOT("slotAfterMillis"),
         TOKEN("tokenAfterMillis"),
         HISTORY("historyAfterMillis"),
         GRANT("grantAfterMillis"),
