--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -267,7 +267,7 @@
                                 endpoint.id(),
                                 remainingMillis,
                                 admitted.account().map(account -> account.name()),
-                                admitted.urgency()));
+                                gateway.starts().enginePriority(gateway, admitted)));
         return new OutboundRequest(
                 address(endpoint.address()),
                 admitted.exchange().method(),
@@ -309,6 +309,9 @@
         recordPlainTime(now, outcome);
         gateway.endpoints().finished(now, endpoint.id(), outcome, now - sentMillis);
         gateway.metrics().countAttempt(outcome.name().toLowerCase(Locale.ROOT));
+        if (outcome == AttemptOutcome.ANSWERED) {
+            gateway.starts().onTurnEnded(gateway, admitted, now - sentMillis);
+        }
     }
 
     private void recordPlainTime(long now, AttemptOutcome outcome) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
@@ -25,6 +25,7 @@
         ObjectNode evacuated = dump.putObject("evacuatedForMillis");
         gateway.evacuations().ageMillis().forEach(evacuated::put);
         AdmissionReport.addTo(dump, gateway.quotas().programs(), gateway.clock().now());
+        gateway.starts().addTo(dump, gateway.clock().now());
         ArrayNode endpoints = dump.putArray("endpoints");
         gateway.endpoints().ids().stream()
                 .limit(MAXIMUM_ENDPOINTS)
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -114,6 +114,8 @@
                 (program, allotted) -> gateway.chains().broadcastExhausted(program, allotted));
         ChainExchange chains = new ChainExchange(group.next(), settings, store, history, budgets, links);
         links.setChains(chains);
+        StartDispatch starts = StartDispatch.create(endpoints, quotas::liveVms, settings.incarnation());
+        links.setDispatcher(starts.dispatcher());
         gateway = new Gateway(
                 settings,
                 group.next(),
@@ -133,7 +135,8 @@
                 links,
                 chains,
                 crashes,
-                new RecoveryQueue(group.next(), clock));
+                new RecoveryQueue(group.next(), clock),
+                starts);
         pipeline = new AdmissionPipeline(gateway, () -> stopping);
         registerGauges(metrics);
         log.write(log.event("start")
@@ -171,6 +174,7 @@
                 "connections opened to endpoints and to the platform since the start",
                 () -> gateway.http().connectionsOpened());
         RoutingReports.registerGauges(metrics, () -> gateway);
+        gateway.starts().registerGauges(metrics);
         metrics.registerGauge("quetzalshunt.vms", "gateways believed to be live", () -> gateway.quotas()
                 .liveVms());
     }
@@ -249,6 +253,7 @@
                 return;
             }
             stopping = true;
+            gateway.starts().stop(gateway);
             log.write(log.event("stop").put("connections", callers.connections()));
             group.next().schedule(this::stopAccepting, BALANCER_REMOVAL_MILLIS, TimeUnit.MILLISECONDS);
             long delayMillis = Math.max(0, settings.stopMillis() - LAST_RESPONSES_MILLIS);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quetzalshunt.core.admission.ProgramRequest;
+import org.quetzalshunt.core.dispatch.Dispatcher;
 import org.quetzalshunt.core.quota.TokenOffer;
 import org.quetzalshunt.core.quota.VmHeartbeat;
 import org.quetzalshunt.core.routing.BroadcastInterval;
@@ -59,6 +60,7 @@
     private final StoreContacts storeContacts;
     private final LoadBroadcast broadcast;
     private ChainExchange chains;
+    private Dispatcher dispatcher;
     private LinkConnector connector;
 
     /**
@@ -95,6 +97,12 @@
         chains = exchange;
     }
 
+    /** Sets the receiver of the peers' numbers of waiting requests; must be called before the start. */
+    void setDispatcher(Dispatcher receiver) {
+        dispatcher = receiver;
+        broadcast.setWaiting(receiver::waiting);
+    }
+
     /** Starts listening for peer connections, authenticated with the shared secret. */
     void start(byte[] secret) {
         if (connector != null) {
@@ -198,6 +206,7 @@
         if (loads.isSetUnread()) {
             endpoints.onPeerPrefillBacklog(vm, loads.getUnread());
         }
+        dispatcher.onPeerWaiting(vm, loads.isSetWaiting() ? loads.getWaiting() : Map.of());
         endpoints.onPeerPrefixLocations(LoadBroadcast.locations(loads));
         speeds.onLoads(vm, loads);
         storeContacts.onReport(vm, peer.dataCentre(), loads.getProofAgeMillis());
@@ -228,6 +237,7 @@
         if (open != null && open.remove(link) && open.isEmpty()) {
             links.remove(vm);
             endpoints.removePeer(vm);
+            dispatcher.removePeer(vm);
             storeContacts.removePeer(vm);
             broadcast.removePeer(vm);
         }
