Account shares: use and shares of accounts while a service is short of slots

Accounts that send several times their usual load take the slots that the other accounts need, although all are within their quotas.

--- a/core/src/main/java/org/quetzalshunt/core/routing/BroadcastInterval.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/BroadcastInterval.java
@@ -38,4 +38,10 @@
         long rateLimitedMillis = remotePeers * MILLIS_PER_SECOND / REMOTE_MESSAGES_PER_SECOND;
         return Math.max(MINIMUM_MILLIS, Math.min(MAXIMUM_MILLIS, rateLimitedMillis));
     }
+
+    /** Messages to all peers in a second. */
+    public static double messagesPerSecond(int localPeers, int remotePeers) {
+        return MILLIS_PER_SECOND
+                * (localPeers / (double) millis(true, remotePeers) + remotePeers / (double) millis(false, remotePeers));
+    }
 }
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -298,6 +298,19 @@
         return counts;
     }
 
+    /** Slots of a service's endpoints that accept work, and the known requests in flight there. */
+    public SlotUse slotUse(long nowMillis, String service) {
+        int slots = 0;
+        int inFlight = 0;
+        for (EndpointRow row : rows.open(service)) {
+            if (row.ejectedUntilMillis <= nowMillis) {
+                slots += row.registration.slots();
+                inFlight += row.inFlight + row.peersInFlight;
+            }
+        }
+        return new SlotUse(slots, inFlight);
+    }
+
     /** Whether a service has endpoints that accept work in the data centres that the limits allow. */
     public Availability availability(String service, EndpointLimits limits) {
         if (rows.open(service).stream().anyMatch(row -> limits.allows(row.registration.dataCentre()))) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -195,6 +195,11 @@
             run(admitted);
             return;
         }
+        Optional<Refusal> aboveShare = gateway.shares().refusal(admitted);
+        if (aboveShare.isPresent()) {
+            ResultReporter.refuse(gateway, admitted, aboveShare.get(), Optional.empty());
+            return;
+        }
         takeRateToken(received, admitted, account.get());
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -97,6 +97,7 @@
     private OptionalLong firstSentMillis = OptionalLong.empty();
     private boolean done;
     private boolean prefillDone = true;
+    private boolean countedInShares;
     private int attemptCount;
 
     EndpointCall(Gateway gateway, AdmittedRequest admitted, byte[] body, Listener listener) {
@@ -180,6 +181,7 @@
         attemptCount++;
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
+        countedInShares = gateway.shares().started(admitted);
         gateway.endpoints().recordPrompt(endpoint.id(), request, selection.uncachedTokens());
         prefillDone = false;
         startHeadersTimeout();
@@ -303,6 +305,9 @@
         long now = gateway.clock().now();
         markPrefillDone();
         gateway.endpoints().finished(now, endpoint.id(), outcome, now - sentMillis);
+        if (countedInShares) {
+            gateway.shares().finished(admitted);
+        }
         gateway.metrics().countAttempt(outcome.name().toLowerCase(Locale.ROOT));
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.quota.PeerTable;
 import org.quetzalshunt.core.quota.VmLease;
 import org.quetzalshunt.core.route.TrafficConfiguration;
@@ -84,6 +85,13 @@
         VmLease lease = VmLease.create(settings.incarnation(), IpPort.format(settings.linkAddress()));
         QuotaManager quotas = new QuotaManager(store, clock, log, settings, configuration::current, peers, lease);
         fleet = new FleetFollower(group.next(), store, clock, log, settings, peers, lease, quotas::isSettled);
+        AccountShareControl shares = new AccountShareControl(
+                clock,
+                log,
+                endpoints,
+                configuration::current,
+                () -> gateway.isEnabled(Mechanism.ACCOUNT_SHARES),
+                settings.vm().hashCode());
         PeerConnections links = new PeerConnections(
                 group,
                 settings,
@@ -91,7 +99,8 @@
                 clock,
                 log,
                 quotas::reserveLocally,
-                () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis());
+                () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis(),
+                shares);
         CrashReporter crashes = new CrashReporter(group.next(), http, store, clock, log, settings);
         TurnHistory history = new TurnHistory(group.next(), store, clock, () -> gateway.isolatedFromStore());
         BudgetManager budgets = new BudgetManager(
@@ -122,9 +131,11 @@
                 links,
                 chains,
                 crashes,
-                new RecoveryQueue(group.next(), clock));
+                new RecoveryQueue(group.next(), clock),
+                shares);
         pipeline = new AdmissionPipeline(gateway, () -> stopping);
         registerGauges(metrics);
+        shares.start(group.next(), metrics);
         log.write(log.event("start")
                 .put("incarnation", settings.incarnation())
                 .put("dataCentre", settings.dataCentre())
--- a/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
@@ -50,6 +50,7 @@
     private final EndpointTable endpoints;
     private final LongSupplier storeAgeMillis;
     private final Supplier<Collection<PeerLink>> links;
+    private final AccountShareControl shares;
     private final Map<String, PeerState> peers = new HashMap<>();
 
     /**
@@ -64,13 +65,15 @@
             String dataCentre,
             EndpointTable endpoints,
             LongSupplier storeAgeMillis,
-            Supplier<Collection<PeerLink>> links) {
+            Supplier<Collection<PeerLink>> links,
+            AccountShareControl shares) {
         this.executor = executor;
         this.clock = clock;
         this.dataCentre = dataCentre;
         this.endpoints = endpoints;
         this.storeAgeMillis = storeAgeMillis;
         this.links = links;
+        this.shares = shares;
     }
 
     void start() {
@@ -93,7 +96,7 @@
             peer.addLocations(newLocations);
             boolean due = now - peer.sentMillis >= BroadcastInterval.millis(isLocal(link), remotePeers);
             if (due && link.isWritable()) {
-                loads = loads == null ? loads(now) : loads;
+                loads = loads == null ? loads(now, open, remotePeers) : loads;
                 send(now, link, peer, loads);
             }
         }
@@ -107,10 +110,11 @@
         peer.sentMillis = now;
     }
 
-    private EndpointLoads loads(long now) {
+    private EndpointLoads loads(long now, Collection<PeerLink> open, int remotePeers) {
         EndpointLoads loads = new EndpointLoads(endpoints.requestsInFlight(), storeAgeMillis.getAsLong());
         loads.setFailing(endpoints.failureRates(now));
         loads.setUnread(endpoints.prefillBacklog());
+        shares.addReport(loads, BroadcastInterval.messagesPerSecond(open.size() - remotePeers, remotePeers));
         return loads;
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -70,6 +70,7 @@
     private final Map<Long, Consumer<TokenOffer>> pendingTokens = new HashMap<>();
     private final StoreContacts storeContacts;
     private final LoadBroadcast broadcast;
+    private final AccountShareControl shares;
     private ChainExchange chains;
     private LinkConnector connector;
     private long nextId;
@@ -88,7 +89,8 @@
             NodeClock clock,
             DecisionLog log,
             BiFunction<String, Long, TokenOffer> grantToken,
-            LongSupplier storeAgeMillis) {
+            LongSupplier storeAgeMillis,
+            AccountShareControl shares) {
         this.group = group;
         this.executor = group.next();
         this.settings = settings;
@@ -97,8 +99,9 @@
         this.log = log;
         this.grantToken = grantToken;
         this.storeContacts = new StoreContacts(clock);
-        this.broadcast =
-                new LoadBroadcast(executor, clock, settings.dataCentre(), endpoints, storeAgeMillis, this::openLinks);
+        this.shares = shares;
+        this.broadcast = new LoadBroadcast(
+                executor, clock, settings.dataCentre(), endpoints, storeAgeMillis, this::openLinks, shares);
     }
 
     /** Sets the receiver of messages about turns and budgets; must be called before the start. */
@@ -239,6 +242,7 @@
         if (loads.isSetUnread()) {
             endpoints.onPeerPrefillBacklog(vm, loads.getUnread());
         }
+        shares.onPeerLoads(vm, loads);
         endpoints.onPeerPrefixLocations(LoadBroadcast.locations(loads));
         storeContacts.onReport(vm, peer.dataCentre(), loads.getProofAgeMillis());
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
@@ -62,6 +62,7 @@
         admitted.request().program().ifPresent(program -> line.put("program", program));
         admitted.request().programLeftMillis().ifPresent(left -> line.put("programLeftMillis", left - tookMillis));
         admitted.timeline().addTo(line);
+        gateway.shares().addTo(line, admitted);
         admitted.request().previousTurn().ifPresent(turn -> line.put("previousTurn", turn));
         call.ifPresent(endpointCall -> {
             line.put("sends", endpointCall.attemptCount());
