--- a/core/src/main/java/org/quetzalshunt/core/share/AccountRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/AccountRow.java
@@ -55,13 +55,19 @@
     }
 
     void setUnrestricted() {
-        setShare(Double.POSITIVE_INFINITY, 1);
+        share = Double.POSITIVE_INFINITY;
+        limit = Double.POSITIVE_INFINITY;
     }
 
-    /** Sets the share, and the limit above which the account is treated as above it, as a factor on the share. */
-    void setShare(double slots, double limitFactor) {
-        share = slots;
-        limit = slots * limitFactor;
+    /**
+     * Sets the share.
+     *
+     * @param limitFactor factor on the share above which the account is treated as above it
+     * @param guaranteed slots that the account may use in any case
+     */
+    void setShare(double slots, double limitFactor, double guaranteed) {
+        share = Math.max(slots, guaranteed);
+        limit = Math.max(slots * limitFactor, guaranteed);
     }
 
     boolean isAboveShare() {
--- a/core/src/main/java/org/quetzalshunt/core/share/ShareAllocation.java
+++ b/core/src/main/java/org/quetzalshunt/core/share/ShareAllocation.java
@@ -11,7 +11,9 @@
  * share leaves the rest of it to the others.
  *
  * <p>Load pattern: three of 76 accounts of very unequal size send five times their usual load. Shares by quota rate
- * leave a large account its usual use, which equal shares would cut.
+ * leave a large account its usual use, which equal shares would cut. The part of the slots that corresponds to an
+ * account's weight among the accounts with requests is guaranteed, also while the slots are overcommitted for a moment
+ * because an account returns from idle.
  */
 final class ShareAllocation {
     /**
@@ -35,6 +37,12 @@
     /** The part of the slots that is divided however long the queues are. */
     private static final double MINIMUM_DIVIDED_PART = 0.7;
 
+    /**
+     * Queued requests for each slot up to which the guaranteed slots are not reduced. An account that returns from idle
+     * causes such queues for a moment; longer ones mean that the guaranteed slots are more than there are.
+     */
+    private static final double GUARANTEED_QUEUE = 0.2;
+
     /** The part of the slots that use without an account name can take from the accounts. */
     private static final double MAXIMUM_UNNAMED_PART = 0.5;
 
@@ -75,26 +83,30 @@
         }
         // Requests in queues at the endpoints lengthen the runs of all accounts alike and use no slots.
         double requestsPerSlot = slots > 0 ? Math.max(1, inFlight / slots) : 1;
-        double divided = slots * Math.max(MINIMUM_DIVIDED_PART, 1 - QUEUE_DEDUCTION * (requestsPerSlot - 1));
+        double queuedPerSlot = requestsPerSlot - 1;
         unnamed.fleetSlots /= requestsPerSlot;
-        List<Candidate> candidates = new ArrayList<>();
-        double usedByOthers = Math.min(unnamed.fleetSlots, MAXIMUM_UNNAMED_PART * slots);
-        int accounts = unnamed.fleetSlots < AccountRow.NEGLIGIBLE_SLOTS ? 0 : 1;
+        List<Candidate> active = new ArrayList<>();
         for (AccountRow row : rows) {
             row.fleetSlots /= requestsPerSlot;
             row.setUnrestricted();
-            accounts += row.fleetSlots < AccountRow.NEGLIGIBLE_SLOTS ? 0 : 1;
-            if (row.fleetSlots > MINIMUM_SLOTS) {
-                candidates.add(new Candidate(row, quotaRate.applyAsDouble(row.account)));
-            } else {
-                usedByOthers += row.fleetSlots;
+            if (row.fleetSlots >= AccountRow.NEGLIGIBLE_SLOTS) {
+                active.add(new Candidate(row, quotaRate.applyAsDouble(row.account)));
             }
         }
+        int accounts = active.size() + (unnamed.fleetSlots < AccountRow.NEGLIGIBLE_SLOTS ? 0 : 1);
         if (accounts > 1) {
-            divide(withMeanWeight(candidates), divided - usedByOthers);
+            double usedByUnnamed = Math.min(unnamed.fleetSlots, MAXIMUM_UNNAMED_PART * slots);
+            divide(
+                    withMeanWeight(active),
+                    dividedPart(queuedPerSlot) * slots - usedByUnnamed,
+                    dividedPart(queuedPerSlot - GUARANTEED_QUEUE) * slots - usedByUnnamed);
         }
     }
 
+    private static double dividedPart(double queuedPerSlot) {
+        return Math.max(MINIMUM_DIVIDED_PART, 1 - QUEUE_DEDUCTION * Math.max(0, queuedPerSlot));
+    }
+
     private static List<Candidate> withMeanWeight(List<Candidate> candidates) {
         double mean = candidates.stream()
                 .mapToDouble(Candidate::weight)
@@ -110,27 +122,45 @@
         return weight > 0 && weight < Double.POSITIVE_INFINITY;
     }
 
-    private void divide(List<Candidate> candidates, double slots) {
-        double lowest = 0;
+    private void divide(List<Candidate> active, double slots, double guaranteedSlots) {
+        List<Candidate> candidates = active.stream()
+                .filter(each -> each.row().fleetSlots > MINIMUM_SLOTS)
+                .toList();
+        double weights = 0;
         double highest = 0;
         double used = 0;
-        for (Candidate each : candidates) {
+        for (Candidate each : active) {
+            weights += each.weight();
             highest = Math.max(highest, each.row().fleetSlots / each.weight());
             used += each.row().fleetSlots;
         }
         if (used <= slots) {
             return;
         }
+        double level = level(candidates, slots - usedBySmall(active), highest);
+        for (Candidate each : candidates) {
+            double factor = 1 + LIMIT_SPREAD * (2 * random.nextDouble() - 1);
+            each.row().setShare(share(each.weight(), level), factor, guaranteedSlots * each.weight() / weights);
+        }
+    }
+
+    private static double usedBySmall(List<Candidate> active) {
+        return active.stream()
+                .mapToDouble(each -> each.row().fleetSlots)
+                .filter(slots -> slots <= MINIMUM_SLOTS)
+                .sum();
+    }
+
+    private static double level(List<Candidate> candidates, double slots, double highestLevel) {
+        double lowest = 0;
+        double highest = highestLevel;
         for (int step = 0; step < SEARCH_STEPS; step++) {
             double level = (lowest + highest) / 2;
             boolean fits = usedAtLevel(candidates, level) <= slots;
             lowest = fits ? level : lowest;
             highest = fits ? highest : level;
         }
-        for (Candidate each : candidates) {
-            double factor = 1 + LIMIT_SPREAD * (2 * random.nextDouble() - 1);
-            each.row().setShare(share(each.weight(), lowest), factor);
-        }
+        return lowest;
     }
 
     private static double usedAtLevel(List<Candidate> candidates, double level) {
