--- a/server/src/main/java/org/quetzalshunt/server/gateway/AccountShareControl.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AccountShareControl.java
@@ -90,7 +90,7 @@
                 shares::boundedEntries);
     }
 
-    private void checkShortages() {
+    void checkShortages() {
         Set<String> services = enabled.getAsBoolean()
                 ? configuration
                         .get()
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -19,8 +19,8 @@
 
 /**
  * Decides whether a fully received request may run. The checks run in this order: age of the configuration, route, API
- * key, size of the body, quarantine, availability of the store, token budget, rate quota. Where API keys are required,
- * a configuration that may be out of date never causes a rejection for an unknown route or key.
+ * key, size of the body, quarantine, availability of the store, token budget, account share, rate quota. Where API keys
+ * are required, a configuration that may be out of date never causes a rejection for an unknown route or key.
  */
 final class AdmissionPipeline {
     /** Caller timeout assumed when the request states none. */
