--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -18,8 +18,8 @@
 
 /**
  * Decides whether a fully received request may run. The checks run in this order: age of the configuration, route, API
- * key, size of the body, quarantine, availability of the store, token budget, free slot, rate quota. Where API keys are required,
- * a configuration that may be out of date never causes a rejection for an unknown route or key.
+ * key, size of the body, quarantine, availability of the store, token budget, free slot, account share, rate quota. Where
+ * API keys are required, a configuration that may be out of date never causes a rejection for an unknown route or key.
  */
 final class AdmissionPipeline {
     /** Caller timeout assumed when the request states none. */
@@ -196,6 +196,12 @@
             run(admitted);
             return;
         }
+        Optional<Refusal> aboveShare = gateway.shares().refusal(admitted);
+        if (aboveShare.isPresent()) {
+            gateway.starts().onNotSent(gateway, admitted);
+            ResultReporter.refuse(gateway, admitted, aboveShare.get(), Optional.empty());
+            return;
+        }
         takeRateToken(received, admitted, admitted.account().get());
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -99,6 +99,7 @@
     private OptionalLong firstSentMillis = OptionalLong.empty();
     private boolean done;
     private boolean prefillDone = true;
+    private boolean countedInShares;
     private int attemptCount;
 
     EndpointCall(Gateway gateway, AdmittedRequest admitted, byte[] body, Listener listener) {
@@ -182,6 +183,7 @@
         attemptCount++;
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
+        countedInShares = gateway.shares().started(admitted);
         gateway.endpoints().recordPrompt(endpoint.id(), request, selection.uncachedTokens());
         prefillDone = false;
         startHeadersTimeout();
@@ -308,6 +310,9 @@
         markPrefillDone();
         recordPlainTime(now, outcome);
         gateway.endpoints().finished(now, endpoint.id(), outcome, now - sentMillis);
+        if (countedInShares) {
+            gateway.shares().finished(admitted);
+        }
         gateway.metrics().countAttempt(outcome.name().toLowerCase(Locale.ROOT));
         if (outcome == AttemptOutcome.ANSWERED) {
             gateway.starts().onTurnEnded(gateway, admitted, now - sentMillis);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -28,7 +28,8 @@
         ChainExchange chains,
         CrashReporter crashes,
         RecoveryQueue recovery,
-        StartDispatch starts) {
+        StartDispatch starts,
+        AccountShareControl shares) {
     /** Retry-After when another VM can serve the request: short, since a retry reaches another VM. */
     private static final long OTHER_VM_RETRY_AFTER_MILLIS = 100;
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
@@ -26,6 +26,7 @@
         gateway.evacuations().ageMillis().forEach(evacuated::put);
         AdmissionReport.addTo(dump, gateway.quotas().programs(), gateway.clock().now());
         gateway.starts().addTo(dump, gateway.clock().now());
+        gateway.shares().addToDump(dump);
         ArrayNode endpoints = dump.putArray("endpoints");
         gateway.endpoints().ids().stream()
                 .limit(MAXIMUM_ENDPOINTS)
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -94,6 +94,13 @@
                 AdmissionReport.observedAdmissions(log, metrics, clock),
                 () -> gateway.isEnabled(Mechanism.PROGRAM_ADMISSION));
         fleet = new FleetFollower(group.next(), store, clock, log, settings, peers, lease, quotas::isSettled);
+        AccountShareControl shares = new AccountShareControl(
+                clock,
+                log,
+                endpoints,
+                configuration::current,
+                () -> gateway.isEnabled(Mechanism.ACCOUNT_SHARES),
+                settings.vm().hashCode());
         PeerConnections links = new PeerConnections(
                 group,
                 settings,
@@ -102,7 +109,8 @@
                 clock,
                 log,
                 quotas,
-                () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis());
+                () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis(),
+                shares);
         CrashReporter crashes = new CrashReporter(group.next(), http, store, clock, log, settings);
         TurnHistory history = new TurnHistory(group.next(), store, clock, () -> gateway.isolatedFromStore());
         BudgetManager budgets = new BudgetManager(
@@ -116,6 +124,9 @@
         links.setChains(chains);
         StartDispatch starts = StartDispatch.create(endpoints, quotas::liveVms, settings.incarnation());
         links.setDispatcher(starts.dispatcher());
+        if (settings.policy().isEnabled(Mechanism.DISPATCH_QUEUE)) {
+            shares.setQueue(starts.dispatcher());
+        }
         gateway = new Gateway(
                 settings,
                 group.next(),
@@ -136,9 +147,11 @@
                 chains,
                 crashes,
                 new RecoveryQueue(group.next(), clock),
-                starts);
+                starts,
+                shares);
         pipeline = new AdmissionPipeline(gateway, () -> stopping);
         registerGauges(metrics);
+        shares.start(group.next(), metrics);
         log.write(log.event("start")
                 .put("incarnation", settings.incarnation())
                 .put("dataCentre", settings.dataCentre())
--- a/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
@@ -67,6 +67,7 @@
     private final SpeedExchange speeds;
     private final LongSupplier storeAgeMillis;
     private final Supplier<Collection<PeerLink>> links;
+    private final AccountShareControl shares;
     private final Map<String, PeerState> peers = new HashMap<>();
     private Supplier<Map<String, Integer>> waiting = Map::of;
 
@@ -83,7 +84,8 @@
             EndpointTable endpoints,
             SpeedExchange speeds,
             LongSupplier storeAgeMillis,
-            Supplier<Collection<PeerLink>> links) {
+            Supplier<Collection<PeerLink>> links,
+            AccountShareControl shares) {
         this.executor = executor;
         this.clock = clock;
         this.dataCentre = dataCentre;
@@ -91,6 +93,7 @@
         this.speeds = speeds;
         this.storeAgeMillis = storeAgeMillis;
         this.links = links;
+        this.shares = shares;
     }
 
     /** Sets the source of the numbers of requests that wait for a slot, by service. */
@@ -120,7 +123,7 @@
             peer.pendingPaces.putAll(changedPaces);
             boolean due = now - peer.sentMillis >= BroadcastInterval.millis(isLocal(link), remotePeers);
             if (due && link.isWritable()) {
-                loads = loads == null ? loads(now) : loads;
+                loads = loads == null ? loads(now, open, remotePeers) : loads;
                 send(now, link, peer, loads);
             }
         }
@@ -144,7 +147,7 @@
         peer.sentMillis = now;
     }
 
-    private EndpointLoads loads(long now) {
+    private EndpointLoads loads(long now, Collection<PeerLink> open, int remotePeers) {
         EndpointLoads loads = new EndpointLoads(endpoints.requestsInFlight(), storeAgeMillis.getAsLong());
         loads.setFailing(endpoints.failureRates(now));
         loads.setUnread(endpoints.prefillBacklog());
@@ -152,6 +155,7 @@
         if (!waitingNow.isEmpty()) {
             loads.setWaiting(waitingNow);
         }
+        shares.addReport(loads, BroadcastInterval.messagesPerSecond(open.size() - remotePeers, remotePeers));
         return loads;
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -59,6 +59,7 @@
     private final TokenExchange tokens;
     private final StoreContacts storeContacts;
     private final LoadBroadcast broadcast;
+    private final AccountShareControl shares;
     private ChainExchange chains;
     private Dispatcher dispatcher;
     private LinkConnector connector;
@@ -78,7 +79,8 @@
             NodeClock clock,
             DecisionLog log,
             TokenExchange.Owner owner,
-            LongSupplier storeAgeMillis) {
+            LongSupplier storeAgeMillis,
+            AccountShareControl shares) {
         this.group = group;
         this.executor = group.next();
         this.settings = settings;
@@ -88,8 +90,9 @@
         this.log = log;
         this.tokens = new TokenExchange(executor, owner, this::send);
         this.storeContacts = new StoreContacts(clock);
+        this.shares = shares;
         this.broadcast = new LoadBroadcast(
-                executor, clock, settings.dataCentre(), endpoints, speeds, storeAgeMillis, this::openLinks);
+                executor, clock, settings.dataCentre(), endpoints, speeds, storeAgeMillis, this::openLinks, shares);
     }
 
     /** Sets the receiver of messages about turns and budgets; must be called before the start. */
@@ -207,6 +210,7 @@
             endpoints.onPeerPrefillBacklog(vm, loads.getUnread());
         }
         dispatcher.onPeerWaiting(vm, loads.isSetWaiting() ? loads.getWaiting() : Map.of());
+        shares.onPeerLoads(vm, loads);
         endpoints.onPeerPrefixLocations(LoadBroadcast.locations(loads));
         speeds.onLoads(vm, loads);
         storeContacts.onReport(vm, peer.dataCentre(), loads.getProofAgeMillis());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
@@ -63,6 +63,7 @@
         admitted.request().programLeftMillis().ifPresent(left -> line.put("programLeftMillis", left - tookMillis));
         admitted.timeline().addTo(line);
         gateway.starts().addTo(line, gateway, admitted);
+        gateway.shares().addTo(line, admitted);
         admitted.request().previousTurn().ifPresent(turn -> line.put("previousTurn", turn));
         call.ifPresent(endpointCall -> {
             line.put("sends", endpointCall.attemptCount());
