--- a/core/src/main/java/org/quetzalshunt/core/result/ResultCode.java
+++ b/core/src/main/java/org/quetzalshunt/core/result/ResultCode.java
@@ -38,6 +38,7 @@
     OWNER_UNREACHABLE(3005, 503, "the owner of the program's shard cannot be reached"),
     NOT_OWNER(3006, 503, "this VM does not own the program's shard"),
     EVACUATED(3007, 503, "operators evacuate every data centre that has endpoints of the service"),
+    MEMORY_SHORT(3008, 503, "this VM has too little free memory for the request"),
 
     ENDPOINT_FAILED(4000, 502, "the endpoint failed while it ran the request"),
     ENDPOINT_STALLED(4001, 504, "the endpoint made no progress in time"),
@@ -49,6 +50,7 @@
     ANSWER_CUT(4007, 502, "the answer ended before its end mark"),
     DEADLINE_PASSED_RUNNING(4008, 504, "the deadline passed while the request ran"),
     CRASHES_ENDPOINTS(4009, 503, "endpoints crashed while running this request; it is not run for some minutes"),
+    CALLER_TOO_SLOW(4010, 499, "the caller held its response unread for too long and was disconnected"),
 
     LOG_UNAVAILABLE(5000, 503, "the log service does not answer"),
     CONFIGURATION_STALE(5001, 503, "this VM cannot prove that its configuration is current"),
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
@@ -37,6 +37,9 @@
     Registration registration;
     int inFlight;
     int peersInFlight;
+    /** Tokens of prompt and maximum output of this VM's requests in flight. */
+    long workTokens;
+
     double latencyMillis;
     /** Prompt tokens sent to the endpoint by this VM that it has not prefilled yet. */
     long prefillBacklogTokens;
@@ -61,6 +64,15 @@
         this.latencyMillis = latencyMillis;
     }
 
+    /**
+     * Whether another request fits into the endpoint beside those in flight. The tokens of peers' requests are not
+     * known; they are assumed to be the mean of this VM's.
+     */
+    boolean canHold(long tokens, long capacityTokens) {
+        long meanTokens = inFlight > 0 ? workTokens / inFlight : tokens;
+        return workTokens + peersInFlight * meanTokens + tokens <= capacityTokens;
+    }
+
     void recordSuccess(long nowMillis, long tookMillis) {
         failures = 0;
         ejectedUntilMillis = Long.MIN_VALUE / 2;
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
@@ -65,6 +65,7 @@
                 .filter(row -> row.inFlight < request.limits().maximumInFlight())
                 .filter(row -> request.limits().allows(row.registration.dataCentre()))
                 .filter(row -> row.coldStart.admits(nowMillis, request.limits().coldRequestsPerSecond()))
+                .filter(row -> request.workTokens() == 0 || row.canHold(request.workTokens(), request.memoryTokens()))
                 .filter(row -> !request.excluded().contains(row.registration.id()))
                 .toList();
         if (!policy.isEnabled(Mechanism.TWO_CHOICES)) {
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -196,6 +196,11 @@
         rows.find(id).ifPresent(row -> row.inFlight++);
     }
 
+    /** Adds the tokens of prompt and maximum output of a request that starts; a negative number when it ends. */
+    public void addWork(String id, long tokens) {
+        rows.find(id).ifPresent(row -> row.workTokens = Math.max(0, row.workTokens + tokens));
+    }
+
     /** Records the end of an attempt at an endpoint. */
     public void finished(long nowMillis, String id, AttemptOutcome outcome, long tookMillis) {
         rows.find(id).ifPresent(row -> finished(nowMillis, row, outcome, tookMillis));
--- a/core/src/main/java/org/quetzalshunt/core/routing/RoutingRequest.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/RoutingRequest.java
@@ -11,9 +11,22 @@
  * @param prompt parts of the prompt in order; empty for a request without a prompt
  * @param memoryTokens capacity of an engine's prefix cache in tokens
  * @param limits limits on this VM's use of the endpoints
+ * @param workTokens tokens of prompt and maximum output, at most {@code memoryTokens}; 0 if endpoints are used whatever
+ *     they hold
  */
 public record RoutingRequest(
-        String service, Set<String> excluded, List<PrefixPart> prompt, long memoryTokens, EndpointLimits limits) {
+        String service,
+        Set<String> excluded,
+        List<PrefixPart> prompt,
+        long memoryTokens,
+        EndpointLimits limits,
+        long workTokens) {
+    /** Creates a routing request for which endpoints are used whatever they hold. */
+    public RoutingRequest(
+            String service, Set<String> excluded, List<PrefixPart> prompt, long memoryTokens, EndpointLimits limits) {
+        this(service, excluded, prompt, memoryTokens, limits, 0);
+    }
+
     /** Creates a routing request without a prompt. */
     public static RoutingRequest plain(String service, Set<String> excluded, EndpointLimits limits) {
         return new RoutingRequest(service, excluded, List.of(), 0, limits);
