Account for held memory and apply back pressure in the gateway

A caller that does not read made the gateway buffer the whole response of its endpoint, for as long as the connection stayed open.

Writes that the system does not accept at once, bodies, buffered events, requests that endpoints have not read and messages to peers are accounted for each caller's connection. While MEMORY_LIMIT is enabled, reading from the endpoint pauses with the caller, slow callers are disconnected, new requests are refused by the level of use, pipelined requests wait for unread responses, and sockets stay below the descriptors.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -19,7 +19,7 @@
 
 /**
  * Decides whether a fully received request may run. The checks run in this order: age of the configuration, route, API
- * key, size of the body, quarantine, availability of the store, token budget, rate quota. Where API keys are required,
+ * key, size of the body, quarantine, availability of the store, token budget, free memory, rate quota. Where API keys are required,
  * a configuration that may be out of date never causes a rejection for an unknown route or key.
  */
 final class AdmissionPipeline {
@@ -191,6 +191,12 @@
                     gateway, admitted, StreamForwarder.exhaustedRefusal(exhausted.get()), Optional.empty());
             return;
         }
+        Optional<Refusal> memoryShort =
+                gateway.memory().refusal(admitted, deadline - gateway.clock().now());
+        if (memoryShort.isPresent()) {
+            ResultReporter.refuse(gateway, admitted, memoryShort.get(), Optional.empty());
+            return;
+        }
         if (account.isEmpty()) {
             run(admitted);
             return;
@@ -245,8 +251,7 @@
     private void run(AdmittedRequest admitted) {
         admitted.timeline().markReached(RequestTimeline.Step.TOKEN);
         if (admitted.exchange().finished()) {
-            ResultReporter.logResult(
-                    gateway, admitted, ResultCode.CANCELLED, "the caller disconnected", Optional.empty());
+            ResultReporter.logDisconnected(gateway, admitted, Optional.empty());
             return;
         }
         if (admitted.route().kind() == RequestKind.STREAM) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
@@ -30,6 +30,7 @@
     private final AdmittedRequest admitted;
     private final EndpointCall call;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final HeldEvents held;
     private ScheduledFuture<?> deadline;
     private ScheduledFuture<?> attemptTimeout;
     private int status;
@@ -40,6 +41,7 @@
     private BufferedForwarder(Gateway gateway, AdmittedRequest admitted) {
         this.gateway = gateway;
         this.admitted = admitted;
+        this.held = new HeldEvents(admitted.exchange());
         this.call = new EndpointCall(gateway, admitted, admitted.exchange().body(), this);
     }
 
@@ -56,6 +58,7 @@
     private void attempt() {
         attempts++;
         body.reset();
+        held.set(0);
         headers = null;
         call.start();
         if (!finished && mayRetry()) {
@@ -88,6 +91,7 @@
     @Override
     public void onData(byte[] data) {
         body.writeBytes(data);
+        held.set(body.size());
     }
 
     @Override
@@ -145,8 +149,7 @@
     private void onCallerDisconnected() {
         call.cancel(AttemptOutcome.NEUTRAL);
         if (markFinished()) {
-            ResultReporter.logResult(
-                    gateway, admitted, ResultCode.CANCELLED, "the caller disconnected", Optional.of(call));
+            ResultReporter.logDisconnected(gateway, admitted, Optional.of(call));
         }
     }
 
@@ -167,6 +170,7 @@
             return false;
         }
         finished = true;
+        held.set(0);
         cancelAttemptTimeout();
         if (deadline != null) {
             deadline.cancel(false);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -87,6 +87,8 @@
     private final AdmittedRequest admitted;
     private final byte[] body;
     private final Listener listener;
+    private final ResponseFlow flow;
+    private final RequestMemory memory;
     private final Set<String> excluded = new HashSet<>();
     private Registration endpoint;
     private Selection selection;
@@ -104,6 +106,8 @@
         this.admitted = admitted;
         this.body = body;
         this.listener = listener;
+        this.flow = new ResponseFlow(gateway, admitted.exchange(), () -> call);
+        this.memory = new RequestMemory(gateway, admitted, body);
     }
 
     /** Sends the request. May be called again, as a retry, after the attempt before has ended or was cancelled. */
@@ -135,6 +139,11 @@
         return !done && call != null;
     }
 
+    /** Pace of the response, which depends on its caller. */
+    ResponseFlow flow() {
+        return flow;
+    }
+
     /** The endpoint of the last attempt. */
     Optional<Registration> endpoint() {
         return Optional.ofNullable(endpoint);
@@ -180,6 +189,7 @@
         attemptCount++;
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
+        memory.started(endpoint.id(), request.workTokens());
         gateway.endpoints().recordPrompt(endpoint.id(), request, selection.uncachedTokens());
         prefillDone = false;
         startHeadersTimeout();
@@ -217,7 +227,12 @@
                 coldRequestsPerSecond > 0 ? coldRequestsPerSecond : Double.POSITIVE_INFINITY,
                 admitted.homeDataCentres(gateway.settings().regions()));
         return new RoutingRequest(
-                admitted.service().name(), excluded, admitted.request().prefixParts(), cacheTokens, limits);
+                admitted.service().name(),
+                excluded,
+                admitted.request().prefixParts(),
+                cacheTokens,
+                limits,
+                memory.workTokens(cacheTokens));
     }
 
     private void onNoEndpoint(long remainingMillis, EndpointLimits limits) {
@@ -299,17 +314,29 @@
 
     private void endAttempt(AttemptOutcome outcome) {
         call = null;
+        memory.ended(endpoint.id());
         headersTimeout.cancel(false);
         long now = gateway.clock().now();
         markPrefillDone();
-        gateway.endpoints().finished(now, endpoint.id(), outcome, now - sentMillis);
-        gateway.metrics().countAttempt(outcome.name().toLowerCase(Locale.ROOT));
+        AttemptOutcome endpointOutcome = flow.outcome(outcome);
+        gateway.endpoints().finished(now, endpoint.id(), endpointOutcome, now - sentMillis - flow.pausedMillis());
+        gateway.metrics().countAttempt(endpointOutcome.name().toLowerCase(Locale.ROOT));
     }
 
     /** Handles the response to the current attempt. */
     private final class ResponseHandler implements HttpResponseListener {
         private ResponseKind head;
 
+        @Override
+        public void onRequestUnread() {
+            memory.onUnread();
+        }
+
+        @Override
+        public void onRequestRead() {
+            memory.onRead();
+        }
+
         @Override
         public void onHead(int status, HttpHeaders headers) {
             headersTimeout.cancel(false);
@@ -338,6 +365,7 @@
         public void onChunk(byte[] data) {
             if (isForwarded()) {
                 listener.onData(data);
+                flow.onRead(data.length);
             }
         }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EventStreamDecoder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EventStreamDecoder.java
@@ -54,6 +54,11 @@
         return frames;
     }
 
+    /** Size of the event that is not complete yet. */
+    int pendingBytes() {
+        return pending.size();
+    }
+
     private void addFrame(byte[] octets, List<Frame> frames) {
         parsed.clear();
         checkId(octets);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -27,7 +27,8 @@
         PeerConnections links,
         ChainExchange chains,
         CrashReporter crashes,
-        RecoveryQueue recovery) {
+        RecoveryQueue recovery,
+        GatewayMemory memory) {
     /** Retry-After when another VM can serve the request: short, since a retry reaches another VM. */
     private static final long OTHER_VM_RETRY_AFTER_MILLIS = 100;
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
@@ -24,6 +24,7 @@
         gateway.configuration().current().ifPresent(current -> addConfiguration(dump, current));
         ObjectNode evacuated = dump.putObject("evacuatedForMillis");
         gateway.evacuations().ageMillis().forEach(evacuated::put);
+        gateway.memory().addTo(dump.putObject("memory"));
         ArrayNode endpoints = dump.putArray("endpoints");
         gateway.endpoints().ids().stream()
                 .limit(MAXIMUM_ENDPOINTS)
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
@@ -51,6 +51,18 @@
         Gauge.builder(name, value).description(description).register(registry);
     }
 
+    void registerGauge(String name, String description, String label, String labelValue, Supplier<Number> value) {
+        Gauge.builder(name, value)
+                .description(description)
+                .tag(label, labelValue)
+                .register(registry);
+    }
+
+    /** Counts an event by a label with a bounded number of values. */
+    void count(String name, String label, String labelValue) {
+        registry.counter(name, label, labelValue).increment();
+    }
+
     String scrape() {
         return registry.scrape();
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.quota.PeerTable;
 import org.quetzalshunt.core.quota.VmLease;
 import org.quetzalshunt.core.route.TrafficConfiguration;
@@ -122,7 +123,15 @@
                 links,
                 chains,
                 crashes,
-                new RecoveryQueue(group.next(), clock));
+                new RecoveryQueue(group.next(), clock),
+                new GatewayMemory(
+                        settings,
+                        group.next(),
+                        metrics,
+                        log,
+                        http,
+                        () -> gateway != null && gateway.isEnabled(Mechanism.MEMORY_LIMIT)));
+        gateway.memory().start(group.next(), links::unreadBytes);
         pipeline = new AdmissionPipeline(gateway, () -> stopping);
         registerGauges(metrics);
         log.write(log.event("start")
@@ -164,7 +173,12 @@
     }
 
     private void listen() {
-        callers = HttpServer.start(group, settings.callerAddress(), CALLER_LIMITS, pipeline::handle);
+        callers = HttpServer.start(
+                group,
+                settings.callerAddress(),
+                CALLER_LIMITS,
+                pipeline::handle,
+                gateway.memory().callers());
         probes = HttpServer.start(group, settings.probeAddress(), PROBE_LIMITS, this::probe);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GenerationMeter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GenerationMeter.java
@@ -28,6 +28,10 @@
 
     /** Reports the generation time of a completed response. */
     void onEnd(EndpointCall call) {
+        if (call.flow().wasBlocked()) {
+            // The time was determined by the caller.
+            return;
+        }
         long tokens = Math.max(0, events - 1) * tokensPerEvent;
         long tookMillis = gateway.clock().now() - firstEventMillis;
         call.endpoint().ifPresent(endpoint -> gateway.endpoints().recordGeneration(endpoint.id(), tokens, tookMillis));
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -159,6 +159,11 @@
         return links.keySet().stream().filter(this::isConnected).toList();
     }
 
+    /** Bytes of messages that peers have not read. */
+    long unreadBytes() {
+        return openLinks().stream().mapToLong(PeerLink::unreadBytes).sum();
+    }
+
     /** Sends a message over the link to a peer, if there is one. */
     void send(String vm, Message message) {
         link(vm).ifPresent(link -> link.send(message));
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResponseFlow.java
@@ -0,0 +1,91 @@
+package org.quetzalshunt.server.gateway;
+
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.quetzalshunt.core.memory.ReadPacing;
+import org.quetzalshunt.core.policy.Mechanism;
+import org.quetzalshunt.core.routing.AttemptOutcome;
+import org.quetzalshunt.server.http.HttpCall;
+import org.quetzalshunt.server.http.HttpExchange;
+
+/** Reads a response from its endpoint at the pace at which the caller reads it. */
+final class ResponseFlow {
+    private final Gateway gateway;
+    private final Supplier<HttpCall> call;
+    private final ReadPacing pacing = new ReadPacing();
+    private ScheduledFuture<?> endOfPause;
+
+    /**
+     * Creates the flow of a request.
+     *
+     * @param call present call to an endpoint; null if there is none
+     */
+    ResponseFlow(Gateway gateway, HttpExchange exchange, Supplier<HttpCall> call) {
+        this.gateway = gateway;
+        this.call = call;
+        exchange.onWritability(this::onWritability);
+    }
+
+    private void onWritability(boolean writable) {
+        long now = gateway.clock().now();
+        if (writable) {
+            pacing.onUnblocked(now);
+            cancelTimer();
+        } else if (gateway.isEnabled(Mechanism.MEMORY_LIMIT)) {
+            pacing.onBlocked(now);
+            cancelTimer();
+            endOfPause = gateway.executor().schedule(this::onPauseEnd, ReadPacing.PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        apply();
+    }
+
+    private void onPauseEnd() {
+        pacing.onTime(gateway.clock().now());
+        apply();
+    }
+
+    /** Records that a part of the response was read and passed on. */
+    void onRead(int bytes) {
+        if (pacing.isBlocked()) {
+            pacing.onRead(bytes);
+            apply();
+        }
+    }
+
+    private void apply() {
+        Optional.ofNullable(call.get()).ifPresent(present -> present.setReading(pacing.mayRead()));
+    }
+
+    /** Whether the response is not read as fast as the endpoint sends it, because its caller reads slowly. */
+    boolean isBlocked() {
+        return pacing.isBlocked();
+    }
+
+    /**
+     * The outcome for the endpoint's statistics. An endpoint may cut a response that is not read for long, and a stream
+     * that is held back reaches its deadline; neither is a failure of the endpoint.
+     */
+    AttemptOutcome outcome(AttemptOutcome outcome) {
+        boolean fault = outcome == AttemptOutcome.FAILED || outcome == AttemptOutcome.ERRORED;
+        return fault && wasBlocked() ? AttemptOutcome.NEUTRAL : outcome;
+    }
+
+    /** Whether the response was held back at some time. */
+    boolean wasBlocked() {
+        return pausedMillis() > 0 || pacing.isBlocked();
+    }
+
+    /** Time in which the response was held back. */
+    long pausedMillis() {
+        return pacing.pausedMillis(gateway.clock().now());
+    }
+
+    private void cancelTimer() {
+        if (endOfPause != null) {
+            endOfPause.cancel(false);
+            endOfPause = null;
+        }
+    }
+}
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
@@ -6,6 +6,7 @@
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.core.routing.Registration;
+import org.quetzalshunt.server.http.DisconnectCause;
 import org.quetzalshunt.server.http.ErrorBodies;
 import org.quetzalshunt.server.http.HttpExchange;
 
@@ -41,6 +42,14 @@
         exchange.respond(refusal.code().status(), headers, body);
     }
 
+    /** Reports a request whose caller disconnected, or was disconnected, before its final response. */
+    static void logDisconnected(Gateway gateway, AdmittedRequest admitted, Optional<EndpointCall> call) {
+        Optional<DisconnectCause> cause = admitted.exchange().disconnectCause();
+        ResultCode code = cause.isPresent() ? ResultCode.CALLER_TOO_SLOW : ResultCode.CANCELLED;
+        String detail = cause.map(DisconnectCause::detail).orElse("the caller disconnected");
+        logResult(gateway, admitted, code, detail, call);
+    }
+
     /** Records the metrics and writes the log line of a request that got its final response. */
     static void logResult(
             Gateway gateway, AdmittedRequest admitted, ResultCode code, String detail, Optional<EndpointCall> call) {
@@ -65,6 +74,9 @@
         admitted.request().previousTurn().ifPresent(turn -> line.put("previousTurn", turn));
         call.ifPresent(endpointCall -> {
             line.put("sends", endpointCall.attemptCount());
+            if (endpointCall.flow().wasBlocked()) {
+                line.put("heldBackMillis", endpointCall.flow().pausedMillis());
+            }
             endpointCall
                     .firstSentMillis()
                     .ifPresent(sent -> line.put("sentAfterMillis", sent - admitted.arrivedMillis()));
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -28,6 +28,7 @@
     private final AdmittedRequest admitted;
     private final TurnGrant grant;
     private final GenerationMeter meter;
+    private final HeldEvents held;
     private final EventStreamDecoder decoder = EventStreamDecoder.create();
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
@@ -44,12 +45,14 @@
     private boolean storing;
     private boolean finished;
     private long sentEvents;
+    private long bufferedBytes;
 
     private StreamForwarder(Gateway gateway, AdmittedRequest admitted) {
         this.gateway = gateway;
         this.admitted = admitted;
         this.grant = new TurnGrant(gateway, admitted);
         this.meter = new GenerationMeter(gateway, admitted.tokensPerEvent());
+        this.held = new HeldEvents(admitted.exchange());
     }
 
     /** Starts to forward a request; the caller always gets a final response or a closed connection. */
@@ -179,12 +182,14 @@
         }
         if (head == ResponseKind.FAILURE) {
             failureBody.writeBytes(data);
+            held.set(failureBody.size());
             return;
         }
         List<EventStreamDecoder.Frame> completeEvents = decoder.decode(data);
         meter.onEvents(call, completeEvents.size());
         for (EventStreamDecoder.Frame frame : completeEvents) {
             bufferedEvents.add(frame.octets());
+            bufferedBytes += frame.octets().length;
             output.writeBytes(frame.data());
             output.write('\n');
         }
@@ -194,6 +199,9 @@
             return;
         }
         forwardEvents();
+        if (!finished) {
+            held.set(bufferedBytes + output.size() + decoder.pendingBytes());
+        }
     }
 
     private void forwardEvents() {
@@ -209,6 +217,7 @@
             admitted.timeline().markEventsSent();
             sentEvents += bufferedEvents.size();
             bufferedEvents.clear();
+            bufferedBytes = 0;
         }
         if (answerEnded) {
             storeAndEnd();
@@ -318,8 +327,7 @@
             call.cancel(AttemptOutcome.NEUTRAL);
         }
         if (markFinished()) {
-            ResultReporter.logResult(
-                    gateway, admitted, ResultCode.CANCELLED, "the caller disconnected", Optional.ofNullable(call));
+            ResultReporter.logDisconnected(gateway, admitted, Optional.ofNullable(call));
         }
     }
 
@@ -343,6 +351,7 @@
         if (deadline != null) {
             deadline.cancel(false);
         }
+        held.set(0);
         grant.close(sentEvents);
         return true;
     }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.concurrent.ScheduledFuture;
@@ -53,14 +54,30 @@
         channel = connection;
         channel.pipeline().get(HttpCallHandler.class).attach(this);
         timeout = channel.eventLoop().schedule(() -> onTimeout(), timeoutMillis, TimeUnit.MILLISECONDS);
-        channel.writeAndFlush(request).addListener(written -> {
+        ChannelFuture writing = channel.writeAndFlush(request);
+        if (!writing.isDone()) {
+            listener.onRequestUnread();
+        }
+        writing.addListener(written -> {
             sent = written.isSuccess();
             if (!sent) {
                 fail("cannot send request: " + written.cause().getMessage(), true);
+            } else if (!done) {
+                listener.onRequestRead();
             }
         });
     }
 
+    /**
+     * Stops or continues to read the response. While it is not read, a connection that the server closes is not
+     * noticed.
+     */
+    public void setReading(boolean reading) {
+        if (!done && channel != null && channel.config().isAutoRead() != reading) {
+            channel.config().setAutoRead(reading);
+        }
+    }
+
     boolean isOwnResponse(HttpHeaders headers) {
         return matchesRequest.test(headers);
     }
@@ -85,6 +102,7 @@
         if (done) {
             return;
         }
+        setReading(true);
         finish();
         if (reusable && sent) {
             release.accept(channel, keepAliveMillis);
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
@@ -58,6 +58,7 @@
     private final EventLoopGroup group;
     private final Map<InetSocketAddress, Deque<IdleConnection>> idle = new HashMap<>();
     private long connectionsOpened;
+    private int openConnections;
 
     private HttpClient(EventLoopGroup group) {
         this.group = group;
@@ -153,6 +154,33 @@
         return connectionsOpened;
     }
 
+    /** Number of open connections, in use and idle. */
+    public int openConnections() {
+        return openConnections;
+    }
+
+    /**
+     * Closes idle connections, those of an address that were idle longest first.
+     *
+     * @return number of connections closed
+     */
+    public long closeIdle(long maximum) {
+        long closed = 0;
+        for (Deque<IdleConnection> connections : idle.values()) {
+            while (closed < maximum && !connections.isEmpty()) {
+                Channel channel = connections.pollFirst().channel();
+                closed += channel.isOpen() ? 1 : 0;
+                channel.close();
+            }
+        }
+        return closed;
+    }
+
+    private void countOpen(Channel channel) {
+        openConnections++;
+        channel.closeFuture().addListener(closed -> openConnections--);
+    }
+
     private void connect(InetSocketAddress address, DefaultFullHttpRequest request, CallTimeouts times, HttpCall call) {
         connectionsOpened++;
         ChannelFuture connecting = new Bootstrap()
@@ -177,6 +205,7 @@
                 call.fail("cannot connect: " + result.cause().getMessage(), false);
                 return;
             }
+            countOpen(connecting.channel());
             call.start(connecting.channel(), request, times.responseMillis());
         });
     }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
+import org.quetzalshunt.core.memory.MemoryUse;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.tinylog.Logger;
@@ -20,22 +21,29 @@
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final int MAXIMUM_PIPELINED = 16;
 
+    /** Size of pipelined requests above which no more are read until they run. */
+    private static final long MAXIMUM_PIPELINED_BYTES = 64 * 1024;
+
     private final HttpLimits limits;
     private final HttpHandler handler;
     private final Set<Channel> connections;
+    private final ConnectionMemory memory;
     private final Queue<FullHttpRequest> pipelined = new ArrayDeque<>();
     private HttpExchange current;
+    private long pipelinedBytes;
 
-    HttpConnection(HttpLimits limits, HttpHandler handler, Set<Channel> connections) {
+    HttpConnection(HttpLimits limits, HttpHandler handler, Set<Channel> connections, ConnectionMemory memory) {
         this.limits = limits;
         this.handler = handler;
         this.connections = connections;
+        this.memory = memory;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
+        memory.open(context.channel(), this::onDisconnecting);
         connections.add(context.channel());
-        if (connections.size() > limits.maximumConnections()) {
+        if (connections.size() > limits.maximumConnections() || !memory.admitsConnection()) {
             context.close();
         }
     }
@@ -48,11 +56,28 @@
         if (current != null) {
             current.connectionClosed();
         }
+        memory.close();
+    }
+
+    private void onDisconnecting(DisconnectCause cause) {
+        if (current != null) {
+            current.disconnecting(cause);
+        }
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        boolean writable = context.channel().isWritable();
         if (current != null) {
+            current.writabilityChanged(writable);
+        } else if (writable && !pipelined.isEmpty()) {
+            runNext(context);
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (current != null || !pipelined.isEmpty() || memory.isBlocked()) {
             enqueue(context, request);
             return;
         }
@@ -69,10 +94,16 @@
             return;
         }
         pipelined.add(request.retain());
+        pipelinedBytes += request.content().readableBytes();
+        memory.holder().hold(MemoryUse.BODIES, request.content().readableBytes());
+        if (pipelinedBytes > MAXIMUM_PIPELINED_BYTES && memory.isLimited()) {
+            context.channel().config().setAutoRead(false);
+        }
     }
 
     private void run(ChannelHandlerContext context, FullHttpRequest request) {
-        current = HttpExchange.of(context, request, () -> context.executor().execute(() -> runNext(context)));
+        current = HttpExchange.of(
+                context, memory, request, () -> context.executor().execute(() -> runNext(context)));
         if (!request.decoderResult().isSuccess()) {
             refuse(request.decoderResult().cause());
             return;
@@ -89,11 +120,16 @@
 
     private void runNext(ChannelHandlerContext context) {
         current = null;
+        if (context.channel().isActive() && memory.isBlocked()) {
+            // Continued when the caller has read the previous responses.
+            return;
+        }
         FullHttpRequest request = pipelined.poll();
         if (request == null || !context.channel().isActive()) {
             ReferenceCountUtil.release(request);
             return;
         }
+        dequeued(context, request);
         try {
             run(context, request);
         } finally {
@@ -101,6 +137,15 @@
         }
     }
 
+    private void dequeued(ChannelHandlerContext context, FullHttpRequest request) {
+        pipelinedBytes -= request.content().readableBytes();
+        memory.holder().release(MemoryUse.BODIES, request.content().readableBytes());
+        if (pipelinedBytes <= MAXIMUM_PIPELINED_BYTES
+                && !context.channel().config().isAutoRead()) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
     private void refuse(Throwable cause) {
         ResultCode code = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException
                 ? ResultCode.HEADER_TOO_LARGE
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -24,12 +25,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
+import org.quetzalshunt.core.memory.MemoryHolder;
+import org.quetzalshunt.core.memory.MemoryUse;
 
 /** One request and its response. Used on the event loop of the connection only. */
 public final class HttpExchange implements ResponseSink {
     private static final String BEARER = "Bearer ";
 
     private final ChannelHandlerContext context;
+    private final ConnectionMemory memory;
     private final String method;
     private final QueryStringDecoder target;
     private final HttpHeaders headers;
@@ -39,19 +44,25 @@
     private final List<Runnable> closeActions = new ArrayList<>();
     private boolean started;
     private boolean finished;
+    private Consumer<Boolean> writabilityListener = writable -> {};
+    private Optional<DisconnectCause> disconnectCause = Optional.empty();
 
-    private HttpExchange(ChannelHandlerContext context, FullHttpRequest request, Runnable doneAction) {
+    private HttpExchange(
+            ChannelHandlerContext context, ConnectionMemory memory, FullHttpRequest request, Runnable doneAction) {
         this.context = context;
+        this.memory = memory;
         this.method = request.method().name();
         this.target = new QueryStringDecoder(request.uri());
         this.headers = request.headers().copy();
         this.body = ByteBufUtil.getBytes(request.content());
         this.keepAlive = HttpUtil.isKeepAlive(request);
         this.doneAction = doneAction;
+        memory.holder().hold(MemoryUse.BODIES, body.length);
     }
 
-    static HttpExchange of(ChannelHandlerContext context, FullHttpRequest request, Runnable doneAction) {
-        return new HttpExchange(context, request, doneAction);
+    static HttpExchange of(
+            ChannelHandlerContext context, ConnectionMemory memory, FullHttpRequest request, Runnable doneAction) {
+        return new HttpExchange(context, memory, request, doneAction);
     }
 
     /** Method, such as {@code POST}. */
@@ -126,7 +137,7 @@
         setConnectionHeader(response);
         started = true;
         finish();
-        writeAndMaybeClose(response);
+        writeAndMaybeClose(response, data.length);
     }
 
     /** Sends a complete JSON response. */
@@ -154,7 +165,7 @@
         HttpUtil.setTransferEncodingChunked(response, true);
         setConnectionHeader(response);
         started = true;
-        context.writeAndFlush(response);
+        memory.write(context, response, 0);
     }
 
     @Override
@@ -163,7 +174,7 @@
             return;
         }
         ByteBuf content = Unpooled.wrappedBuffer(data);
-        context.writeAndFlush(new DefaultHttpContent(content));
+        memory.write(context, new DefaultHttpContent(content), data.length);
     }
 
     @Override
@@ -172,7 +183,7 @@
             return;
         }
         finish();
-        writeAndMaybeClose(LastHttpContent.EMPTY_LAST_CONTENT);
+        writeAndMaybeClose(LastHttpContent.EMPTY_LAST_CONTENT, 0);
     }
 
     @Override
@@ -199,6 +210,34 @@
         return finished;
     }
 
+    /** Memory held for the caller's connection. */
+    public MemoryHolder memory() {
+        return memory.holder();
+    }
+
+    /**
+     * Registers a listener, in place of the previous one, that receives false when the caller's connection accepts no
+     * more data, and true when it does again. Data that is written meanwhile is held in memory.
+     */
+    public void onWritability(Consumer<Boolean> listener) {
+        writabilityListener = listener;
+    }
+
+    /** Why this server disconnected the caller; empty if it did not. */
+    public Optional<DisconnectCause> disconnectCause() {
+        return disconnectCause;
+    }
+
+    void writabilityChanged(boolean writable) {
+        if (!finished) {
+            writabilityListener.accept(writable);
+        }
+    }
+
+    void disconnecting(DisconnectCause cause) {
+        disconnectCause = Optional.of(cause);
+    }
+
     void connectionClosed() {
         if (finished) {
             return;
@@ -215,6 +254,7 @@
 
     private void finish() {
         finished = true;
+        memory.holder().release(MemoryUse.BODIES, body.length);
         doneAction.run();
     }
 
@@ -223,11 +263,11 @@
                 .set(HttpHeaderNames.CONNECTION, keepAlive ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
     }
 
-    private void writeAndMaybeClose(Object message) {
+    private void writeAndMaybeClose(Object message, long bytes) {
+        ChannelFuture written = memory.write(context, message, bytes);
         if (keepAlive) {
-            context.writeAndFlush(message);
             return;
         }
-        context.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
+        written.addListener(ChannelFutureListener.CLOSE);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpResponseListener.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpResponseListener.java
@@ -7,6 +7,12 @@
  * the end, also before the head, and is then the last event. After {@link HttpCall#cancel}, no method is called.
  */
 public interface HttpResponseListener {
+    /** Called when the server has not read the request at once; its body is held in memory. */
+    default void onRequestUnread() {}
+
+    /** Called when the server has read the request, after {@link #onRequestUnread}. */
+    default void onRequestRead() {}
+
     /** Called with the status and headers. */
     void onHead(int status, HttpHeaders headers);
 
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -19,6 +19,12 @@
     private static final int MAXIMUM_INITIAL_LINE_BYTES = 4_096;
     private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
 
+    /**
+     * Send buffer of a connection while memory is limited: enough for 64 MB/s at a round trip of 2 ms. The system's
+     * buffers grow to megabytes for each caller that does not read, and count as memory of the VM.
+     */
+    private static final int LIMITED_SEND_BUFFER_BYTES = 128 * 1024;
+
     private final Channel channel;
     private final Set<Channel> connections;
 
@@ -33,6 +39,16 @@
      */
     public static HttpServer start(
             EventLoopGroup group, InetSocketAddress address, HttpLimits limits, HttpHandler handler) {
+        return start(group, address, limits, handler, CallerMemory.unlimited());
+    }
+
+    /** Binds and starts to serve, like the method above, within limits on the memory held for callers. */
+    public static HttpServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            HttpLimits limits,
+            HttpHandler handler,
+            CallerMemory memory) {
         Set<Channel> connections = new HashSet<>();
         Channel channel = new ServerBootstrap()
                 .group(group)
@@ -43,12 +59,17 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel connection) {
+                        if (memory.isEnabled()) {
+                            connection.config().setSendBufferSize(LIMITED_SEND_BUFFER_BYTES);
+                        }
+                        ConnectionMemory connectionMemory = new ConnectionMemory(memory);
                         connection
                                 .pipeline()
                                 .addLast(new HttpServerCodec(strict(limits)))
                                 .addLast(new RequestArrivalTimeout(limits.requestTimeoutMillis()))
+                                .addLast(new RequestBodyMeter(connectionMemory, limits.maximumBodyBytes()))
                                 .addLast(new HttpObjectAggregator(limits.maximumBodyBytes()))
-                                .addLast(new HttpConnection(limits, handler, connections));
+                                .addLast(new HttpConnection(limits, handler, connections, connectionMemory));
                     }
                 })
                 .bind(address)
--- a/server/src/main/java/org/quetzalshunt/server/transport/PeerLink.java
+++ b/server/src/main/java/org/quetzalshunt/server/transport/PeerLink.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.transport;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import org.quetzalshunt.wire.generated.Message;
 
 /** An open link to another process. Used on its event loop only. */
@@ -37,6 +38,12 @@
         return channel.isWritable();
     }
 
+    /** Bytes of messages that the peer has not read. */
+    public long unreadBytes() {
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        return pending == null ? 0 : pending.totalPendingWriteBytes();
+    }
+
     /** Closes the link after the messages sent before. */
     public void close() {
         channel.close();
