--- a/core/src/main/java/org/quetzalshunt/core/memory/MemoryBudget.java
+++ b/core/src/main/java/org/quetzalshunt/core/memory/MemoryBudget.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Memory that a process holds for its callers, endpoints and peers, by use, against a fixed budget. Addresses overload
@@ -19,7 +20,7 @@
     private final Set<MemoryHolder> holders = new HashSet<>();
     private long held;
     private long peak;
-    private Runnable exhaustedListener = () -> {};
+    private Consumer<Optional<MemoryHolder>> exhaustedListener = cause -> {};
 
     private MemoryBudget(long bytes) {
         this.bytes = bytes;
@@ -47,22 +48,25 @@
         return holder;
     }
 
-    /** Registers an action that runs whenever the use has grown above the highest level. */
-    public void onExhausted(Runnable action) {
-        exhaustedListener = action;
+    /**
+     * Registers a listener that is called whenever the use has grown above the highest level, with the holder whose use
+     * has grown.
+     */
+    public void onExhausted(Consumer<Optional<MemoryHolder>> listener) {
+        exhaustedListener = listener;
     }
 
     /** Replaces the use that is measured as a whole instead of being held by callers. */
     public void measure(MemoryUse use, long measuredBytes) {
-        add(use, Math.max(0, measuredBytes) - byUse.get(use));
+        add(use, Math.max(0, measuredBytes) - byUse.get(use), Optional.empty());
     }
 
-    void add(MemoryUse use, long change) {
+    void add(MemoryUse use, long change, Optional<MemoryHolder> cause) {
         byUse.add(use, change);
         held += change;
         peak = Math.max(peak, held);
         if (change > 0 && isExhausted()) {
-            exhaustedListener.run();
+            exhaustedListener.accept(cause);
         }
     }
 
@@ -106,15 +110,17 @@
     }
 
     /**
-     * Disconnects the callers with the most held memory until the use is below the highest level.
+     * Disconnects the callers with the most held memory until the use is below the highest level, or until the largest
+     * holder is the spared one.
      *
+     * @param spared holder whose request is being processed and must not end in the middle of that
      * @return number of callers disconnected
      */
-    public int relieve() {
+    public int relieve(Optional<MemoryHolder> spared) {
         int disconnected = 0;
         while (isExhausted()) {
             Optional<MemoryHolder> largest = largest();
-            if (largest.isEmpty()) {
+            if (largest.isEmpty() || largest.equals(spared)) {
                 return disconnected;
             }
             largest.get().disconnect();
--- a/core/src/main/java/org/quetzalshunt/core/memory/MemoryHolder.java
+++ b/core/src/main/java/org/quetzalshunt/core/memory/MemoryHolder.java
@@ -1,11 +1,14 @@
 package org.quetzalshunt.core.memory;
 
+import java.util.Optional;
+
 /**
  * Memory held for one caller's connection. After it is closed, nothing is counted any more, since late releases of
  * requests that end after their connection must not be subtracted twice.
  */
 public final class MemoryHolder {
     private final MemoryBudget budget;
+    private final Optional<MemoryHolder> self = Optional.of(this);
     private final Runnable disconnect;
     private final BytesByUse byUse = new BytesByUse();
     private long held;
@@ -39,7 +42,7 @@
         }
         byUse.add(use, bytes);
         held += bytes;
-        budget.add(use, bytes);
+        budget.add(use, bytes, self);
     }
 
     /** Bytes held for this connection. */
--- a/core/src/test/java/org/quetzalshunt/core/memory/MemoryBudgetTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/memory/MemoryBudgetTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
@@ -37,18 +38,31 @@
         for (int number = 0; number < held.length; number++) {
             caller(number).hold(MemoryUse.RESPONSES, held[number]);
         }
-        budget.relieve();
+        budget.relieve(Optional.empty());
         assertThat(disconnected).containsExactly(1);
         assertThat(budget.held()).isEqualTo(500);
         assertThat(budget.peak()).isEqualTo(1_000);
     }
 
+    /** Guards against a request that ends in the middle of its own processing. */
+    @Test
+    void holderBeingProcessedIsSpared() {
+        MemoryHolder processed = caller(0);
+        caller(1).hold(MemoryUse.EVENTS, 400);
+        processed.hold(MemoryUse.EVENTS, 700);
+        budget.relieve(Optional.of(processed));
+        assertThat(disconnected).isEmpty();
+        caller(2).hold(MemoryUse.EVENTS, 800);
+        budget.relieve(Optional.of(processed));
+        assertThat(disconnected).containsExactly(2);
+    }
+
     /** Guards against a loop without end when the memory is held by peers, which are not disconnected. */
     @Test
     void memoryOfPeersDisconnectsNoCaller() {
         caller(0);
         budget.measure(MemoryUse.PEERS, 2_000);
-        assertThat(budget.relieve()).isEqualTo(0);
+        assertThat(budget.relieve(Optional.empty())).isEqualTo(0);
         assertThat(budget.level()).isEqualTo(MemoryLevel.EXHAUSTED);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/http/CallerMemory.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/CallerMemory.java
@@ -70,7 +70,7 @@
             BooleanSupplier admitsConnection,
             Listener listener) {
         CallerMemory memory = new CallerMemory(Optional.of(budget), enabled, admitsConnection, listener);
-        budget.onExhausted(() -> memory.scheduleRelief(executor));
+        budget.onExhausted(cause -> memory.relieve(cause, executor));
         return memory;
     }
 
@@ -92,17 +92,22 @@
 
     /** Disconnects the callers with the most memory if the budget is exhausted. */
     void relieve() {
+        relieve(Optional.empty());
+    }
+
+    private void relieve(Optional<MemoryHolder> spared) {
         budget.filter(MemoryBudget::isExhausted)
                 .filter(exhausted -> isEnabled())
-                .ifPresent(MemoryBudget::relieve);
+                .ifPresent(exhausted -> exhausted.relieve(spared));
     }
 
     /**
-     * Relieves the budget after the current event. The memory may be held by a request that is being processed now, and
-     * must not end in the middle of that.
+     * Relieves the budget at once, since many connections may be read before the next task of the event loop, but
+     * disconnects the caller whose request is being processed only in such a task.
      */
-    private void scheduleRelief(EventExecutor executor) {
-        if (reliefScheduled) {
+    private void relieve(Optional<MemoryHolder> processed, EventExecutor executor) {
+        relieve(processed);
+        if (reliefScheduled || !budget.filter(MemoryBudget::isExhausted).isPresent()) {
             return;
         }
         reliefScheduled = true;
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
@@ -61,7 +61,7 @@
 
     private void onDisconnecting(DisconnectCause cause) {
         if (current != null) {
-            current.disconnecting(cause);
+            current.disconnect(cause);
         }
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
@@ -234,8 +234,10 @@
         }
     }
 
-    void disconnecting(DisconnectCause cause) {
+    /** Ends the exchange at once, so that nothing more is read for it. */
+    void disconnect(DisconnectCause cause) {
         disconnectCause = Optional.of(cause);
+        connectionClosed();
     }
 
     void connectionClosed() {
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -20,7 +20,8 @@
 
 /**
  * Stand-in for a server of the platform: executes the requests that are addressed to it and records them. The response
- * to a request with a token usage is a stream of events, to any other request a short body.
+ * to a request with a token usage is a stream of events, to any other request a short body. The header {@code
+ * x-answer-bytes} of a request enlarges each event, or the body, by that many bytes.
  */
 public final class ServerStandin implements AutoCloseable {
     /**
@@ -156,24 +157,29 @@
 
     private static void respondCompletely(HttpExchange exchange, Map<String, String> head) {
         if (exchange.header("x-token-usage").isEmpty()) {
-            exchange.respond(200, head, "done".getBytes(StandardCharsets.UTF_8));
+            exchange.respond(200, head, ("done" + padding(exchange)).getBytes(StandardCharsets.UTF_8));
             return;
         }
         exchange.begin(200, head);
         for (int event = 0; event < EVENTS_PER_STREAM; event++) {
-            exchange.write(event(event));
+            exchange.write(event(event, padding(exchange)));
         }
         exchange.end();
     }
 
     private static void respondPartially(HttpExchange exchange, Map<String, String> head) {
         exchange.begin(200, head);
-        exchange.write(event(0));
+        exchange.write(event(0, padding(exchange)));
         exchange.abort();
     }
 
-    private static byte[] event(int number) {
-        return ("id: " + number + "\ndata: e" + number + "\n\n").getBytes(StandardCharsets.UTF_8);
+    private static byte[] event(int number, String padding) {
+        return ("id: " + number + "\ndata: e" + number + padding + "\n\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String padding(HttpExchange exchange) {
+        return "."
+                .repeat(exchange.header("x-answer-bytes").map(Integer::parseInt).orElse(0));
     }
 
     @Override
