--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMemory.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMemory.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.quetzalshunt.core.memory.BudgetSize;
 import org.quetzalshunt.core.memory.DescriptorLimit;
 import org.quetzalshunt.core.memory.MemoryBudget;
 import org.quetzalshunt.core.memory.MemoryLevel;
@@ -48,8 +49,8 @@
             DecisionLog log,
             HttpClient http,
             BooleanSupplier enabled) {
-        this.budget = MemoryBudget.of(
-                JvmMemory.budgetSize(settings.capacity().memoryBytes()).bytes());
+        BudgetSize size = JvmMemory.budgetSize(settings.capacity().memoryBytes());
+        this.budget = MemoryBudget.of(size.bytes());
         this.descriptors = DescriptorLimit.of(settings.capacity().descriptors());
         this.callers = CallerMemory.within(budget, executor, enabled, this::admitsCaller, this::onDisconnected);
         this.metrics = metrics;
@@ -57,6 +58,12 @@
         this.http = http;
         this.enabled = enabled;
         registerMetrics();
+        log.write(log.event("memory-budget")
+                .put("vmBytes", size.vmBytes().orElse(0))
+                .put("heapBytes", size.heapBytes())
+                .put("directBytes", size.directBytes())
+                .put("otherBytes", size.otherBytes())
+                .put("budgetBytes", size.bytes()));
     }
 
     private void registerMetrics() {
--- a/server/src/test/java/org/quetzalshunt/server/http/SlowCallersTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/SlowCallersTest.java
@@ -44,9 +44,13 @@
     private HttpServer server;
 
     private void start(long budgetBytes) {
+        start(budgetBytes, true);
+    }
+
+    private void start(long budgetBytes, boolean limited) {
         budget = MemoryBudget.of(budgetBytes);
         CallerMemory memory = CallerMemory.within(
-                budget, group.next(), () -> true, () -> true, (cause, heldBytes) -> disconnected.add(cause));
+                budget, group.next(), () -> limited, () -> true, (cause, heldBytes) -> disconnected.add(cause));
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         server = HttpServer.start(group, address, LIMITS, this::handle, memory);
     }
@@ -168,6 +172,22 @@
         assertThat(disconnected).containsExactly(DisconnectCause.SLOW);
     }
 
+    /** Guards against limits that take effect although they are not enabled. */
+    @Test
+    void withoutLimitsNobodyIsDisconnectedOrHeldBack() throws Exception {
+        start(1_000, false);
+        Socket socket = connect(4_096);
+        for (int request = 0; request < 3; request++) {
+            send(socket, "GET", "/large", "");
+        }
+        await(() -> largeRuns.get() == 3);
+        Thread.sleep(2_300);
+        for (int request = 0; request < 3; request++) {
+            readResponse(socket, LARGE_BYTES);
+        }
+        assertThat(disconnected).isEmpty();
+    }
+
     /** Guards against pipelined requests that all run at once for a caller that reads none of the responses. */
     @Test
     void pipelinedRequestWaitsUntilThePreviousResponseIsRead() throws Exception {
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.quetzalshunt.server.http.HttpExchange;
 import org.quetzalshunt.server.http.HttpLimits;
@@ -21,7 +22,8 @@
 /**
  * Stand-in for a server of the platform: executes the requests that are addressed to it and records them. The response
  * to a request with a token usage is a stream of events, to any other request a short body. The header {@code
- * x-answer-bytes} of a request enlarges each event, or the body, by that many bytes.
+ * x-answer-bytes} of a request enlarges each event, or the body, by that many bytes; {@code x-cut-after-ms} closes the
+ * connection of a stream after that time instead of at the end.
  */
 public final class ServerStandin implements AutoCloseable {
     /**
@@ -107,7 +109,7 @@
     }
 
     private void handle(HttpExchange exchange) {
-        if (!exchange.header("x-expect-instance").equals(java.util.Optional.of(id))) {
+        if (!exchange.header("x-expect-instance").equals(Optional.of(id))) {
             exchange.respond(421, Map.of("x-instance-id", id), new byte[0]);
             return;
         }
@@ -155,7 +157,7 @@
         server = HttpServer.start(group, address, HttpLimits.defaults(), this::handle);
     }
 
-    private static void respondCompletely(HttpExchange exchange, Map<String, String> head) {
+    private void respondCompletely(HttpExchange exchange, Map<String, String> head) {
         if (exchange.header("x-token-usage").isEmpty()) {
             exchange.respond(200, head, ("done" + padding(exchange)).getBytes(StandardCharsets.UTF_8));
             return;
@@ -164,6 +166,11 @@
         for (int event = 0; event < EVENTS_PER_STREAM; event++) {
             exchange.write(event(event, padding(exchange)));
         }
+        Optional<String> cutAfterMillis = exchange.header("x-cut-after-ms");
+        if (cutAfterMillis.isPresent()) {
+            group.next().schedule(exchange::abort, Long.parseLong(cutAfterMillis.get()), TimeUnit.MILLISECONDS);
+            return;
+        }
         exchange.end();
     }
 
