Returns in the order of the refusals; a new attempt takes over back pressure

Requests refused for memory returned at random times, so that a request refused early could return late. An attempt that begins while its caller is held back, as a resumed stream does, now starts paused.

--- a/core/src/test/java/org/quetzalshunt/core/memory/MemoryBudgetTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/memory/MemoryBudgetTest.java
@@ -107,9 +107,18 @@
 
     /** Guards against a return time that the caller does not honour, and against returns that arrive together. */
     @Test
-    void returnsAreSpreadOverTheTimeInWhichMemoryIsFreed() {
-        assertThat(ReturnTime.millis(9_000, 0)).isEqualTo(250);
-        assertThat(ReturnTime.millis(9_000, 0.5)).isEqualTo(1_125);
-        assertThat(ReturnTime.millis(900, 0.9)).isEqualTo(300);
+    void returnsAreInOrderAndSpreadOverTheTimeInWhichMemoryIsFreed() {
+        ReturnTimes times = new ReturnTimes();
+        long previous = 0;
+        for (int refused = 0; refused < 1_000; refused++) {
+            long now = refused / 2;
+            long returns = now + times.next(now, 9_000);
+            assertThat(returns).isAtLeast(previous);
+            assertThat(returns).isAtMost(now + ReadProgress.LIMIT_MILLIS);
+            previous = returns;
+        }
+        assertThat(previous).isEqualTo(499 + ReadProgress.LIMIT_MILLIS);
+        assertThat(times.next(10_000, 9_000)).isEqualTo(250);
+        assertThat(times.next(10_000, 600)).isEqualTo(200);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -192,7 +192,7 @@
             return;
         }
         Optional<Refusal> memoryShort =
-                gateway.memory().refusal(admitted, deadline - gateway.clock().now());
+                gateway.memory().refusal(admitted, gateway.clock().now());
         if (memoryShort.isPresent()) {
             ResultReporter.refuse(gateway, admitted, memoryShort.get(), Optional.empty());
             return;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMemory.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMemory.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.util.concurrent.EventExecutor;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -12,7 +11,7 @@
 import org.quetzalshunt.core.memory.MemoryBudget;
 import org.quetzalshunt.core.memory.MemoryLevel;
 import org.quetzalshunt.core.memory.MemoryUse;
-import org.quetzalshunt.core.memory.ReturnTime;
+import org.quetzalshunt.core.memory.ReturnTimes;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.server.http.CallerMemory;
@@ -33,6 +32,7 @@
     private final DecisionLog log;
     private final HttpClient http;
     private final BooleanSupplier enabled;
+    private final ReturnTimes returns = new ReturnTimes();
     private MemoryLevel reportedLevel = MemoryLevel.NORMAL;
     private boolean refusingCallers;
     private long refusedCallers;
@@ -74,8 +74,6 @@
                     "quetzalshunt.memory.held.bytes", "memory in use", "use", use.label(), () -> budget.held(use));
         }
         metrics.registerGauge("quetzalshunt.sockets", "sockets of callers and endpoints in use", this::sockets);
-        metrics.registerGauge(
-                "quetzalshunt.callers.refused", "connections of callers refused for sockets", () -> refusedCallers);
     }
 
     /**
@@ -100,15 +98,14 @@
     }
 
     /** The refusal of a request for which too little memory is free; empty if it may run. */
-    Optional<Refusal> refusal(AdmittedRequest admitted, long remainingMillis) {
+    Optional<Refusal> refusal(AdmittedRequest admitted, long nowMillis) {
         if (!enabled.getAsBoolean() || !budget.level().refuses(admitted.beginsProgram())) {
             return Optional.empty();
         }
-        double spread = ThreadLocalRandom.current().nextDouble();
         return Optional.of(Refusal.notRunRetryAfter(
                 ResultCode.MEMORY_SHORT,
                 budget.held() + " of " + budget.bytes() + " bytes in use",
-                ReturnTime.millis(remainingMillis, spread)));
+                returns.next(nowMillis, admitted.deadlineMillis() - nowMillis)));
     }
 
     private boolean admitsCaller() {
@@ -117,7 +114,10 @@
         }
         long excess = descriptors.excess(sockets() - 1);
         boolean admitted = excess <= http.closeIdle(excess);
-        refusedCallers += admitted ? 0 : 1;
+        if (!admitted) {
+            refusedCallers++;
+            metrics.count("quetzalshunt.callers.refused", "cause", "sockets");
+        }
         if (admitted == refusingCallers) {
             refusingCallers = !admitted;
             log.write(log.event("sockets")
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResponseFlow.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResponseFlow.java
@@ -26,6 +26,9 @@
         this.gateway = gateway;
         this.call = call;
         exchange.onWritability(this::onWritability);
+        if (!exchange.isWritable()) {
+            onWritability(false);
+        }
     }
 
     private void onWritability(boolean writable) {
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
@@ -223,6 +223,11 @@
         writabilityListener = listener;
     }
 
+    /** Whether the caller's connection accepts data; see {@link #onWritability}. */
+    public boolean isWritable() {
+        return context.channel().isWritable();
+    }
+
     /** Why this server disconnected the caller; empty if it did not. */
     public Optional<DisconnectCause> disconnectCause() {
         return disconnectCause;
