--- a/core/src/main/java/org/quetzalshunt/core/routing/RoutingRequest.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/RoutingRequest.java
@@ -12,6 +12,8 @@
  * @param memoryTokens capacity of an engine's prefix cache in tokens
  * @param limits limits on this VM's use of the endpoints
  * @param options parts of load control that are on
+ * @param workTokens tokens of prompt and maximum output, at most {@code memoryTokens}; 0 if endpoints are used whatever
+ *     they hold
  */
 public record RoutingRequest(
         String service,
@@ -19,11 +21,23 @@
         List<PrefixPart> prompt,
         long memoryTokens,
         EndpointLimits limits,
-        RoutingOptions options) {
+        RoutingOptions options,
+        long workTokens) {
     /** Creates a routing request with all parts of load control off. */
     public RoutingRequest(
             String service, Set<String> excluded, List<PrefixPart> prompt, long memoryTokens, EndpointLimits limits) {
-        this(service, excluded, prompt, memoryTokens, limits, RoutingOptions.OFF);
+        this(service, excluded, prompt, memoryTokens, limits, RoutingOptions.OFF, 0);
+    }
+
+    /** Creates a routing request for which endpoints are used whatever they hold. */
+    public RoutingRequest(
+            String service,
+            Set<String> excluded,
+            List<PrefixPart> prompt,
+            long memoryTokens,
+            EndpointLimits limits,
+            RoutingOptions options) {
+        this(service, excluded, prompt, memoryTokens, limits, options, 0);
     }
 
     /** Creates a routing request without a prompt. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -18,8 +18,9 @@
 
 /**
  * Decides whether a fully received request may run. The checks run in this order: age of the configuration, route, API
- * key, size of the body, quarantine, availability of the store, token budget, free slot, account share, rate quota. Where
- * API keys are required, a configuration that may be out of date never causes a rejection for an unknown route or key.
+ * key, size of the body, quarantine, availability of the store, token budget, free memory, free slot, account share, rate
+ * quota. Where API keys are required, a configuration that may be out of date never causes a rejection for an unknown route
+ * or key.
  */
 final class AdmissionPipeline {
     /** Caller timeout assumed when the request states none. */
@@ -187,6 +188,12 @@
                     gateway, admitted, StreamForwarder.exhaustedRefusal(exhausted.get()), Optional.empty());
             return;
         }
+        Optional<Refusal> memoryShort =
+                gateway.memory().refusal(admitted, gateway.clock().now());
+        if (memoryShort.isPresent()) {
+            ResultReporter.refuse(gateway, admitted, memoryShort.get(), Optional.empty());
+            return;
+        }
         // A slot first: no token is taken for a request that has no slot.
         gateway.starts().await(gateway, admitted, () -> runWithToken(received, admitted));
     }
@@ -250,8 +257,7 @@
     private void run(AdmittedRequest admitted) {
         admitted.timeline().markReached(RequestTimeline.Step.TOKEN);
         if (admitted.exchange().finished()) {
-            ResultReporter.logResult(
-                    gateway, admitted, ResultCode.CANCELLED, "the caller disconnected", Optional.empty());
+            ResultReporter.logDisconnected(gateway, admitted, Optional.empty());
             return;
         }
         if (admitted.route().kind() == RequestKind.STREAM) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -89,6 +89,8 @@
     private final AdmittedRequest admitted;
     private final byte[] body;
     private final Listener listener;
+    private final ResponseFlow flow;
+    private final RequestMemory memory;
     private final Set<String> excluded = new HashSet<>();
     private Registration endpoint;
     private Selection selection;
@@ -107,6 +109,8 @@
         this.admitted = admitted;
         this.body = body;
         this.listener = listener;
+        this.flow = new ResponseFlow(gateway, admitted.exchange(), () -> call);
+        this.memory = new RequestMemory(gateway, admitted, body);
     }
 
     /** Sends the request. May be called again, as a retry, after the attempt before has ended or was cancelled. */
@@ -138,6 +142,11 @@
         return !done && call != null;
     }
 
+    /** Pace of the response, which depends on its caller. */
+    ResponseFlow flow() {
+        return flow;
+    }
+
     /** The endpoint of the last attempt. */
     Optional<Registration> endpoint() {
         return Optional.ofNullable(endpoint);
@@ -184,6 +193,7 @@
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
         countedInShares = gateway.shares().started(admitted);
+        memory.started(endpoint.id(), request.workTokens());
         gateway.endpoints().recordPrompt(endpoint.id(), request, selection.uncachedTokens());
         prefillDone = false;
         startHeadersTimeout();
@@ -223,7 +233,13 @@
         RoutingOptions options = new RoutingOptions(
                 gateway.isEnabled(Mechanism.SPEED_SAMPLING), admitted.route().name());
         return new RoutingRequest(
-                admitted.service().name(), excluded, admitted.request().prefixParts(), cacheTokens, limits, options);
+                admitted.service().name(),
+                excluded,
+                admitted.request().prefixParts(),
+                cacheTokens,
+                limits,
+                options,
+                memory.workTokens(cacheTokens));
     }
 
     private void onNoEndpoint(long remainingMillis, EndpointLimits limits) {
@@ -305,15 +321,17 @@
 
     private void endAttempt(AttemptOutcome outcome) {
         call = null;
+        memory.ended(endpoint.id());
         headersTimeout.cancel(false);
         long now = gateway.clock().now();
         markPrefillDone();
         recordPlainTime(now, outcome);
-        gateway.endpoints().finished(now, endpoint.id(), outcome, now - sentMillis);
+        AttemptOutcome endpointOutcome = flow.outcome(outcome);
+        gateway.endpoints().finished(now, endpoint.id(), endpointOutcome, now - sentMillis - flow.pausedMillis());
         if (countedInShares) {
             gateway.shares().finished(admitted);
         }
-        gateway.metrics().countAttempt(outcome.name().toLowerCase(Locale.ROOT));
+        gateway.metrics().countAttempt(endpointOutcome.name().toLowerCase(Locale.ROOT));
         if (outcome == AttemptOutcome.ANSWERED) {
             gateway.starts().onTurnEnded(gateway, admitted, now - sentMillis);
         }
@@ -333,6 +351,16 @@
     private final class ResponseHandler implements HttpResponseListener {
         private ResponseKind head;
 
+        @Override
+        public void onRequestUnread() {
+            memory.onUnread();
+        }
+
+        @Override
+        public void onRequestRead() {
+            memory.onRead();
+        }
+
         @Override
         public void onHead(int status, HttpHeaders headers) {
             headersTimeout.cancel(false);
@@ -361,6 +389,7 @@
         public void onChunk(byte[] data) {
             if (isForwarded()) {
                 listener.onData(data);
+                flow.onRead(data.length);
             }
         }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -29,7 +29,8 @@
         CrashReporter crashes,
         RecoveryQueue recovery,
         StartDispatch starts,
-        AccountShareControl shares) {
+        AccountShareControl shares,
+        GatewayMemory memory) {
     /** Retry-After when another VM can serve the request: short, since a retry reaches another VM. */
     private static final long OTHER_VM_RETRY_AFTER_MILLIS = 100;
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
@@ -27,6 +27,7 @@
         AdmissionReport.addTo(dump, gateway.quotas().programs(), gateway.clock().now());
         gateway.starts().addTo(dump, gateway.clock().now());
         gateway.shares().addToDump(dump);
+        gateway.memory().addTo(dump.putObject("memory"));
         ArrayNode endpoints = dump.putArray("endpoints");
         gateway.endpoints().ids().stream()
                 .limit(MAXIMUM_ENDPOINTS)
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
@@ -76,6 +76,11 @@
         Gauge.builder(name, supplier).description(description).tag(label, value).register(registry);
     }
 
+    /** Counts an event by a label with a bounded number of values. */
+    void count(String name, String label, String labelValue) {
+        registry.counter(name, label, labelValue).increment();
+    }
+
     String scrape() {
         return registry.scrape();
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -148,7 +148,15 @@
                 crashes,
                 new RecoveryQueue(group.next(), clock),
                 starts,
-                shares);
+                shares,
+                new GatewayMemory(
+                        settings,
+                        group.next(),
+                        metrics,
+                        log,
+                        http,
+                        () -> gateway != null && gateway.isEnabled(Mechanism.MEMORY_LIMIT)));
+        gateway.memory().start(group.next(), links::unreadBytes);
         pipeline = new AdmissionPipeline(gateway, () -> stopping);
         registerGauges(metrics);
         shares.start(group.next(), metrics);
@@ -193,7 +201,12 @@
     }
 
     private void listen() {
-        callers = HttpServer.start(group, settings.callerAddress(), CALLER_LIMITS, pipeline::handle);
+        callers = HttpServer.start(
+                group,
+                settings.callerAddress(),
+                CALLER_LIMITS,
+                pipeline::handle,
+                gateway.memory().callers());
         probes = HttpServer.start(group, settings.probeAddress(), PROBE_LIMITS, this::probe);
     }
 
