Tests of the dispatch order in virtual time; credits at the begin of a shortage

Cause: the order needs proof against stale reports, preemption and returning callers; the test of a full queue showed that a gateway that had been idle got a whole report interval of credits when a shortage began.

--- a/core/src/main/java/org/quetzalshunt/core/dispatch/FreeSlots.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/FreeSlots.java
@@ -90,8 +90,12 @@
         double perReport = Math.max(0, free + ending);
         double queuePart = (ownWaiting + 1) / (double) (ownWaiting + peersWaiting + heardVms);
         double share = EQUAL_PART / heardVms + (1 - EQUAL_PART) * queuePart;
-        updateShortage(ownWaiting + peersWaiting > 0, share * perReport);
-        updateCredits(elapsed, share * perReport);
+        boolean wasShort = shortage;
+        updateShortage(ownWaiting + peersWaiting > 0);
+        // Without a random part, all gateways would earn their next credit at the same time.
+        boolean begins = shortage && !wasShort;
+        credits = begins ? Math.min(credits, random.nextDouble()) : credits;
+        updateCredits(begins ? 0 : elapsed, begins, share * perReport);
     }
 
     /**
@@ -110,22 +114,18 @@
         return released.size();
     }
 
-    private void updateShortage(boolean waiting, double ownPerReport) {
-        if (!shortage && free < SHORT_BELOW * slots) {
-            shortage = true;
-            // Without a random part, all gateways would earn their next credit at the same time.
-            credits = Math.min(credits, random.nextDouble());
-            meanCreditsPerMilli = ownPerReport / REPORT_MILLIS;
-        } else if (shortage && !waiting && free >= ENOUGH_FROM * slots) {
-            shortage = false;
-        }
+    private void updateShortage(boolean waiting) {
+        boolean enough = !waiting && free >= ENOUGH_FROM * slots;
+        shortage = shortage ? !enough : free < SHORT_BELOW * slots;
     }
 
-    private void updateCredits(long elapsed, double ownPerReport) {
+    private void updateCredits(long elapsed, boolean shortageBegins, double ownPerReport) {
         double perReport = shortage ? ownPerReport : Math.max(MINIMUM_CREDITS, ownPerReport);
         maximumCredits = Math.max(1, perReport);
         double perMilli = perReport / REPORT_MILLIS;
-        meanCreditsPerMilli += (perMilli - meanCreditsPerMilli) * Math.min(1, elapsed / RATE_MILLIS);
+        // The rate before the shortage says nothing about the waits in it.
+        double weight = shortageBegins ? 1 : Math.min(1, elapsed / RATE_MILLIS);
+        meanCreditsPerMilli += (perMilli - meanCreditsPerMilli) * weight;
         credits = Math.min(maximumCredits, credits + elapsed * perMilli);
     }
 
--- a/core/src/test/java/org/quetzalshunt/core/dispatch/FleetModel.java
+++ b/core/src/test/java/org/quetzalshunt/core/dispatch/FleetModel.java
@@ -50,15 +50,15 @@
         double inTimeShare() {
             return inTime / (double) Math.max(1, programs);
         }
-
-        @Override
-        public String toString() {
-            return "%d programs, in time %.3f, late %d, value %.3f, refusals %d, added %d"
-                    .formatted(programs, inTimeShare(), late, value / Math.max(1, programs), refusals, longestAdded);
-        }
     }
 
-    static final int SLOTS = 6;
+    static final Kind URGENT = new Kind(0, 6, 2_500, 1);
+    static final Kind BATCH = new Kind(2, 6, 4_000, 1);
+    static final int ENGINES = 32;
+    private static final int SLOTS = 6;
+    private static final long UNTIL_MILLIS = 15_000;
+    private static final long STREAM_DEADLINE_MILLIS = 3_000;
+    static final long TARGET_LATENCY_MILLIS = 400;
     private static final int TICK = 2;
     private static final double PREFILL_MILLIS = 6;
     private static final double READ_AGAIN_MILLIS = 14;
@@ -114,30 +114,29 @@
     private long order;
     private long nextId;
     int preemptions;
-    int longestEngineQueue;
 
-    FleetModel(int gateways, int engineCount, boolean queueing, Ranking ranking, long seed) {
+    private FleetModel(int gateways, boolean queueing, Ranking ranking) {
         this.gateways = gateways;
         this.queueing = queueing;
         this.ranking = ranking;
-        this.random = new SplittableRandom(seed);
+        this.random = new SplittableRandom(1);
         this.inFlight = new int[gateways];
         this.reported = new int[gateways];
-        for (int each = 0; each < engineCount; each++) {
+        for (int each = 0; each < ENGINES; each++) {
             engines.add(new Engine());
         }
         for (int each = 0; each < gateways; each++) {
-            dispatchers.add(Dispatcher.create(view(each, engineCount), each));
+            dispatchers.add(Dispatcher.create(view(each), each));
             waiting.add(new HashMap<>());
         }
     }
 
-    private SlotView view(int gateway, int engineCount) {
+    private SlotView view(int gateway) {
         return new SlotView() {
             @Override
             public ServiceUse use(long nowMillis, String service) {
                 int peers = Arrays.stream(reported).sum() - reported[gateway];
-                return new ServiceUse(engineCount * SLOTS, inFlight[gateway], peers, gateways - 1);
+                return new ServiceUse(ENGINES * SLOTS, inFlight[gateway], peers, gateways - 1);
             }
 
             @Override
@@ -151,7 +150,27 @@
         return results.computeIfAbsent(kind, ignored -> new Result());
     }
 
-    FleetModel run(long untilMillis, Load... loads) {
+    /** The fleet with the queue and its priorities at the engines. */
+    static FleetModel withQueue(int gateways, Load... loads) {
+        return new FleetModel(gateways, true, Ranking.AS_DISPATCHED).run(loads);
+    }
+
+    /** The fleet as without load control: all is sent at once, and engines rank by account and route. */
+    static FleetModel withoutQueue(int gateways, Load... loads) {
+        return new FleetModel(gateways, false, Ranking.ACCOUNT_AND_ROUTE).run(loads);
+    }
+
+    /** The fleet with the queue and another priority at the engines. */
+    static FleetModel ranked(int gateways, Ranking ranking, Load... loads) {
+        return new FleetModel(gateways, true, ranking).run(loads);
+    }
+
+    /** Value of the programs of all kinds, each 1 if in time. */
+    double value() {
+        return results.values().stream().mapToDouble(result -> result.value).sum();
+    }
+
+    private FleetModel run(Load... loads) {
         for (Load load : loads) {
             for (int each = 0; each < load.programs(); each++) {
                 Program program = new Program();
@@ -162,7 +181,7 @@
                 at(program.startedMillis, () -> begin(program));
             }
         }
-        for (now = 0; now < untilMillis; now += TICK) {
+        for (now = 0; now < UNTIL_MILLIS; now += TICK) {
             while (!events.isEmpty() && events.peek().atMillis() <= now) {
                 events.poll().action().run();
             }
@@ -207,8 +226,8 @@
                 "",
                 program.kind.urgency(),
                 now,
-                now + 3_000,
-                400,
+                now + STREAM_DEADLINE_MILLIS,
+                TARGET_LATENCY_MILLIS,
                 OptionalLong.of(left),
                 OptionalLong.empty());
         waiting.get(gateway).put(start.id(), program);
@@ -314,7 +333,6 @@
             return;
         }
         engine.queue.add(turn);
-        longestEngineQueue = Math.max(longestEngineQueue, engine.queue.size());
     }
 
     private void tick(Engine engine) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -191,7 +191,6 @@
                     gateway, admitted, StreamForwarder.exhaustedRefusal(exhausted.get()), Optional.empty());
             return;
         }
-        // A slot first: no token is taken for a request that has no slot.
         gateway.starts().await(gateway, admitted, () -> runWithToken(received, admitted));
     }
 
