--- a/core/src/test/java/org/quetzalshunt/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/dispatch/DispatcherTest.java
@@ -95,6 +95,7 @@
         use = new ServiceUse(60, 2, 10, 14);
 
         assertThat(dispatcher.slots(NOW + 1_000, "llm")).isEqualTo(60);
+        assertThat(dispatcher.takeDue(NOW + 200)).hasSize(1);
         assertThat(dispatcher.isShort(NOW + 2_000, "llm")).isFalse();
         assertThat(dispatcher.status(NOW, "llm").peersWaiting()).isEqualTo(0);
     }
