Recognise running programs at owners of quota shares

A gateway that has not heard of a conversation's earlier turns takes a later turn for a first one, and a first turn that failed is sent again. Such a turn was refused, or charged as another program at the other owner.

An owner now remembers each program that took a token from it, answers such a request with a single token, and ends the search for a start if it has none.

--- a/core/src/main/java/org/quetzalshunt/core/admission/AccountAdmission.java
+++ b/core/src/main/java/org/quetzalshunt/core/admission/AccountAdmission.java
@@ -50,7 +50,7 @@
             return offer;
         }
         if (sizes.isKnown(request.program().get())) {
-            return repeatStart(nowMillis, request);
+            return running(nowMillis, request);
         }
         return start(nowMillis, request, maximumWaitMillis);
     }
@@ -73,14 +73,17 @@
         request.program().ifPresent(promised::remove);
     }
 
-    /** A first turn is sent again after a failure, or a former answer to it was lost: its program is paid for. */
-    private TokenOffer repeatStart(long nowMillis, ProgramRequest request) {
+    /**
+     * A turn is taken for a first one at a gateway that does not know the earlier ones, or a first turn is sent again:
+     * its program is running.
+     */
+    private TokenOffer running(long nowMillis, ProgramRequest request) {
         TokenOffer offer = share.reserve(nowMillis, 0);
         if (!offer.taken()) {
-            return TokenOffer.startAfter(offer.waitMillis());
+            return TokenOffer.RUNNING;
         }
         countRequest(nowMillis, request);
-        return TokenOffer.started();
+        return offer;
     }
 
     private TokenOffer start(long nowMillis, ProgramRequest request, long maximumWaitMillis) {
--- a/core/src/main/java/org/quetzalshunt/core/admission/ProgramAdmissions.java
+++ b/core/src/main/java/org/quetzalshunt/core/admission/ProgramAdmissions.java
@@ -58,7 +58,7 @@
         if (offer.decidesStart() && offer.taken()) {
             admitted++;
             request.startedKind().ifPresent(this::addKind);
-        } else if (offer.decidesStart() && maximumWaitMillis == 0) {
+        } else if (offer.decidesStart() && !offer.equals(TokenOffer.RUNNING) && maximumWaitMillis == 0) {
             refused++;
         }
         if (admission.refusing() != refusing) {
--- a/core/src/main/java/org/quetzalshunt/core/admission/ProgramRequest.java
+++ b/core/src/main/java/org/quetzalshunt/core/admission/ProgramRequest.java
@@ -29,6 +29,11 @@
         return name.length() > MAXIMUM_NAME_LENGTH ? name.substring(0, MAXIMUM_NAME_LENGTH) : name;
     }
 
+    /** The same request as one of a running program. */
+    public ProgramRequest ofRunningProgram() {
+        return new ProgramRequest(program, Optional.empty(), urgency);
+    }
+
     /** Whether the request is the first turn of a named program. */
     public boolean startsProgram() {
         return program.isPresent() && startedKind.isPresent();
--- a/core/src/main/java/org/quetzalshunt/core/admission/ProgramSizes.java
+++ b/core/src/main/java/org/quetzalshunt/core/admission/ProgramSizes.java
@@ -3,6 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -37,14 +38,16 @@
     private static final double MINIMUM_WEIGHT = 1 / 32.0;
 
     private static final class Program {
-        final Kind kind;
-        /** Tokens that the program took from the start bucket. */
+        /** Empty if the program started at another owner, or before this one had its share. */
+        final Optional<Kind> kind;
+
+        /** Tokens that the program took from the start bucket at its start. */
         final double charge;
 
         int requests;
         long lastMillis;
 
-        Program(Kind kind, double charge) {
+        Program(Optional<Kind> kind, double charge) {
             this.kind = kind;
             this.charge = charge;
         }
@@ -77,7 +80,7 @@
                 break;
             }
             eldest.remove();
-            program.kind.add(program.requests);
+            program.kind.ifPresent(kind -> kind.add(program.requests));
             ended.put(entry.getKey(), program);
         }
         Iterator<Program> forgotten = ended.values().iterator();
@@ -99,36 +102,36 @@
         return known == null ? ASSUMED_TOKENS : known.mean;
     }
 
-    /** Whether the program was started at this owner and is not forgotten. */
+    /** Whether the program took a token from this owner and is not forgotten, so that it does not start now. */
     boolean isKnown(String program) {
         return running.containsKey(program) || ended.containsKey(program);
     }
 
     /** Records a program that was started with a charge, and its first request. */
     void start(long nowMillis, String name, String kind, double charge) {
-        Program program = new Program(kinds.computeIfAbsent(bounded(kind), ignored -> new Kind()), charge);
-        program.requests = 1;
-        program.lastMillis = nowMillis;
+        Kind known = kinds.computeIfAbsent(bounded(kind), ignored -> new Kind());
+        Program program = new Program(Optional.of(known), charge);
         running.put(name, program);
+        count(nowMillis, name);
     }
 
     /**
-     * Counts a later request of a program.
+     * Counts a request of a program.
      *
      * @return whether its token was part of what the program took from the start bucket. Requests of programs that
      *     started elsewhere, or that take many times the mean, are not.
      */
     boolean count(long nowMillis, String name) {
-        boolean isRunning = running.containsKey(name);
-        Map<String, Program> programs = isRunning ? running : ended;
+        boolean isEnded = ended.containsKey(name);
+        Map<String, Program> programs = isEnded ? ended : running;
         Program program = programs.remove(name);
         if (program == null) {
-            return false;
+            program = new Program(Optional.empty(), 0);
         }
         programs.put(name, program);
         program.lastMillis = nowMillis;
         program.requests++;
-        return isRunning && program.requests <= MAXIMUM_MEANS * program.charge;
+        return !isEnded && program.requests <= MAXIMUM_MEANS * program.charge;
     }
 
     /**
--- a/core/src/main/java/org/quetzalshunt/core/admission/StartSearch.java
+++ b/core/src/main/java/org/quetzalshunt/core/admission/StartSearch.java
@@ -8,7 +8,8 @@
 /**
  * Asks the VMs that hold shares of an account's quota to start a program. Each holder is first asked whether the
  * program may start now. If none admits it, the holder with the earliest time is asked to keep the tokens of the program
- * until then, so that only one holder keeps them.
+ * until then, so that only one holder keeps them. If a holder knows that the program is running, the request needs a
+ * single token only.
  *
  * <p>Unlike a {@link TokenSearch}, it never takes a token that has yet to be earned, also from a holder that decides on
  * single tokens only.
@@ -18,6 +19,7 @@
     private final long maximumReturnMillis;
     private final TokenSearch.TokenRequester requester;
     private final Consumer<TokenSearch.Result> listener;
+    private final Runnable runningListener;
     private int bestIndex = -1;
     private boolean bestDecidesStart;
     private long shortestWaitMillis = TokenOffer.NEVER;
@@ -26,11 +28,13 @@
             List<String> holders,
             long maximumReturnMillis,
             TokenSearch.TokenRequester requester,
-            Consumer<TokenSearch.Result> listener) {
+            Consumer<TokenSearch.Result> listener,
+            Runnable runningListener) {
         this.holders = holders;
         this.maximumReturnMillis = maximumReturnMillis;
         this.requester = requester;
         this.listener = listener;
+        this.runningListener = runningListener;
     }
 
     /**
@@ -38,14 +42,16 @@
      *
      * @param holders VMs to ask, in descending order of their shares
      * @param maximumReturnMillis longest time after which the caller can return and its program still be of use
-     * @param listener receives the result, exactly once
+     * @param listener receives the result, exactly once unless the program is running
+     * @param runningListener called instead if the program is running
      */
     public static void start(
             List<String> holders,
             long maximumReturnMillis,
             TokenSearch.TokenRequester requester,
-            Consumer<TokenSearch.Result> listener) {
-        new StartSearch(holders, maximumReturnMillis, requester, listener).ask(0);
+            Consumer<TokenSearch.Result> listener,
+            Runnable runningListener) {
+        new StartSearch(holders, maximumReturnMillis, requester, listener, runningListener).ask(0);
     }
 
     private void ask(int index) {
@@ -58,6 +64,10 @@
                 listener.accept(new TokenSearch.Result.Granted(offer.waitMillis()));
                 return;
             }
+            if (offer.equals(TokenOffer.RUNNING)) {
+                runningListener.run();
+                return;
+            }
             if (offer.waitMillis() < shortestWaitMillis) {
                 shortestWaitMillis = offer.waitMillis();
                 bestIndex = index;
--- a/core/src/main/java/org/quetzalshunt/core/quota/TokenOffer.java
+++ b/core/src/main/java/org/quetzalshunt/core/quota/TokenOffer.java
@@ -15,6 +15,9 @@
     /** No token now or later: the VM holds no share, or it did not answer. */
     public static final TokenOffer NONE = new TokenOffer(false, NEVER, false);
 
+    /** The request does not start its program, which is running; it needs a single token. */
+    public static final TokenOffer RUNNING = new TokenOffer(false, 0, true);
+
     /** A token that may be used after a wait. */
     public static TokenOffer taken(long waitMillis) {
         return new TokenOffer(true, waitMillis, false);
--- a/core/src/test/java/org/quetzalshunt/core/admission/AccountAdmissionTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/admission/AccountAdmissionTest.java
@@ -67,12 +67,18 @@
         assertThat(starts(FULL_MILLIS, "p")).isFalse();
     }
 
-    /** Guards against a program that pays twice since its first turn failed, or its answer was lost, and is repeated. */
+    /**
+     * Guards against a program that pays twice, or is refused while it runs: its first turn failed and is sent again, or
+     * a later turn is taken for a first one by a gateway that does not know the earlier ones.
+     */
     @Test
-    void repeatedFirstTurnIsChargedOnce() {
+    void runningProgramIsNotStartedAgain() {
         assertThat(starts(FULL_MILLIS, "p")).isTrue();
         assertThat(starts(FULL_MILLIS, "p")).isTrue();
         assertThat(startTokens(FULL_MILLIS)).isWithin(0.01).of(20 - ProgramSizes.ASSUMED_TOKENS);
+        requests(FULL_MILLIS, "elsewhere", 18);
+        assertThat(start(FULL_MILLIS, "p", 0, 0)).isEqualTo(TokenOffer.RUNNING);
+        assertThat(start(FULL_MILLIS, "elsewhere", 0, 300)).isEqualTo(TokenOffer.RUNNING);
     }
 
     /** Guards against tokens that stay taken at an owner whose answer came too late, after another owner's grant. */
@@ -152,6 +158,22 @@
         public void onKind(String kind, java.util.function.Supplier<Number> tokensPerProgram) {}
     }
 
+    /** Guards against a start at a second owner of a program that runs at the first one, which has no token left. */
+    @Test
+    void ownerThatKnowsTheProgramEndsTheSearch() {
+        List<String> asked = new ArrayList<>();
+        StartSearch.start(
+                List.of("first", "second"),
+                300,
+                (holder, wait, answer) -> {
+                    asked.add(holder);
+                    answer.accept(TokenOffer.RUNNING);
+                },
+                result -> asked.add("result"),
+                () -> asked.add("running"));
+        assertThat(asked).containsExactly("first", "running").inOrder();
+    }
+
     /**
      * Guards against tokens that are kept at both owners for one program, against a wait for a token at an owner of a
      * former release, and against starts that fail while one owner is lost.
@@ -172,7 +194,8 @@
                     asked.add(holder + wait);
                     answer.accept(offers.get(holder));
                 },
-                results::add);
+                results::add,
+                () -> asked.add("running"));
         assertThat(asked).containsExactly("first0", "second0", "former0", "second300");
         assertThat(results).containsExactly(new TokenSearch.Result.OverQuota(200));
     }
--- a/core/src/test/java/org/quetzalshunt/core/admission/QuotaOverloadTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/admission/QuotaOverloadTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalshunt.core.quota.TokenBucket;
 
 /**
@@ -39,10 +40,11 @@
             QuotaSimulation.Kind second,
             double rate,
             boolean startSearch,
-            Function<TokenBucket, QuotaSimulation.Owner> owner) {
+            Function<TokenBucket, QuotaSimulation.Owner> owner,
+            double... parts) {
         Shares shares = new Shares(0, 0);
         for (long seed = 1; seed <= SEEDS; seed++) {
-            QuotaSimulation simulation = new QuotaSimulation(rate, startSearch, seed, owner);
+            QuotaSimulation simulation = new QuotaSimulation(rate, startSearch, seed, owner, parts);
             QuotaSimulation.Count one = simulation.arrivals(first, SIMULATED_MILLIS);
             QuotaSimulation.Count other = simulation.arrivals(second, SIMULATED_MILLIS);
             simulation.run();
@@ -59,7 +61,9 @@
                 new QuotaSimulation.Kind("sixteen", 16, 0, programsPerSecond),
                 usual * 1.6,
                 startSearch,
-                owner);
+                owner,
+                2 / 3.0,
+                1 / 3.0);
     }
 
     /** Guards against an account beyond its quota whose programs all start, and then all wait for tokens. */
@@ -95,8 +99,23 @@
                     new QuotaSimulation.Kind("other", 9, 2, 20 * load / 18),
                     32,
                     true,
-                    QuotaOverloadTest::admission);
+                    QuotaOverloadTest::admission,
+                    2 / 3.0,
+                    1 / 3.0);
             assertThat(shares.first()).isAtLeast(shares.second() - 0.05);
         }
     }
+
+    /**
+     * A gateway that is alone holds the whole quota, and an owner whose peer is lost holds its part. Guards against
+     * starts that depend on the other owner.
+     */
+    @ParameterizedTest
+    @ValueSource(doubles = {1, 2 / 3.0, 1 / 3.0})
+    void oneOwnerAloneAdmitsPrograms(double part) {
+        QuotaSimulation.Kind kind = new QuotaSimulation.Kind("nine", 9, 0, 5.0);
+        Shares on = simulate(kind, kind, 32, true, QuotaOverloadTest::admission, part);
+        Shares off = simulate(kind, kind, 32, false, QuotaOverloadTest::singleTokens, part);
+        assertWithMessage("off: " + off).that(on.mean()).isAtLeast(1.1 * off.mean());
+    }
 }
--- a/core/src/test/java/org/quetzalshunt/core/admission/QuotaSimulation.java
+++ b/core/src/test/java/org/quetzalshunt/core/admission/QuotaSimulation.java
@@ -12,7 +12,7 @@
 import org.quetzalshunt.core.quota.TokenSearch;
 
 /**
- * Simulates programs of one account, in virtual time, whose quota is held by two owners. The requests of a program
+ * Simulates programs of one account, in virtual time, whose quota is held by one or two owners. The requests of a program
  * follow each other, each after a turn or tool call of a fixed time. Callers retry a refused request once.
  */
 final class QuotaSimulation {
@@ -58,6 +58,7 @@
 
     private final Random random;
     private final List<Owner> owners = new ArrayList<>();
+    private final List<String> holders = new ArrayList<>();
     private final boolean startSearch;
     private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> one.millis() != other.millis()
             ? Long.compare(one.millis(), other.millis())
@@ -70,11 +71,13 @@
      * Creates an idle account whose shares are full, with a burst of one second's rate.
      *
      * @param startSearch whether first turns ask for the start of a program
+     * @param parts parts of the rate that the owners hold
      */
-    QuotaSimulation(double rate, boolean startSearch, long seed, Function<TokenBucket, Owner> owner) {
+    QuotaSimulation(double rate, boolean startSearch, long seed, Function<TokenBucket, Owner> owner, double... parts) {
         this.random = new Random(seed);
         this.startSearch = startSearch;
-        for (double part : new double[] {2 / 3.0, 1 / 3.0}) {
+        for (double part : parts) {
+            holders.add(Integer.toString(holders.size()));
             TokenBucket share = TokenBucket.create(0);
             share.setLimits(0, rate * part, rate * part);
             share.setLimits(START_MILLIS, rate * part, rate * part);
@@ -120,17 +123,19 @@
                 answer.accept(owners.get(Integer.parseInt(holder)).reserve(now, tokenRequest, wait));
         if (starts) {
             StartSearch.start(
-                    List.of("0", "1"),
+                    holders,
                     ReturnTimes.maximumPromiseMillis(CALLER_MILLIS),
                     requester,
-                    result -> onResult(program, count, 0, tries, result));
+                    result -> onResult(program, count, 0, tries, result),
+                    () -> {
+                        throw new AssertionError("a program starts once");
+                    });
             return;
         }
         long wait = request == 0
                 ? QuotaWaitPolicy.START_WAIT_MILLIS
                 : QuotaWaitPolicy.maximumWaitMillis(false, false, CALLER_MILLIS);
-        TokenSearch.start(
-                List.of("0", "1"), wait, requester, result -> onResult(program, count, request, tries, result));
+        TokenSearch.start(holders, wait, requester, result -> onResult(program, count, request, tries, result));
     }
 
     private void onResult(Program program, Count count, int request, int tries, TokenSearch.Result result) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.quetzalshunt.core.admission.ProgramRequest;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.quota.OutageWaitPolicy;
 import org.quetzalshunt.core.quota.TokenSearch;
@@ -195,13 +194,12 @@
     }
 
     private void takeRateToken(ReceivedRequest received, AdmittedRequest admitted, AccountConfiguration account) {
-        ProgramRequest request = RateAdmission.programRequest(gateway, admitted);
-        long maximumWait = RateAdmission.maximumWaitMillis(gateway, admitted, request);
-        gateway.quotas().takeToken(account, request, maximumWait, result -> {
+        TokenTerms terms = RateAdmission.terms(gateway, admitted);
+        gateway.quotas().takeToken(account, terms, result -> {
             if (result instanceof TokenSearch.Result.Granted granted) {
                 runAfter(granted.waitMillis(), admitted);
             } else if (result instanceof TokenSearch.Result.OverQuota overQuota) {
-                Refusal refusal = RateAdmission.refusal(gateway, admitted, account, request, overQuota);
+                Refusal refusal = RateAdmission.refusal(gateway, admitted, account, terms.request(), overQuota);
                 ResultReporter.refuse(gateway, admitted, refusal, Optional.empty());
             } else {
                 refuseNoHolder(received, admitted);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -81,7 +81,7 @@
         this.endpoints = endpoints;
         this.clock = clock;
         this.log = log;
-        this.tokens = new TokenExchange(executor, owner, this::send);
+        this.tokens = new TokenExchange(executor, owner);
         this.storeContacts = new StoreContacts(clock);
         this.broadcast =
                 new LoadBroadcast(executor, clock, settings.dataCentre(), endpoints, storeAgeMillis, this::openLinks);
@@ -153,11 +153,12 @@
     /** Requests a token from a peer. A missing link or answer counts as no token. */
     void requestToken(
             String vm, String account, ProgramRequest request, long maximumWaitMillis, Consumer<TokenOffer> listener) {
-        if (!isConnected(vm)) {
+        Optional<PeerLink> link = link(vm);
+        if (link.isEmpty()) {
             listener.accept(TokenOffer.NONE);
             return;
         }
-        tokens.request(vm, account, request, maximumWaitMillis, listener);
+        tokens.request(link.get()::send, account, request, maximumWaitMillis, listener);
     }
 
     @Override
@@ -170,9 +171,9 @@
     @Override
     public void onMessage(PeerLink link, Message message) {
         if (message.isSetTokenRequest()) {
-            tokens.onRequest(link.remote().id().name(), message.getTokenRequest());
+            tokens.onRequest(link::send, message.getTokenRequest());
         } else if (message.isSetTokenAnswer()) {
-            tokens.onAnswer(link.remote().id().name(), message.getTokenAnswer());
+            tokens.onAnswer(link::send, message.getTokenAnswer());
         } else if (message.isSetTurnLocation()) {
             chains.onLocation(link.remote().id().name(), message.getTurnLocation());
         } else if (message.isSetChainRequest()) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/QuotaManager.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/QuotaManager.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -98,25 +99,26 @@
     /**
      * Takes a token of an account's quota, or the tokens of the program that the request starts.
      *
-     * @param maximumWaitMillis maximum time for which the request may wait for a token that is not available yet, or
-     *     after which its caller may return to start a program
+     * @param terms what the request may take, and how long it may wait
      */
-    void takeToken(
-            AccountConfiguration account,
-            ProgramRequest request,
-            long maximumWaitMillis,
-            Consumer<TokenSearch.Result> listener) {
+    void takeToken(AccountConfiguration account, TokenTerms terms, Consumer<TokenSearch.Result> listener) {
         if (!account.isRateLimited()) {
             listener.accept(new TokenSearch.Result.Granted(0));
             return;
         }
-        TokenSearch.TokenRequester requester =
-                (holder, maximumWait, answer) -> requestToken(holder, account.name(), request, maximumWait, answer);
-        if (request.startsProgram()) {
-            StartSearch.start(leases.candidates(account.name()), maximumWaitMillis, requester, listener);
+        List<String> holders = leases.candidates(account.name());
+        TokenSearch.TokenRequester requester = (holder, maximumWait, answer) ->
+                requestToken(holder, account.name(), terms.request(), maximumWait, answer);
+        if (terms.request().startsProgram()) {
+            StartSearch.start(
+                    holders,
+                    terms.maximumPromiseMillis(),
+                    requester,
+                    listener,
+                    () -> takeToken(account, terms.ofRunningProgram(), listener));
             return;
         }
-        TokenSearch.start(leases.candidates(account.name()), maximumWaitMillis, requester, listener);
+        TokenSearch.start(holders, terms.maximumWaitMillis(), requester, listener);
     }
 
     private void requestToken(
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RateAdmission.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RateAdmission.java
@@ -18,32 +18,33 @@
 
     private RateAdmission() {}
 
-    /** What the owners of the quota are told about the request; nothing while programs are not admitted as a whole. */
-    static ProgramRequest programRequest(Gateway gateway, AdmittedRequest admitted) {
+    /**
+     * The terms on which a request takes a token. While programs are admitted as a whole, a first turn starts its program
+     * or is refused; otherwise it may wait for a single token as the policy states.
+     */
+    static TokenTerms terms(Gateway gateway, AdmittedRequest admitted) {
+        long left = admitted.deadlineMillis() - gateway.clock().now();
         if (!gateway.isEnabled(Mechanism.PROGRAM_ADMISSION)) {
-            return ProgramRequest.NONE;
+            return new TokenTerms(ProgramRequest.NONE, singleTokenWaitMillis(gateway, admitted, left), 0);
         }
         Optional<String> startedKind =
                 admitted.beginsProgram() ? Optional.of(admitted.route().name()) : Optional.empty();
-        return new ProgramRequest(admitted.request().program(), startedKind, admitted.urgency());
+        ProgramRequest request = new ProgramRequest(admitted.request().program(), startedKind, admitted.urgency());
+        if (!request.startsProgram()) {
+            return new TokenTerms(request, singleTokenWaitMillis(gateway, admitted, left), 0);
+        }
+        return new TokenTerms(
+                request, QuotaWaitPolicy.maximumWaitMillis(false, false, left), ReturnTimes.maximumPromiseMillis(left));
     }
 
-    /**
-     * The longest time that the request may wait for its token, in milliseconds. A request that starts a whole program
-     * does not wait; for it, this is the longest time after which its caller may return.
-     */
-    static long maximumWaitMillis(Gateway gateway, AdmittedRequest admitted, ProgramRequest request) {
-        long left = admitted.deadlineMillis() - gateway.clock().now();
-        if (request.startsProgram()) {
-            return ReturnTimes.maximumPromiseMillis(left);
-        }
+    private static long singleTokenWaitMillis(Gateway gateway, AdmittedRequest admitted, long leftMillis) {
         boolean urgent = gateway.settings().policy().isEnabled(Mechanism.URGENT_STARTS)
                 && admitted.route().priority() == HIGHEST_PRIORITY;
         boolean startsWithoutWait =
                 gateway.settings().policy().isEnabled(Mechanism.STARTS_WITHOUT_WAIT) && admitted.beginsProgram();
         return startsWithoutWait
                 ? QuotaWaitPolicy.START_WAIT_MILLIS
-                : QuotaWaitPolicy.maximumWaitMillis(admitted.beginsProgram(), urgent, left);
+                : QuotaWaitPolicy.maximumWaitMillis(admitted.beginsProgram(), urgent, leftMillis);
     }
 
     /** The refusal of a request beyond its account's quota. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TokenExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TokenExchange.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.quetzalshunt.core.admission.ProgramRequest;
 import org.quetzalshunt.core.quota.TokenOffer;
@@ -51,28 +50,26 @@
 
     private final EventExecutor executor;
     private final Owner owner;
-    private final BiConsumer<String, Message> sender;
     private final Map<Long, Consumer<TokenOffer>> pending = new HashMap<>();
     private final Map<Long, LateRequest> late = new HashMap<>();
     private long nextId;
 
-    /**
-     * Creates an exchange without pending requests.
-     *
-     * @param sender sends a message to the VM with the given name
-     */
-    TokenExchange(EventExecutor executor, Owner owner, BiConsumer<String, Message> sender) {
+    /** Creates an exchange without pending requests. */
+    TokenExchange(EventExecutor executor, Owner owner) {
         this.executor = executor;
         this.owner = owner;
-        this.sender = sender;
     }
 
-    /** Requests a token from a connected peer. A missing answer counts as no token. */
+    /** Requests a token from a peer over its link. A missing answer counts as no token. */
     void request(
-            String vm, String account, ProgramRequest request, long maximumWaitMillis, Consumer<TokenOffer> listener) {
+            Consumer<Message> link,
+            String account,
+            ProgramRequest request,
+            long maximumWaitMillis,
+            Consumer<TokenOffer> listener) {
         long id = nextId++;
         pending.put(id, listener);
-        sender.accept(vm, Message.tokenRequest(toMessage(id, account, request, maximumWaitMillis)));
+        link.accept(Message.tokenRequest(toMessage(id, account, request, maximumWaitMillis)));
         executor.schedule(() -> onTimeout(id, account, request), TOKEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -97,8 +94,8 @@
         listener.accept(TokenOffer.NONE);
     }
 
-    /** Handles an answer of a peer. */
-    void onAnswer(String vm, TokenAnswer answer) {
+    /** Handles an answer that arrived over a link. */
+    void onAnswer(Consumer<Message> link, TokenAnswer answer) {
         Consumer<TokenOffer> listener = pending.remove(answer.getId());
         if (listener != null) {
             listener.accept(toOffer(answer));
@@ -109,7 +106,7 @@
         if (request != null && started) {
             ProgramRequest cancellation =
                     new ProgramRequest(request.request().program(), Optional.of(CANCELLED_KIND), 0);
-            sender.accept(vm, Message.tokenRequest(toMessage(nextId++, request.account(), cancellation, 0)));
+            link.accept(Message.tokenRequest(toMessage(nextId++, request.account(), cancellation, 0)));
         }
     }
 
@@ -118,14 +115,15 @@
             return answer.isSetStartAfterMillis() ? TokenOffer.started() : TokenOffer.taken(answer.getWaitMillis());
         }
         if (answer.isSetStartAfterMillis() && answer.getStartAfterMillis() >= 0) {
+            // A time of 0 without a token means that the program is running, see TokenOffer.RUNNING.
             return TokenOffer.startAfter(Math.min(MAXIMUM_WAIT_MILLIS, answer.getStartAfterMillis()));
         }
         boolean availableLater = answer.isSetShortestMillis() && answer.getShortestMillis() >= 0;
         return availableLater ? TokenOffer.unavailableFor(answer.getShortestMillis()) : TokenOffer.NONE;
     }
 
-    /** Answers a request of a peer. */
-    void onRequest(String vm, TokenRequest message) {
+    /** Answers a request over the link on which it arrived. */
+    void onRequest(Consumer<Message> link, TokenRequest message) {
         if (message.getAccount() == null) {
             return;
         }
@@ -138,7 +136,7 @@
             return;
         }
         TokenOffer offer = owner.reserveLocally(message.getAccount(), request, message.getMostWaitMillis());
-        sender.accept(vm, Message.tokenAnswer(toAnswer(message.getId(), offer)));
+        link.accept(Message.tokenAnswer(toAnswer(message.getId(), offer)));
     }
 
     private static TokenAnswer toAnswer(long id, TokenOffer offer) {
--- a/server/src/test/java/org/quetzalshunt/server/gateway/TokenExchangeTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/TokenExchangeTest.java
@@ -34,32 +34,32 @@
             cancelled.add(account + ":" + program);
         }
     };
-    private final TokenExchange exchange =
-            new TokenExchange(channel.eventLoop(), owner, (vm, message) -> sent.add(message));
+    private final TokenExchange exchange = new TokenExchange(channel.eventLoop(), owner);
 
     private TokenOffer answer(TokenAnswer answer) {
-        exchange.request("vm", "account", START, 0, offers::add);
+        exchange.request(sent::add, "account", START, 0, offers::add);
         exchange.onAnswer(
-                "vm", answer.setId(sent.get(sent.size() - 1).getTokenRequest().getId()));
+                sent::add,
+                answer.setId(sent.get(sent.size() - 1).getTokenRequest().getId()));
         return offers.get(offers.size() - 1);
     }
 
     /** Guards against a program that pays at two owners since the first one's answer came after the time-out. */
     @Test
     void lateGrantOfAStartIsCancelledOnce() {
-        exchange.request("vm", "account", START, 0, offers::add);
+        exchange.request(sent::add, "account", START, 0, offers::add);
         TokenRequest request = sent.get(0).getTokenRequest();
         channel.freezeTime();
         channel.advanceTimeBy(30, TimeUnit.MILLISECONDS);
         channel.runScheduledPendingTasks();
         assertThat(offers).containsExactly(TokenOffer.NONE);
 
-        exchange.onRequest("vm", request);
+        exchange.onRequest(sent::add, request);
         TokenAnswer late = sent.get(1).getTokenAnswer();
-        exchange.onAnswer("vm", late);
-        exchange.onAnswer("vm", late);
+        exchange.onAnswer(sent::add, late);
+        exchange.onAnswer(sent::add, late);
         assertThat(sent).hasSize(3);
-        exchange.onRequest("vm", sent.get(2).getTokenRequest());
+        exchange.onRequest(sent::add, sent.get(2).getTokenRequest());
 
         assertThat(cancelled).containsExactly("account:p");
         assertThat(sent).hasSize(3);
@@ -68,10 +68,10 @@
     /** Guards against new fields in messages while the mechanism is off, and to requests of a former release. */
     @Test
     void withoutProgramsMessagesHaveNoNewFields() {
-        exchange.request("vm", "account", ProgramRequest.NONE, 700, offers::add);
+        exchange.request(sent::add, "account", ProgramRequest.NONE, 700, offers::add);
         assertThat(sent.get(0).getTokenRequest()).isEqualTo(new TokenRequest(0, "account", 700));
         granted = TokenOffer.unavailableFor(40);
-        exchange.onRequest("vm", new TokenRequest(5, "account", 0));
+        exchange.onRequest(sent::add, new TokenRequest(5, "account", 0));
         assertThat(sent.get(1).getTokenAnswer()).isEqualTo(new TokenAnswer(5, -1).setShortestMillis(40));
     }
 
@@ -79,6 +79,7 @@
     @Test
     void answersOfPeersAreBounded() {
         assertThat(answer(new TokenAnswer(0, 0).setStartAfterMillis(0))).isEqualTo(TokenOffer.started());
+        assertThat(answer(new TokenAnswer(0, -1).setStartAfterMillis(0))).isEqualTo(TokenOffer.RUNNING);
         assertThat(answer(new TokenAnswer(0, 0))).isEqualTo(TokenOffer.taken(0));
         assertThat(answer(new TokenAnswer(0, -1).setStartAfterMillis(Long.MAX_VALUE)))
                 .isEqualTo(TokenOffer.startAfter(60_000));
