--- a/core/src/main/java/org/quetzalshunt/core/routing/CompletionTime.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/CompletionTime.java
@@ -10,9 +10,6 @@
     /** Added latency per running request, as in {@link EndpointCost}. */
     private static final double SLOWDOWN_PER_REQUEST = 0.03;
 
-    /** Free slots assumed at a full endpoint, so that it is still sampled when all are full. */
-    private static final double MINIMUM_FREE_SLOTS = 0.1;
-
     private final ServicePace pace;
     private final EngineSpeed speed;
     private final RoutingRequest request;
@@ -48,8 +45,11 @@
         return millis > 0 ? millis : row.latencyMillis;
     }
 
-    /** Free slots of an endpoint times its speed. */
-    double freeSpeed(EndpointRow row) {
-        return Math.max(MINIMUM_FREE_SLOTS, row.slots() - row.load()) / unloadedMillis(row);
+    /**
+     * Weight of an endpoint in the sample: its slots times its speed. Its free slots are left out, since all VMs see the
+     * same delayed reports: near saturation they would all sample the few endpoints that were free.
+     */
+    double weight(EndpointRow row) {
+        return row.slots() / unloadedMillis(row);
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
@@ -99,7 +99,7 @@
         }
         Predicate<EndpointRow> affinity = row -> hasAffinity(row, assignment, request.prompt());
         return completion
-                .map(each -> SpeedSample.of(healthy, random, each::freeSpeed, affinity))
+                .map(each -> SpeedSample.of(healthy, random, each::weight, affinity))
                 .orElseGet(() -> CandidateSample.of(
                         healthy, random, row -> row.registration.dataCentre().equals(dataCentre), affinity));
     }
