--- a/core/src/main/java/org/quetzalshunt/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/Dispatcher.java
@@ -18,8 +18,8 @@
     /** A peer's count is bounded by this, as its queue is; a greater number is an error of the peer. */
     private static final long MAXIMUM_PEER_WAITING = 400;
 
-    /** Services with a queue of their own; the configuration of a deployment names fewer. */
-    private static final int MAXIMUM_SERVICES = 64;
+    /** Services in a peer's report; the configuration of a deployment names fewer. */
+    private static final int MAXIMUM_PEER_SERVICES = 64;
 
     private static final int LEAST_URGENT = 9;
 
@@ -30,8 +30,8 @@
     private final ProgramForecasts forecasts = new ProgramForecasts();
     private final SplittableRandom random;
     private final Map<String, StartQueue> queues = new HashMap<>();
-    private final PeerCounts peersWaiting =
-            new PeerCounts((service, count) -> queue(service).addPeersWaiting(count));
+    private final Map<String, Long> peersWaitingByService = new HashMap<>();
+    private final PeerCounts peersWaiting = new PeerCounts(this::addPeersWaiting);
     private ShareView shares = ShareView.none();
 
     private Dispatcher(SlotView view, long seed) {
@@ -103,12 +103,19 @@
         Map<String, Long> bounded = new HashMap<>();
         waiting.entrySet().stream()
                 .filter(each -> each.getKey() != null && each.getValue() != null)
-                .limit(MAXIMUM_SERVICES)
+                .limit(MAXIMUM_PEER_SERVICES)
                 .forEach(each ->
                         bounded.put(each.getKey(), Math.max(0, Math.min(MAXIMUM_PEER_WAITING, each.getValue()))));
         peersWaiting.replace(vm, bounded);
     }
 
+    private void addPeersWaiting(String service, long count) {
+        long sum = peersWaitingByService.merge(service, count, Long::sum);
+        if (sum <= 0) {
+            peersWaitingByService.remove(service);
+        }
+    }
+
     /** Removes the counts of a peer that is dead or unreachable. */
     public void removePeer(String vm) {
         peersWaiting.remove(vm);
@@ -145,26 +152,24 @@
 
     /** State of a service. */
     public ServiceStatus status(long nowMillis, String service) {
-        return queue(service).status(nowMillis, service);
+        return updated(nowMillis, service).status(nowMillis, service);
     }
 
     /** State of all services that had first turns. */
     public List<ServiceStatus> status(long nowMillis) {
         return queues.entrySet().stream()
-                .map(each -> each.getValue().status(nowMillis, each.getKey()))
+                .map(each -> updated(nowMillis, each.getKey()).status(nowMillis, each.getKey()))
                 .toList();
     }
 
     private StartQueue updated(long nowMillis, String service) {
         StartQueue queue = queue(service);
-        queue.update(nowMillis, service, view.use(nowMillis, service), view.liveVms());
+        long peers = peersWaitingByService.getOrDefault(service, 0L);
+        queue.update(nowMillis, service, view.use(nowMillis, service), view.liveVms(), peers);
         return queue;
     }
 
     private StartQueue queue(String service) {
-        if (queues.size() >= MAXIMUM_SERVICES && !queues.containsKey(service)) {
-            return new StartQueue(forecasts, random);
-        }
         return queues.computeIfAbsent(service, ignored -> new StartQueue(forecasts, random.split()));
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/dispatch/ProgramForecast.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/ProgramForecast.java
@@ -22,7 +22,7 @@
     }
 
     /** Time of a whole program that never waits; no pause follows its last turn. */
-    double programMillis() {
+    public double programMillis() {
         return turns * cycleMillis() - pauseMillis;
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/dispatch/StartQueue.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/StartQueue.java
@@ -64,11 +64,8 @@
         return waiting.size();
     }
 
-    void addPeersWaiting(long count) {
-        peersWaiting = Math.max(0, peersWaiting + count);
-    }
-
-    void update(long nowMillis, String service, ServiceUse use, int liveVms) {
+    void update(long nowMillis, String service, ServiceUse use, int liveVms, long waitingAtPeers) {
+        peersWaiting = waitingAtPeers;
         slots.update(nowMillis, use, liveVms, forecasts.service(service), waiting.size(), peersWaiting);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/DispatchReport.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/DispatchReport.java
@@ -34,7 +34,8 @@
 
     /** Writes a log event when a service becomes short of slots or is no longer short. */
     void logShortage(Gateway gateway, long nowMillis, String service) {
-        boolean isShort = dispatcher.isShort(nowMillis, service);
+        ServiceStatus status = dispatcher.status(nowMillis, service);
+        boolean isShort = status.shortOfSlots();
         if (isShort == shortServices.getOrDefault(service, false)) {
             return;
         }
@@ -43,7 +44,7 @@
                 .write(gateway.log()
                         .event(isShort ? "slots-short" : "slots-free")
                         .put("service", service)
-                        .put("slots", dispatcher.slots(nowMillis, service))
+                        .put("slots", status.slots())
                         .put("waiting", dispatcher.waiting().getOrDefault(service, 0)));
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StartDispatch.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StartDispatch.java
@@ -150,7 +150,9 @@
         checkScheduled = false;
         long now = gateway.clock().now();
         for (QueueExit exit : dispatcher.takeDue(now)) {
-            apply(gateway, waiting.remove(exit.start().id()), exit.decision());
+            Waiting request = waiting.remove(exit.start().id());
+            // A task each, so that an error in one request does not hold up the others.
+            gateway.executor().execute(() -> apply(gateway, request, exit.decision()));
             report.logShortage(gateway, now, exit.start().service());
         }
         scheduleCheck(gateway);
@@ -218,7 +220,12 @@
     void addTo(ObjectNode line, Gateway gateway, AdmittedRequest admitted) {
         if (admitted.route().kind() == RequestKind.STREAM && gateway.isEnabled(Mechanism.DISPATCH_QUEUE)) {
             line.put("beginsProgram", admitted.beginsProgram());
-            line.put("enginePriority", enginePriority(gateway, admitted));
+            line.put(
+                    "forecastMillis",
+                    Math.round(dispatcher
+                            .forecasts()
+                            .route(admitted.route().name())
+                            .programMillis()));
         }
     }
 }
