Local data centre first, with spillover and byte counters

Cause: endpoints in other data centres cost only 8 ms more than local ones, so most requests crossed to another data centre, where traffic is expensive.

Change: with LOCAL_FIRST on, requests stay in the VM's data centre while it has a free slot that completes them within the objective of their route. Spillover starts when no local slot is free and ends when a tenth is. Bytes of prompts, answers and messages to peers between data centres are counted. Prefix locations go to other data centres only for parts that several programs use.

--- a/core/src/main/java/org/quetzalshunt/core/routing/CompletionTime.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/CompletionTime.java
@@ -23,10 +23,12 @@
         this.request = request;
     }
 
-    /**
-     * Returns the expected time from sending the request to its end, and the delay that its prefill causes to the
-     * requests running there.
-     */
+    /** Returns the expected completion time, plus the delay that the prefill causes to the requests running there. */
+    double cost(EndpointRow row, long uncachedTokens) {
+        return millis(row, uncachedTokens) + pace.prefillMillisPerToken(row, speed) * uncachedTokens * (1 + row.load());
+    }
+
+    /** Returns the expected time from sending the request to its end. */
     double millis(EndpointRow row, long uncachedTokens) {
         int load = row.load();
         int slots = row.slots();
@@ -35,9 +37,8 @@
         if (load >= slots) {
             millis += unloadedMillis * (load - slots + 1) / slots;
         }
-        double prefillMillis = pace.prefillMillisPerToken(row, speed);
-        millis += prefillMillis * (row.prefillBacklogTokens + row.peersPrefillBacklogTokens);
-        return millis + prefillMillis * uncachedTokens * (2 + load);
+        long prefillTokens = row.prefillBacklogTokens + row.peersPrefillBacklogTokens + uncachedTokens;
+        return millis + pace.prefillMillisPerToken(row, speed) * prefillTokens;
     }
 
     /** Time of the request at an idle endpoint that has cached its prompt. */
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
@@ -19,25 +19,32 @@
     private final Policy policy;
     private final SplittableRandom random;
     private final EndpointSpeeds speeds;
+    private final LocalFirst localFirst;
 
     EndpointSelector(
             String dataCentre,
             PrefixPlacement placement,
             Policy policy,
             SplittableRandom random,
-            EndpointSpeeds speeds) {
+            EndpointSpeeds speeds,
+            LocalFirst localFirst) {
         this.dataCentre = dataCentre;
         this.placement = placement;
         this.cost = new EndpointCost(dataCentre, policy);
         this.policy = policy;
         this.random = random;
         this.speeds = speeds;
+        this.localFirst = localFirst;
     }
 
     /** Returns the best of the given endpoints; empty when none can be used. */
-    Optional<Selection> select(long nowMillis, List<EndpointRow> open, EngineSpeed speed, RoutingRequest request) {
+    Optional<Selection> select(long nowMillis, List<EndpointRow> rows, EngineSpeed speed, RoutingRequest request) {
+        List<EndpointRow> open =
+                request.options().isOn(Mechanism.LOCAL_FIRST) ? localFirst(nowMillis, rows, speed, request) : rows;
         Optional<PrefixPlacement.Assignment> assignment = assignment(nowMillis, open, request);
-        Optional<CompletionTime> completion = completionTime(nowMillis, speed, request);
+        Optional<CompletionTime> completion = request.options().isOn(Mechanism.SPEED_SAMPLING)
+                ? Optional.of(completionTime(nowMillis, speed, request))
+                : Optional.empty();
         Selection best = null;
         for (EndpointRow row : candidates(nowMillis, open, assignment, completion, request)) {
             long uncached = uncachedTokens(nowMillis, row, request.prompt());
@@ -47,7 +54,7 @@
                     .orElse(0L);
             long prefilled = Math.max(0, uncached - credited);
             double millis = completion
-                            .map(each -> cost.millis(nowMillis, row, each.millis(row, prefilled)))
+                            .map(each -> cost.millis(nowMillis, row, each.cost(row, prefilled)))
                             .orElseGet(() -> cost.millis(nowMillis, row, speed, prefilled))
                     + random.nextDouble();
             if (best == null || millis < best.expectedMillis()) {
@@ -57,11 +64,20 @@
         return Optional.ofNullable(best);
     }
 
-    /** Expected completion times by measured speeds; empty if the endpoints are compared without them. */
-    private Optional<CompletionTime> completionTime(long nowMillis, EngineSpeed speed, RoutingRequest request) {
-        return request.options().speedSampling()
-                ? Optional.of(new CompletionTime(speeds.service(nowMillis, request.service()), speed, request))
-                : Optional.empty();
+    /** Expected completion times by measured speeds. */
+    private CompletionTime completionTime(long nowMillis, EngineSpeed speed, RoutingRequest request) {
+        return new CompletionTime(speeds.service(nowMillis, request.service()), speed, request);
+    }
+
+    private List<EndpointRow> localFirst(
+            long nowMillis, List<EndpointRow> open, EngineSpeed speed, RoutingRequest request) {
+        CompletionTime completion = completionTime(nowMillis, speed, request);
+        return localFirst.restrict(
+                request,
+                open,
+                row -> cost.isHealthy(nowMillis, row),
+                row -> isUsable(nowMillis, row, request),
+                row -> completion.millis(row, uncachedTokens(nowMillis, row, request.prompt())));
     }
 
     private Optional<PrefixPlacement.Assignment> assignment(
@@ -82,12 +98,8 @@
             Optional<PrefixPlacement.Assignment> assignment,
             Optional<CompletionTime> completion,
             RoutingRequest request) {
-        List<EndpointRow> usable = open.stream()
-                .filter(row -> row.inFlight < request.limits().maximumInFlight())
-                .filter(row -> request.limits().allows(row.registration.dataCentre()))
-                .filter(row -> row.coldStart.admits(nowMillis, request.limits().coldRequestsPerSecond()))
-                .filter(row -> !request.excluded().contains(row.registration.id()))
-                .toList();
+        List<EndpointRow> usable =
+                open.stream().filter(row -> isUsable(nowMillis, row, request)).toList();
         if (!policy.isEnabled(Mechanism.TWO_CHOICES)) {
             return usable;
         }
@@ -103,6 +115,14 @@
                         healthy, random, row -> row.registration.dataCentre().equals(dataCentre), affinity));
     }
 
+    private static boolean isUsable(long nowMillis, EndpointRow row, RoutingRequest request) {
+        EndpointLimits limits = request.limits();
+        return row.inFlight < limits.maximumInFlight()
+                && limits.allows(row.registration.dataCentre())
+                && row.coldStart.admits(nowMillis, limits.coldRequestsPerSecond())
+                && !request.excluded().contains(row.registration.id());
+    }
+
     private boolean hasAffinity(
             EndpointRow row, Optional<PrefixPlacement.Assignment> assignment, List<PrefixPart> prompt) {
         if (prompt.isEmpty() || !policy.isEnabled(Mechanism.PREFIX_AFFINITY)) {
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -1,6 +1,5 @@
 package org.quetzalshunt.core.routing;
 
-import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -19,9 +18,6 @@
     /** Time after a rejection at capacity in which the endpoint is used only if no other has free slots. */
     private static final long FULL_PENALTY_MILLIS = 40;
 
-    /** Maximum number of prefix locations in one report to peers; the newest are kept. */
-    private static final int MAXIMUM_NEW_LOCATIONS = 512;
-
     private final PrefixPlacement placement;
     private final SplittableRandom random;
     private final EndpointSelector selector;
@@ -31,12 +27,14 @@
     private final PeerCounts peersInFlight = new PeerCounts(this::addPeerInFlight);
     private final PeerCounts peersPrefillBacklog = new PeerCounts(this::addPeerPrefillBacklog);
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
-    private final ArrayDeque<PrefixLocation> newLocations = new ArrayDeque<>();
+    private final NewLocations newLocations = new NewLocations();
+    private final LocalFirst localFirst;
 
     private EndpointTable(String dataCentre, long startedMillis, Policy policy) {
         this.placement = new PrefixPlacement(startedMillis);
         this.random = new SplittableRandom(startedMillis);
-        this.selector = new EndpointSelector(dataCentre, placement, policy, random, measuredSpeeds);
+        this.localFirst = new LocalFirst(dataCentre);
+        this.selector = new EndpointSelector(dataCentre, placement, policy, random, measuredSpeeds, localFirst);
         this.policy = policy;
     }
 
@@ -125,27 +123,27 @@
         rows.find(id).ifPresent(row -> {
             row.prefillBacklogTokens += uncachedTokens;
             row.memoryTokens = request.memoryTokens();
-            request.prompt().forEach(part -> recordPrefix(row, part));
+            request.prompt()
+                    .forEach(part -> recordPrefix(row, part, request.options().program()));
         });
     }
 
-    private void recordPrefix(EndpointRow row, PrefixPart part) {
-        if (!row.prefixCache.contains(part)) {
-            newLocations.addLast(new PrefixLocation(row.registration.id(), part));
-        }
-        if (newLocations.size() > MAXIMUM_NEW_LOCATIONS) {
-            newLocations.removeFirst();
-        }
+    private void recordPrefix(EndpointRow row, PrefixPart part, String program) {
+        newLocations.record(row, part, program);
         row.prefixCache.add(part, row.memoryTokens);
     }
 
     /** Returns the prefix locations that have not been reported to peers yet, and clears them. */
     public List<PrefixLocation> takeNewLocations() {
-        List<PrefixLocation> locations = List.copyOf(newLocations);
-        newLocations.clear();
+        List<PrefixLocation> locations = newLocations.take();
         return policy.isEnabled(Mechanism.SHARED_PREFIX_LOCATIONS) ? locations : List.of();
     }
 
+    /** Whether more than one program has sent a prompt part through this VM. */
+    public boolean isSharedPrefix(PrefixPart part) {
+        return newLocations.isShared(part.id());
+    }
+
     /** Records the prefix locations that a peer reported. */
     public void onPeerPrefixLocations(List<PrefixLocation> locations) {
         locations.forEach(location -> rows.find(location.endpoint())
@@ -263,6 +261,11 @@
         measuredSpeeds.removePeer(vm);
     }
 
+    /** Use of other data centres while the local endpoints are full. */
+    public LocalFirst localFirst() {
+        return localFirst;
+    }
+
     /** Speeds of the endpoints as this VM and its peers measure them. */
     public EndpointSpeeds speeds() {
         return measuredSpeeds;
--- a/core/src/test/java/org/quetzalshunt/core/routing/EndpointSpeedsTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EndpointSpeedsTest.java
@@ -8,11 +8,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 
 /** Measured and reported speeds of endpoints: what is learnt, what is reported, and values that cannot be right. */
 final class EndpointSpeedsTest {
     private static final int ENDPOINTS = 6;
+    private static final RoutingOptions BY_SPEED = RoutingOptions.of(
+            mechanism -> mechanism == Mechanism.SPEED_SAMPLING, "turns", Double.POSITIVE_INFINITY, "");
 
     private final EndpointTable table = table();
 
@@ -61,7 +64,7 @@
     @ValueSource(doubles = {1, 10})
     void conversationLeavesASlowEngineIfPrefillElsewhereIsCheaper(double slowness) {
         measure(table, slowness);
-        RoutingRequest request = request(new RoutingOptions(true, "turns"), List.of(new PrefixPart("own", 1_000)));
+        RoutingRequest request = request(BY_SPEED, List.of(new PrefixPart("own", 1_000)));
         table.recordPrompt("e0", request, 0);
         String selected = table.select(0, request).orElseThrow().registration().id();
         assertThat(selected.equals("e0")).isEqualTo(slowness == 1);
@@ -79,9 +82,7 @@
         assertThat(table.speeds().find("e0").orElseThrow().millisPerToken()).isEqualTo(20);
         int atSlow = 0;
         for (int each = 0; each < 200; each++) {
-            Selection selected = table.select(
-                            each,
-                            request(new RoutingOptions(true, "turns"), List.of(new PrefixPart("part-" + each, 1))))
+            Selection selected = table.select(each, request(BY_SPEED, List.of(new PrefixPart("part-" + each, 1))))
                     .orElseThrow();
             atSlow += selected.registration().id().equals("e0") ? 1 : 0;
         }
@@ -123,9 +124,7 @@
         assertThat(table.speeds().find("e0").orElseThrow().millisPerToken()).isEqualTo(0);
         long atRestarted = 0;
         for (int each = 0; each < 300; each++) {
-            Selection selected = table.select(
-                            each,
-                            request(new RoutingOptions(true, "turns"), List.of(new PrefixPart("part-" + each, 1))))
+            Selection selected = table.select(each, request(BY_SPEED, List.of(new PrefixPart("part-" + each, 1))))
                     .orElseThrow();
             atRestarted += selected.registration().id().equals("e0") ? 1 : 0;
         }
--- a/core/src/test/java/org/quetzalshunt/core/routing/EngineSimulation.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EngineSimulation.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 
 /**
@@ -82,6 +83,7 @@
      * @param p95TurnMillis 95th percentile of that time, over the turns that arrived after the first quarter
      * @param busiest share of time in which an engine works, of the busiest engine relative to the mean
      * @param slowShare share of turns that ran on an engine slower than the fastest
+     * @param remoteShare share of turns that ran in another data centre than that of their gateway
      * @param tokensRead tokens prefilled by all engines
      * @param queuedShare share of turns that waited for a slot while another engine had one free
      */
@@ -91,7 +93,8 @@
             double queuedShare,
             double p95TurnMillis,
             double busiest,
-            double slowShare) {}
+            double slowShare,
+            double remoteShare) {}
 
     private static final int COMMON_PARTS = 8;
     private static final int TURNS_PER_PROGRAM = 5;
@@ -136,6 +139,7 @@
     private final List<Long> turnMillis = new ArrayList<>();
     private final long[] nextPaceMillis;
     private long slowTurns;
+    private long remoteTurns;
     private final List<Engine> engines = new ArrayList<>();
     private final List<EndpointTable> gateways = new ArrayList<>();
     private final PriorityQueue<Turn> arrivals =
@@ -206,7 +210,8 @@
                 queued / (double) turns,
                 sorted.get(sorted.size() * 95 / 100),
                 mostBusy / meanBusy,
-                slowTurns / (double) turns);
+                slowTurns / (double) turns,
+                remoteTurns / (double) turns);
     }
 
     private void scheduleArrivals() {
@@ -235,7 +240,8 @@
     }
 
     private void send(long now, Turn turn) {
-        turn.gateway = gateways.get(random.nextInt(shape.gateways()));
+        int gateway = random.nextInt(shape.gateways());
+        turn.gateway = gateways.get(gateway);
         RoutingRequest request = new RoutingRequest(
                 "llm",
                 Set.of(),
@@ -245,6 +251,7 @@
                 conditions.options());
         turn.selection = turn.gateway.select(now, request).orElseThrow();
         String id = turn.selection.registration().id();
+        remoteTurns += turn.selection.registration().dataCentre().equals(dataCentre(gateway)) ? 0 : 1;
         turn.gateway.started(id);
         turn.gateway.recordPrompt(id, request, turn.selection.uncachedTokens());
         turn.sentMillis = now;
@@ -338,7 +345,7 @@
     }
 
     private Map<String, EndpointPaceReport> takePaces(long now, int one) {
-        if (!conditions.options().speedSampling() || now < nextPaceMillis[one]) {
+        if (!conditions.options().isOn(Mechanism.SPEED_SAMPLING) || now < nextPaceMillis[one]) {
             return Map.of();
         }
         Map<String, EndpointPaceReport> paces = gateways.get(one).speeds().takeChanged(PACES_PER_REPORT);
--- a/core/src/test/java/org/quetzalshunt/core/routing/SpeedSamplingTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/SpeedSamplingTest.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 
 /** Guards against turns on slow engines while fast ones have free slots, compared with two choices without speeds. */
 final class SpeedSamplingTest {
     private static final double PROGRAMS_PER_SECOND_AT_FULL_LOAD = 2.2;
-    private static final RoutingOptions BY_SPEED = new RoutingOptions(true, "turns");
+    private static final RoutingOptions BY_SPEED = RoutingOptions.of(
+            mechanism -> mechanism == Mechanism.SPEED_SAMPLING, "turns", Double.POSITIVE_INFINITY, "");
 
     /**
      * Simulates engines of unequal speed at 70% of their capacity.
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -180,6 +180,7 @@
         sentMillis = now;
         firstSentMillis = firstSentMillis.isPresent() ? firstSentMillis : OptionalLong.of(now);
         attemptCount++;
+        RoutingReports.onSent(gateway, endpoint, body.length);
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
         gateway.endpoints().recordPrompt(endpoint.id(), request, selection.uncachedTokens());
@@ -218,8 +219,11 @@
                 maximumInFlight,
                 coldRequestsPerSecond > 0 ? coldRequestsPerSecond : Double.POSITIVE_INFINITY,
                 admitted.homeDataCentres(gateway.settings().regions()));
-        RoutingOptions options = new RoutingOptions(
-                gateway.isEnabled(Mechanism.SPEED_SAMPLING), admitted.route().name());
+        RoutingOptions options = RoutingOptions.of(
+                gateway::isEnabled,
+                admitted.route().name(),
+                (double) admitted.route().targetLatencyMillis(),
+                admitted.program().orElse(""));
         return new RoutingRequest(
                 admitted.service().name(), excluded, admitted.request().prefixParts(), cacheTokens, limits, options);
     }
@@ -351,6 +355,7 @@
 
         @Override
         public void onChunk(byte[] data) {
+            RoutingReports.onAnswer(gateway, endpoint, data.length);
             if (isForwarded()) {
                 listener.onData(data);
             }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
@@ -47,6 +47,16 @@
         registry.counter("quetzalshunt.attempts", "outcome", outcome).increment();
     }
 
+    /** Counts bytes that are sent between data centres, by reason: prompts, answers or peers. */
+    void countRemoteBytes(String reason, int bytes) {
+        registry.counter("quetzalshunt.remote.bytes", "reason", reason).increment(bytes);
+    }
+
+    /** Counts a request sent to an endpoint, by the data centre of the endpoint: local or remote. */
+    void countSelection(String place) {
+        registry.counter("quetzalshunt.selections", "place", place).increment();
+    }
+
     void registerGauge(String name, String description, Supplier<Number> value) {
         Gauge.builder(name, value).description(description).register(registry);
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -90,10 +90,12 @@
                 settings,
                 endpoints,
                 new SpeedExchange(endpoints.speeds(), clock, () -> gateway.isEnabled(Mechanism.SPEED_SAMPLING)),
+                () -> gateway.isEnabled(Mechanism.LOCAL_FIRST),
                 clock,
                 log,
                 quotas::reserveLocally,
-                () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis());
+                () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis(),
+                bytes -> RoutingReports.countPeerBytes(gateway, bytes));
         CrashReporter crashes = new CrashReporter(group.next(), http, store, clock, log, settings);
         TurnHistory history = new TurnHistory(group.next(), store, clock, () -> gateway.isolatedFromStore());
         BudgetManager budgets = new BudgetManager(
--- a/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/LoadBroadcast.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.quetzalshunt.core.routing.BroadcastInterval;
@@ -65,6 +66,7 @@
     private final String dataCentre;
     private final EndpointTable endpoints;
     private final SpeedExchange speeds;
+    private final BooleanSupplier sendsSharedOnly;
     private final LongSupplier storeAgeMillis;
     private final Supplier<Collection<PeerLink>> links;
     private final Map<String, PeerState> peers = new HashMap<>();
@@ -72,6 +74,7 @@
     /**
      * Creates a broadcast that is not started.
      *
+     * @param sendsSharedOnly whether other data centres get only locations of parts that several programs use
      * @param storeAgeMillis time since this VM last reached the store
      * @param links one open link to each peer
      */
@@ -81,6 +84,7 @@
             String dataCentre,
             EndpointTable endpoints,
             SpeedExchange speeds,
+            BooleanSupplier sendsSharedOnly,
             LongSupplier storeAgeMillis,
             Supplier<Collection<PeerLink>> links) {
         this.executor = executor;
@@ -88,6 +92,7 @@
         this.dataCentre = dataCentre;
         this.endpoints = endpoints;
         this.speeds = speeds;
+        this.sendsSharedOnly = sendsSharedOnly;
         this.storeAgeMillis = storeAgeMillis;
         this.links = links;
     }
@@ -103,14 +108,14 @@
 
     private void sendDueMessages() {
         Collection<PeerLink> open = links.get();
-        List<PromptPlaced> newLocations = newLocations();
+        List<PrefixLocation> newLocations = endpoints.takeNewLocations();
         Map<String, EndpointPace> changedPaces = speeds.takeChanges(open.size());
         int remotePeers = (int) open.stream().filter(link -> !isLocal(link)).count();
         long now = clock.now();
         EndpointLoads loads = null;
         for (PeerLink link : open) {
             PeerState peer = peers.computeIfAbsent(link.remote().id().name(), ignored -> newPeer(open.size()));
-            peer.addLocations(newLocations);
+            peer.addLocations(toWire(newLocations, isLocal(link) || !sendsSharedOnly.getAsBoolean()));
             peer.pendingPaces.putAll(changedPaces);
             boolean due = now - peer.sentMillis >= BroadcastInterval.millis(isLocal(link), remotePeers);
             if (due && link.isWritable()) {
@@ -149,8 +154,14 @@
         return link.remote().dataCentre().equals(dataCentre);
     }
 
-    private List<PromptPlaced> newLocations() {
-        return endpoints.takeNewLocations().stream()
+    /**
+     * Encodes prefix locations for a peer.
+     *
+     * @param all whether the peer also gets parts that only one program has used
+     */
+    private List<PromptPlaced> toWire(List<PrefixLocation> locations, boolean all) {
+        return locations.stream()
+                .filter(location -> all || endpoints.isSharedPrefix(location.part()))
                 .map(location -> new PromptPlaced(
                         location.endpoint(),
                         location.part().id(),
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -15,7 +15,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
 import org.quetzalshunt.core.quota.TokenOffer;
 import org.quetzalshunt.core.quota.VmHeartbeat;
@@ -71,6 +73,7 @@
     private final Map<Long, Consumer<TokenOffer>> pendingTokens = new HashMap<>();
     private final StoreContacts storeContacts;
     private final LoadBroadcast broadcast;
+    private final IntConsumer remoteBytesSent;
     private ChainExchange chains;
     private LinkConnector connector;
     private long nextId;
@@ -78,19 +81,23 @@
     /**
      * Creates connections that are not started before the shared secret is known.
      *
+     * @param localFirst whether requests stay in this VM's data centre while it has free slots
      * @param grantToken takes a token of an account from this VM's share, for a peer
      * @param storeAgeMillis time since this VM last reached the store, or {@link #STORE_UNAVAILABLE} while it finds the
      *     store unavailable
+     * @param remoteBytesSent receives the size of each message to a peer in another data centre
      */
     PeerConnections(
             EventLoopGroup group,
             GatewaySettings settings,
             EndpointTable endpoints,
             SpeedExchange speeds,
+            BooleanSupplier localFirst,
             NodeClock clock,
             DecisionLog log,
             BiFunction<String, Long, TokenOffer> grantToken,
-            LongSupplier storeAgeMillis) {
+            LongSupplier storeAgeMillis,
+            IntConsumer remoteBytesSent) {
         this.group = group;
         this.executor = group.next();
         this.settings = settings;
@@ -99,9 +106,10 @@
         this.clock = clock;
         this.log = log;
         this.grantToken = grantToken;
+        this.remoteBytesSent = remoteBytesSent;
         this.storeContacts = new StoreContacts(clock);
         this.broadcast = new LoadBroadcast(
-                executor, clock, settings.dataCentre(), endpoints, speeds, storeAgeMillis, this::openLinks);
+                executor, clock, settings.dataCentre(), endpoints, speeds, localFirst, storeAgeMillis, this::openLinks);
     }
 
     /** Sets the receiver of messages about turns and budgets; must be called before the start. */
@@ -211,6 +219,9 @@
     public void onOpen(PeerLink link) {
         links.computeIfAbsent(link.remote().id().name(), ignored -> new ArrayDeque<>())
                 .addFirst(link);
+        if (!link.remote().dataCentre().equals(settings.dataCentre())) {
+            link.onSentBytes(remoteBytesSent);
+        }
         log.write(log.event("link-open").put("peer", link.remote().id().toString()));
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RoutingReports.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RoutingReports.java
@@ -6,8 +6,11 @@
 import java.util.function.Supplier;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.routing.EndpointSpeeds;
+import org.quetzalshunt.core.routing.Registration;
 
-/** Speeds of endpoints in the metrics, the request's log line and the state dump. */
+/**
+ * Speeds of endpoints, use of other data centres and bytes sent to them, in the metrics, the log and the state dump.
+ */
 final class RoutingReports {
     private static final int MAXIMUM_ENDPOINTS = 2_000;
 
@@ -22,6 +25,48 @@
                 "quetzalshunt.endpoint.speeds.bounded",
                 "figures in speed reports of peers that were bounded or ignored since the start",
                 () -> gateway.get().endpoints().speeds().boundedReports());
+        metrics.registerGauge(
+                "quetzalshunt.services.spilling",
+                "services whose requests go to other data centres because the local endpoints are full",
+                () -> gateway.get().endpoints().localFirst().spilling().size());
+    }
+
+    /**
+     * Counts a request sent to an endpoint, and logs when the use of other data centres started or ended.
+     *
+     * @param bytes size of its body
+     */
+    static void onSent(Gateway gateway, Registration endpoint, int bytes) {
+        if (!gateway.isEnabled(Mechanism.LOCAL_FIRST)) {
+            return;
+        }
+        boolean local = isLocal(gateway, endpoint);
+        gateway.metrics().countSelection(local ? "local" : "remote");
+        if (!local) {
+            gateway.metrics().countRemoteBytes("prompts", bytes);
+        }
+        gateway.endpoints().localFirst().takeChanges().forEach(change -> gateway.log()
+                .write(gateway.log()
+                        .event(change.started() ? "spillover-started" : "spillover-ended")
+                        .put("service", change.service())));
+    }
+
+    /** Counts bytes of a response body. */
+    static void onAnswer(Gateway gateway, Registration endpoint, int bytes) {
+        if (gateway.isEnabled(Mechanism.LOCAL_FIRST) && !isLocal(gateway, endpoint)) {
+            gateway.metrics().countRemoteBytes("answers", bytes);
+        }
+    }
+
+    /** Counts bytes of a message to a peer in another data centre. */
+    static void countPeerBytes(Gateway gateway, int bytes) {
+        if (gateway.isEnabled(Mechanism.LOCAL_FIRST)) {
+            gateway.metrics().countRemoteBytes("peers", bytes);
+        }
+    }
+
+    private static boolean isLocal(Gateway gateway, Registration endpoint) {
+        return endpoint.dataCentre().equals(gateway.settings().dataCentre());
     }
 
     /** Adds the speed of the endpoint of a request to its log line. */
@@ -36,6 +81,10 @@
 
     /** Adds the section of the state dump. */
     static void addSection(ObjectNode dump, Gateway gateway, Collection<String> endpoints) {
+        if (gateway.isEnabled(Mechanism.LOCAL_FIRST)) {
+            ArrayNode services = dump.putArray("spillingServices");
+            gateway.endpoints().localFirst().spilling().forEach(services::add);
+        }
         if (!gateway.isEnabled(Mechanism.SPEED_SAMPLING)) {
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/transport/LinkChannelInitializer.java
+++ b/server/src/main/java/org/quetzalshunt/server/transport/LinkChannelInitializer.java
@@ -51,6 +51,7 @@
         @Override
         protected void encode(ChannelHandlerContext context, Message message, List<Object> out) {
             byte[] bytes = MessageCodec.encode(message);
+            PeerLink.reportSentBytes(context.channel(), LENGTH_BYTES + bytes.length);
             out.add(Unpooled.wrappedBuffer(
                     Unpooled.buffer(LENGTH_BYTES).writeInt(bytes.length), Unpooled.wrappedBuffer(bytes)));
         }
--- a/server/src/main/java/org/quetzalshunt/server/transport/PeerLink.java
+++ b/server/src/main/java/org/quetzalshunt/server/transport/PeerLink.java
@@ -1,10 +1,14 @@
 package org.quetzalshunt.server.transport;
 
 import io.netty.channel.Channel;
+import io.netty.util.AttributeKey;
+import java.util.function.IntConsumer;
 import org.quetzalshunt.wire.generated.Message;
 
 /** An open link to another process. Used on its event loop only. */
 public final class PeerLink {
+    private static final AttributeKey<IntConsumer> SENT_BYTES = AttributeKey.valueOf(PeerLink.class, "sent-bytes");
+
     private final Channel channel;
     private final LinkIdentity remote;
 
@@ -27,6 +31,18 @@
         channel.writeAndFlush(message);
     }
 
+    /** Sets the receiver of the size in bytes of each message that is sent from now on. */
+    public void onSentBytes(IntConsumer receiver) {
+        channel.attr(SENT_BYTES).set(receiver);
+    }
+
+    static void reportSentBytes(Channel channel, int bytes) {
+        IntConsumer receiver = channel.attr(SENT_BYTES).get();
+        if (receiver != null) {
+            receiver.accept(bytes);
+        }
+    }
+
     /** Whether the link is still open. */
     public boolean isOpen() {
         return channel.isActive();
