--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
@@ -35,6 +35,7 @@
     final PrefixCache prefixCache = new PrefixCache();
     final ColdStartLimiter coldStart = new ColdStartLimiter();
     final EndpointPaces paces = new EndpointPaces();
+    final SlowPhase slowPhase = new SlowPhase();
     Registration registration;
     int inFlight;
     int peersInFlight;
@@ -146,6 +147,7 @@
     void resetAfterRestart() {
         prefixCache.clear();
         paces.clear();
+        slowPhase.clear();
         prefillBacklogTokens = 0;
         failureRate = 0;
         peersFailureRate = 0;
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointRows.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointRows.java
@@ -118,6 +118,15 @@
                 .toList();
     }
 
+    /** Whether a service has endpoints that accept work in the data centres that the limits allow. */
+    Availability availability(String service, EndpointLimits limits) {
+        if (open(service).stream().anyMatch(row -> limits.allows(row.registration.dataCentre()))) {
+            return Availability.AVAILABLE;
+        }
+        boolean evacuated = evacuated(service).stream().anyMatch(row -> limits.allows(row.registration.dataCentre()));
+        return evacuated ? Availability.EVACUATED : Availability.NONE;
+    }
+
     private Stream<EndpointRow> notLeaving(String service) {
         return rowsOf(service).stream().filter(row -> !row.registration.leaving());
     }
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointSelector.java
@@ -108,11 +108,14 @@
         if (healthy.isEmpty()) {
             return usable;
         }
+        List<EndpointRow> preferred = request.options().isOn(Mechanism.SLOWDOWN_DETECTION)
+                ? SlowPhases.withoutMarked(nowMillis, healthy)
+                : healthy;
         Predicate<EndpointRow> affinity = row -> hasAffinity(row, assignment, request.prompt());
         return completion
-                .map(each -> SpeedSample.of(healthy, random, each::freeSpeed, affinity))
+                .map(each -> SpeedSample.of(preferred, random, each::freeSpeed, affinity))
                 .orElseGet(() -> CandidateSample.of(
-                        healthy, random, row -> row.registration.dataCentre().equals(dataCentre), affinity));
+                        preferred, random, row -> row.registration.dataCentre().equals(dataCentre), affinity));
     }
 
     private static boolean isUsable(long nowMillis, EndpointRow row, RoutingRequest request) {
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointSpeeds.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointSpeeds.java
@@ -56,6 +56,12 @@
         return pace;
     }
 
+    /** Prefill time per token at an endpoint, or at the middle of its service; 0 if unknown. */
+    double prefillMillisPerToken(EndpointRow row) {
+        double own = row.paces.prefillMillisPerToken();
+        return own > 0 ? own : pace(row.registration.service()).prefillMillisPerToken();
+    }
+
     private ServicePace pace(String service) {
         return services.computeIfAbsent(service, ignored -> new ServicePace());
     }
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -24,6 +24,7 @@
     private final Policy policy;
     private final EndpointRows rows = new EndpointRows();
     private final EndpointSpeeds measuredSpeeds = new EndpointSpeeds(rows);
+    private final SlowPhases slowPhases = new SlowPhases(rows, measuredSpeeds);
     private final PeerCounts peersInFlight = new PeerCounts(this::addPeerInFlight);
     private final PeerCounts peersPrefillBacklog = new PeerCounts(this::addPeerPrefillBacklog);
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
@@ -266,6 +267,11 @@
         return localFirst;
     }
 
+    /** Endpoints whose streams are overdue. */
+    public SlowPhases slowPhases() {
+        return slowPhases;
+    }
+
     /** Speeds of the endpoints as this VM and its peers measure them. */
     public EndpointSpeeds speeds() {
         return measuredSpeeds;
@@ -285,11 +291,6 @@
 
     /** Whether a service has endpoints that accept work in the data centres that the limits allow. */
     public Availability availability(String service, EndpointLimits limits) {
-        if (rows.open(service).stream().anyMatch(row -> limits.allows(row.registration.dataCentre()))) {
-            return Availability.AVAILABLE;
-        }
-        boolean evacuated =
-                rows.evacuated(service).stream().anyMatch(row -> limits.allows(row.registration.dataCentre()));
-        return evacuated ? Availability.EVACUATED : Availability.NONE;
+        return rows.availability(service, limits);
     }
 }
--- a/core/src/test/java/org/quetzalshunt/core/routing/EngineSimulation.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EngineSimulation.java
@@ -71,9 +71,15 @@
      * @param slowness time per token of each engine, relative to the shape; repeated over all engines
      * @param options parts of load control that are on
      * @param arrivalMillis time in which programs arrive
+     * @param phaseSlowness how many times as long an engine takes in a slow phase
      */
-    record Conditions(List<Double> slowness, RoutingOptions options, long arrivalMillis) {
+    record Conditions(List<Double> slowness, RoutingOptions options, long arrivalMillis, double phaseSlowness) {
         static final Conditions ALIKE = new Conditions(List.of(1.0), RoutingOptions.OFF, ARRIVAL_MILLIS);
+
+        /** Conditions without slow phases. */
+        Conditions(List<Double> slowness, RoutingOptions options, long arrivalMillis) {
+            this(slowness, options, arrivalMillis, 1);
+        }
     }
 
     /**
@@ -99,6 +105,9 @@
     private static final int COMMON_PARTS = 8;
     private static final int TURNS_PER_PROGRAM = 5;
     private static final int TICK_MILLIS = 5;
+    private static final int PHASE_PERIOD_MILLIS = 4_000;
+    private static final int PHASE_MILLIS = 600;
+    private static final int TOKENS_PER_EVENT = 16;
     private static final int PACES_PER_REPORT = 16;
     private static final int ARRIVAL_MILLIS = 20_000;
     private static final double SLOWDOWN_PER_REQUEST = 0.02;
@@ -113,6 +122,7 @@
         long arrivedMillis;
         EndpointTable gateway;
         Selection selection;
+        RunningStream stream;
         double unread;
         double remainingTokens;
         long generated;
@@ -127,6 +137,7 @@
 
     private static final class Engine {
         double slowness;
+        long phaseOffset;
         double busyMillis;
         final PrefixCache memory = new PrefixCache();
         final ArrayDeque<Turn> waiting = new ArrayDeque<>();
@@ -158,6 +169,7 @@
             Engine engine = new Engine();
             engine.slowness =
                     conditions.slowness().get(number % conditions.slowness().size());
+            engine.phaseOffset = random.nextInt(PHASE_PERIOD_MILLIS);
             engines.add(engine);
         }
         for (int gateway = 0; gateway < shape.gateways(); gateway++) {
@@ -236,6 +248,11 @@
                 tick(now, engine);
             }
             report(now);
+            if (now % SlowPhases.SWEEP_MILLIS == 0) {
+                for (EndpointTable gateway : gateways) {
+                    gateway.slowPhases().sweep(now);
+                }
+            }
         }
     }
 
@@ -255,6 +272,7 @@
         turn.gateway.started(id);
         turn.gateway.recordPrompt(id, request, turn.selection.uncachedTokens());
         turn.sentMillis = now;
+        turn.stream = turn.gateway.slowPhases().start(now, id, turn.selection.uncachedTokens(), TOKENS_PER_EVENT);
         turn.generated = 16L + random.nextInt((int) MAXIMUM_GENERATED);
         turn.remainingTokens = turn.generated;
         Engine engine = engines.get(Integer.parseInt(id));
@@ -270,14 +288,15 @@
             admit(engine, engine.waiting.poll());
         }
         engine.busyMillis += engine.running.isEmpty() ? 0 : TICK_MILLIS;
-        double readTokensPerMilli = shape.readTokensPerMilli() / engine.slowness;
+        double slowness = engine.slowness * phaseSlowness(now, engine);
+        double readTokensPerMilli = shape.readTokensPerMilli() / slowness;
         double left = TICK_MILLIS;
         for (Turn turn : engine.running) {
             double tokens = Math.min(turn.unread, left * readTokensPerMilli);
             turn.unread -= tokens;
             left -= tokens / readTokensPerMilli;
         }
-        double stepMillis = shape.stepMillis() * engine.slowness;
+        double stepMillis = shape.stepMillis() * slowness;
         double tokens = left / (stepMillis * (1 + SLOWDOWN_PER_REQUEST * engine.running.size()));
         for (Iterator<Turn> each = engine.running.iterator(); each.hasNext(); ) {
             Turn turn = each.next();
@@ -288,6 +307,11 @@
         }
     }
 
+    private double phaseSlowness(long now, Engine engine) {
+        boolean slow = (now + engine.phaseOffset) % PHASE_PERIOD_MILLIS < PHASE_MILLIS;
+        return slow ? conditions.phaseSlowness() : 1;
+    }
+
     private void admit(Engine engine, Turn turn) {
         turn.unread = engine.memory.uncachedTokens(turn.prompt());
         read += turn.unread;
@@ -304,7 +328,11 @@
             turn.gateway.onFirstEvent(id, turn.selection.uncachedTokens(), tookMillis);
             turn.gateway.speeds().recordFirstEvent(id, turn.selection.uncachedTokens(), 1, tookMillis);
         }
+        long events = (long) (turn.generated - turn.remainingTokens) / TOKENS_PER_EVENT;
         turn.remainingTokens -= tokens;
+        if ((long) (turn.generated - turn.remainingTokens) / TOKENS_PER_EVENT > events) {
+            turn.gateway.slowPhases().onEvents(now, turn.stream);
+        }
         return turn.remainingTokens <= 0;
     }
 
@@ -312,6 +340,7 @@
         String id = turn.selection.registration().id();
         turn.gateway.recordGeneration(id, turn.generated, now - turn.firstEventMillis);
         turn.gateway.speeds().recordGeneration(id, turn.generated, now - turn.firstEventMillis);
+        turn.gateway.slowPhases().end(turn.stream);
         turn.gateway.finished(now, id, AttemptOutcome.ANSWERED, now - turn.sentMillis);
         totalTurnMillis += now - turn.arrivedMillis;
         turns++;
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -90,6 +90,7 @@
     private final byte[] body;
     private final Listener listener;
     private final Set<String> excluded = new HashSet<>();
+    private final SlowdownWatch watch;
     private Registration endpoint;
     private Selection selection;
     private HttpCall call;
@@ -106,6 +107,7 @@
         this.admitted = admitted;
         this.body = body;
         this.listener = listener;
+        this.watch = new SlowdownWatch(gateway, admitted);
     }
 
     /** Sends the request. May be called again, as a retry, after the attempt before has ended or was cancelled. */
@@ -185,6 +187,7 @@
         gateway.endpoints().started(endpoint.id());
         gateway.endpoints().recordPrompt(endpoint.id(), request, selection.uncachedTokens());
         prefillDone = false;
+        watch.start(selection);
         startHeadersTimeout();
         call = gateway.http()
                 .send(
@@ -294,6 +297,11 @@
         return gateway.dialect().isResponseTo(admitted.request().id(), headers);
     }
 
+    /** Records that events of the response arrived. */
+    void markEvents() {
+        watch.onEvents();
+    }
+
     /**
      * Removes the prompt of the current attempt from the endpoint's prefill backlog, because the endpoint has
      * processed it or will not.
@@ -308,6 +316,7 @@
     private void endAttempt(AttemptOutcome outcome) {
         call = null;
         headersTimeout.cancel(false);
+        watch.end();
         long now = gateway.clock().now();
         markPrefillDone();
         recordPlainTime(now, outcome);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -128,6 +128,7 @@
                 crashes,
                 new RecoveryQueue(group.next(), clock));
         pipeline = new AdmissionPipeline(gateway, () -> stopping);
+        SlowdownWatch.startSweep(gateway);
         registerGauges(metrics);
         log.write(log.event("start")
                 .put("incarnation", settings.incarnation())
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GenerationMeter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GenerationMeter.java
@@ -23,23 +23,30 @@
             call.selection().ifPresent(selection -> recordFirstEvent(selection, firstEventMillis - call.sentMillis()));
         }
         events += count;
+        if (count > 0) {
+            call.markEvents();
+        }
     }
 
     private void recordFirstEvent(Selection selection, long tookMillis) {
         String id = selection.registration().id();
         gateway.endpoints().onFirstEvent(id, selection.uncachedTokens(), tookMillis);
-        if (gateway.isEnabled(Mechanism.SPEED_SAMPLING)) {
+        if (measuresSpeeds()) {
             gateway.endpoints().speeds().recordFirstEvent(id, selection.uncachedTokens(), tokensPerEvent, tookMillis);
         }
     }
 
+    private boolean measuresSpeeds() {
+        return gateway.isEnabled(Mechanism.SPEED_SAMPLING) || gateway.isEnabled(Mechanism.SLOWDOWN_DETECTION);
+    }
+
     /** Reports the generation time of a completed response. */
     void onEnd(EndpointCall call) {
         long tokens = Math.max(0, events - 1) * tokensPerEvent;
         long tookMillis = gateway.clock().now() - firstEventMillis;
         call.endpoint().ifPresent(endpoint -> {
             gateway.endpoints().recordGeneration(endpoint.id(), tokens, tookMillis);
-            if (gateway.isEnabled(Mechanism.SPEED_SAMPLING)) {
+            if (measuresSpeeds()) {
                 gateway.endpoints().speeds().recordGeneration(endpoint.id(), tokens, tookMillis);
             }
         });
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RoutingReports.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RoutingReports.java
@@ -7,6 +7,7 @@
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.routing.EndpointSpeeds;
 import org.quetzalshunt.core.routing.Registration;
+import org.quetzalshunt.core.routing.SlowPhases;
 
 /**
  * Speeds of endpoints, use of other data centres and bytes sent to them, in the metrics, the log and the state dump.
@@ -25,6 +26,18 @@
                 "quetzalshunt.endpoint.speeds.bounded",
                 "figures in speed reports of peers that were bounded or ignored since the start",
                 () -> gateway.get().endpoints().speeds().boundedReports());
+        metrics.registerGauge(
+                "quetzalshunt.endpoints.slow",
+                "endpoints that new work avoids because their streams are overdue",
+                () -> gateway.get()
+                        .endpoints()
+                        .slowPhases()
+                        .marked(gateway.get().clock().now())
+                        .size());
+        metrics.registerGauge(
+                "quetzalshunt.slow.phases",
+                "slow phases of endpoints that were detected since the start",
+                () -> gateway.get().endpoints().slowPhases().marks());
         metrics.registerGauge(
                 "quetzalshunt.services.spilling",
                 "services whose requests go to other data centres because the local endpoints are full",
@@ -69,8 +82,16 @@
         return endpoint.dataCentre().equals(gateway.settings().dataCentre());
     }
 
-    /** Adds the speed of the endpoint of a request to its log line. */
+    /** Adds the speed of the endpoint of a request to its log line, and whether new work avoids it at its end. */
     static void addTo(ObjectNode line, Gateway gateway, String endpoint) {
+        if (gateway.isEnabled(Mechanism.SLOWDOWN_DETECTION)) {
+            line.put(
+                    "endpointSlow",
+                    gateway.endpoints()
+                            .slowPhases()
+                            .marked(gateway.clock().now())
+                            .contains(endpoint));
+        }
         if (!gateway.isEnabled(Mechanism.SPEED_SAMPLING)) {
             return;
         }
@@ -85,6 +106,11 @@
             ArrayNode services = dump.putArray("spillingServices");
             gateway.endpoints().localFirst().spilling().forEach(services::add);
         }
+        if (gateway.isEnabled(Mechanism.SLOWDOWN_DETECTION)) {
+            ObjectNode slow = dump.putObject("slowEndpointsUsualMillis");
+            SlowPhases phases = gateway.endpoints().slowPhases();
+            phases.marked(gateway.clock().now()).forEach(id -> slow.put(id, Math.round(phases.usualMillis(id))));
+        }
         if (!gateway.isEnabled(Mechanism.SPEED_SAMPLING)) {
             return;
         }
