--- a/core/src/test/java/org/quetzalshunt/core/routing/EngineSimulation.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/EngineSimulation.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.policy.Policy;
 
 /**
@@ -70,9 +71,15 @@
      * @param slowness time per token of each engine, relative to the shape; repeated over all engines
      * @param options parts of load control that are on
      * @param arrivalMillis time in which programs arrive
+     * @param phaseSlowness how many times as long an engine takes in a slow phase
      */
-    record Conditions(List<Double> slowness, RoutingOptions options, long arrivalMillis) {
+    record Conditions(List<Double> slowness, RoutingOptions options, long arrivalMillis, double phaseSlowness) {
         static final Conditions ALIKE = new Conditions(List.of(1.0), RoutingOptions.OFF, ARRIVAL_MILLIS);
+
+        /** Conditions without slow phases. */
+        Conditions(List<Double> slowness, RoutingOptions options, long arrivalMillis) {
+            this(slowness, options, arrivalMillis, 1);
+        }
     }
 
     /**
@@ -82,6 +89,7 @@
      * @param p95TurnMillis 95th percentile of that time, over the turns that arrived after the first quarter
      * @param busiest share of time in which an engine works, of the busiest engine relative to the mean
      * @param slowShare share of turns that ran on an engine slower than the fastest
+     * @param remoteShare share of turns that ran in another data centre than that of their gateway
      * @param tokensRead tokens prefilled by all engines
      * @param queuedShare share of turns that waited for a slot while another engine had one free
      */
@@ -91,11 +99,15 @@
             double queuedShare,
             double p95TurnMillis,
             double busiest,
-            double slowShare) {}
+            double slowShare,
+            double remoteShare) {}
 
     private static final int COMMON_PARTS = 8;
     private static final int TURNS_PER_PROGRAM = 5;
     private static final int TICK_MILLIS = 5;
+    private static final int PHASE_PERIOD_MILLIS = 4_000;
+    private static final int PHASE_MILLIS = 600;
+    private static final int TOKENS_PER_EVENT = 16;
     private static final int PACES_PER_REPORT = 16;
     private static final int ARRIVAL_MILLIS = 20_000;
     private static final double SLOWDOWN_PER_REQUEST = 0.02;
@@ -110,6 +122,7 @@
         long arrivedMillis;
         EndpointTable gateway;
         Selection selection;
+        RunningStream stream;
         double unread;
         double remainingTokens;
         long generated;
@@ -124,6 +137,7 @@
 
     private static final class Engine {
         double slowness;
+        long phaseOffset;
         double busyMillis;
         final PrefixCache memory = new PrefixCache();
         final ArrayDeque<Turn> waiting = new ArrayDeque<>();
@@ -136,6 +150,7 @@
     private final List<Long> turnMillis = new ArrayList<>();
     private final long[] nextPaceMillis;
     private long slowTurns;
+    private long remoteTurns;
     private final List<Engine> engines = new ArrayList<>();
     private final List<EndpointTable> gateways = new ArrayList<>();
     private final PriorityQueue<Turn> arrivals =
@@ -154,6 +169,7 @@
             Engine engine = new Engine();
             engine.slowness =
                     conditions.slowness().get(number % conditions.slowness().size());
+            engine.phaseOffset = random.nextInt(PHASE_PERIOD_MILLIS);
             engines.add(engine);
         }
         for (int gateway = 0; gateway < shape.gateways(); gateway++) {
@@ -206,7 +222,8 @@
                 queued / (double) turns,
                 sorted.get(sorted.size() * 95 / 100),
                 mostBusy / meanBusy,
-                slowTurns / (double) turns);
+                slowTurns / (double) turns,
+                remoteTurns / (double) turns);
     }
 
     private void scheduleArrivals() {
@@ -231,11 +248,17 @@
                 tick(now, engine);
             }
             report(now);
+            if (now % SlowPhases.SWEEP_MILLIS == 0) {
+                for (EndpointTable gateway : gateways) {
+                    gateway.slowPhases().sweep(now);
+                }
+            }
         }
     }
 
     private void send(long now, Turn turn) {
-        turn.gateway = gateways.get(random.nextInt(shape.gateways()));
+        int gateway = random.nextInt(shape.gateways());
+        turn.gateway = gateways.get(gateway);
         RoutingRequest request = new RoutingRequest(
                 "llm",
                 Set.of(),
@@ -245,9 +268,11 @@
                 conditions.options());
         turn.selection = turn.gateway.select(now, request).orElseThrow();
         String id = turn.selection.registration().id();
+        remoteTurns += turn.selection.registration().dataCentre().equals(dataCentre(gateway)) ? 0 : 1;
         turn.gateway.started(id);
         turn.gateway.recordPrompt(id, request, turn.selection.uncachedTokens());
         turn.sentMillis = now;
+        turn.stream = turn.gateway.slowPhases().start(now, id, turn.selection.uncachedTokens(), TOKENS_PER_EVENT);
         turn.generated = 16L + random.nextInt((int) MAXIMUM_GENERATED);
         turn.remainingTokens = turn.generated;
         Engine engine = engines.get(Integer.parseInt(id));
@@ -263,14 +288,15 @@
             admit(engine, engine.waiting.poll());
         }
         engine.busyMillis += engine.running.isEmpty() ? 0 : TICK_MILLIS;
-        double readTokensPerMilli = shape.readTokensPerMilli() / engine.slowness;
+        double slowness = engine.slowness * phaseSlowness(now, engine);
+        double readTokensPerMilli = shape.readTokensPerMilli() / slowness;
         double left = TICK_MILLIS;
         for (Turn turn : engine.running) {
             double tokens = Math.min(turn.unread, left * readTokensPerMilli);
             turn.unread -= tokens;
             left -= tokens / readTokensPerMilli;
         }
-        double stepMillis = shape.stepMillis() * engine.slowness;
+        double stepMillis = shape.stepMillis() * slowness;
         double tokens = left / (stepMillis * (1 + SLOWDOWN_PER_REQUEST * engine.running.size()));
         for (Iterator<Turn> each = engine.running.iterator(); each.hasNext(); ) {
             Turn turn = each.next();
@@ -281,6 +307,11 @@
         }
     }
 
+    private double phaseSlowness(long now, Engine engine) {
+        boolean slow = (now + engine.phaseOffset) % PHASE_PERIOD_MILLIS < PHASE_MILLIS;
+        return slow ? conditions.phaseSlowness() : 1;
+    }
+
     private void admit(Engine engine, Turn turn) {
         turn.unread = engine.memory.uncachedTokens(turn.prompt());
         read += turn.unread;
@@ -297,7 +328,11 @@
             turn.gateway.onFirstEvent(id, turn.selection.uncachedTokens(), tookMillis);
             turn.gateway.speeds().recordFirstEvent(id, turn.selection.uncachedTokens(), 1, tookMillis);
         }
+        long events = (long) (turn.generated - turn.remainingTokens) / TOKENS_PER_EVENT;
         turn.remainingTokens -= tokens;
+        if ((long) (turn.generated - turn.remainingTokens) / TOKENS_PER_EVENT > events) {
+            turn.gateway.slowPhases().onEvents(now, turn.stream);
+        }
         return turn.remainingTokens <= 0;
     }
 
@@ -305,6 +340,7 @@
         String id = turn.selection.registration().id();
         turn.gateway.recordGeneration(id, turn.generated, now - turn.firstEventMillis);
         turn.gateway.speeds().recordGeneration(id, turn.generated, now - turn.firstEventMillis);
+        turn.gateway.slowPhases().end(turn.stream);
         turn.gateway.finished(now, id, AttemptOutcome.ANSWERED, now - turn.sentMillis);
         totalTurnMillis += now - turn.arrivedMillis;
         turns++;
@@ -338,7 +374,7 @@
     }
 
     private Map<String, EndpointPaceReport> takePaces(long now, int one) {
-        if (!conditions.options().speedSampling() || now < nextPaceMillis[one]) {
+        if (!conditions.options().isOn(Mechanism.SPEED_SAMPLING) || now < nextPaceMillis[one]) {
             return Map.of();
         }
         Map<String, EndpointPaceReport> paces = gateways.get(one).speeds().takeChanged(PACES_PER_REPORT);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -92,6 +92,7 @@
     private final ResponseFlow flow;
     private final RequestMemory memory;
     private final Set<String> excluded = new HashSet<>();
+    private final SlowdownWatch watch;
     private Registration endpoint;
     private Selection selection;
     private HttpCall call;
@@ -111,6 +112,7 @@
         this.listener = listener;
         this.flow = new ResponseFlow(gateway, admitted.exchange(), () -> call);
         this.memory = new RequestMemory(gateway, admitted, body);
+        this.watch = new SlowdownWatch(gateway, admitted);
     }
 
     /** Sends the request. May be called again, as a retry, after the attempt before has ended or was cancelled. */
@@ -190,12 +192,14 @@
         sentMillis = now;
         firstSentMillis = firstSentMillis.isPresent() ? firstSentMillis : OptionalLong.of(now);
         attemptCount++;
+        RoutingReports.onSent(gateway, endpoint, body.length);
         excluded.add(endpoint.id());
         gateway.endpoints().started(endpoint.id());
         countedInShares = gateway.shares().started(admitted);
         memory.started(endpoint.id(), request.workTokens());
         gateway.endpoints().recordPrompt(endpoint.id(), request, selection.uncachedTokens());
         prefillDone = false;
+        watch.start(selection);
         startHeadersTimeout();
         call = gateway.http()
                 .send(
@@ -230,8 +234,11 @@
                 maximumInFlight,
                 coldRequestsPerSecond > 0 ? coldRequestsPerSecond : Double.POSITIVE_INFINITY,
                 admitted.homeDataCentres(gateway.settings().regions()));
-        RoutingOptions options = new RoutingOptions(
-                gateway.isEnabled(Mechanism.SPEED_SAMPLING), admitted.route().name());
+        RoutingOptions options = RoutingOptions.of(
+                gateway::isEnabled,
+                admitted.route().name(),
+                (double) admitted.route().targetLatencyMillis(),
+                admitted.program().orElse(""));
         return new RoutingRequest(
                 admitted.service().name(),
                 excluded,
@@ -308,6 +315,11 @@
         return gateway.dialect().isResponseTo(admitted.request().id(), headers);
     }
 
+    /** Records that events of the response arrived. */
+    void markEvents() {
+        watch.onEvents();
+    }
+
     /**
      * Removes the prompt of the current attempt from the endpoint's prefill backlog, because the endpoint has
      * processed it or will not.
@@ -323,6 +335,7 @@
         call = null;
         memory.ended(endpoint.id());
         headersTimeout.cancel(false);
+        watch.end();
         long now = gateway.clock().now();
         markPrefillDone();
         recordPlainTime(now, outcome);
@@ -387,6 +400,7 @@
 
         @Override
         public void onChunk(byte[] data) {
+            RoutingReports.onAnswer(gateway, endpoint, data.length);
             if (isForwarded()) {
                 listener.onData(data);
                 flow.onRead(data.length);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -106,11 +106,13 @@
                 settings,
                 endpoints,
                 new SpeedExchange(endpoints.speeds(), clock, () -> gateway.isEnabled(Mechanism.SPEED_SAMPLING)),
+                () -> gateway.isEnabled(Mechanism.LOCAL_FIRST),
                 clock,
                 log,
                 quotas,
                 () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis(),
-                shares);
+                shares,
+                bytes -> RoutingReports.countPeerBytes(gateway, bytes));
         CrashReporter crashes = new CrashReporter(group.next(), http, store, clock, log, settings);
         TurnHistory history = new TurnHistory(group.next(), store, clock, () -> gateway.isolatedFromStore());
         BudgetManager budgets = new BudgetManager(
@@ -158,6 +160,7 @@
                         () -> gateway != null && gateway.isEnabled(Mechanism.MEMORY_LIMIT)));
         gateway.memory().start(group.next(), links::unreadBytes);
         pipeline = new AdmissionPipeline(gateway, () -> stopping);
+        SlowdownWatch.startSweep(gateway);
         registerGauges(metrics);
         shares.start(group.next(), metrics);
         log.write(log.event("start")
--- a/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/PeerConnections.java
@@ -13,7 +13,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
 import org.quetzalshunt.core.admission.ProgramRequest;
 import org.quetzalshunt.core.dispatch.Dispatcher;
@@ -60,6 +62,7 @@
     private final StoreContacts storeContacts;
     private final LoadBroadcast broadcast;
     private final AccountShareControl shares;
+    private final IntConsumer remoteBytesSent;
     private ChainExchange chains;
     private Dispatcher dispatcher;
     private LinkConnector connector;
@@ -67,20 +70,24 @@
     /**
      * Creates connections that are not started before the shared secret is known.
      *
+     * @param localFirst whether requests stay in this VM's data centre while it has free slots
      * @param owner takes tokens of an account from this VM's share, for peers
      * @param storeAgeMillis time since this VM last reached the store, or {@link #STORE_UNAVAILABLE} while it finds the
      *     store unavailable
+     * @param remoteBytesSent receives the size of each message to a peer in another data centre
      */
     PeerConnections(
             EventLoopGroup group,
             GatewaySettings settings,
             EndpointTable endpoints,
             SpeedExchange speeds,
+            BooleanSupplier localFirst,
             NodeClock clock,
             DecisionLog log,
             TokenExchange.Owner owner,
             LongSupplier storeAgeMillis,
-            AccountShareControl shares) {
+            AccountShareControl shares,
+            IntConsumer remoteBytesSent) {
         this.group = group;
         this.executor = group.next();
         this.settings = settings;
@@ -89,10 +96,19 @@
         this.clock = clock;
         this.log = log;
         this.tokens = new TokenExchange(executor, owner);
+        this.remoteBytesSent = remoteBytesSent;
         this.storeContacts = new StoreContacts(clock);
         this.shares = shares;
         this.broadcast = new LoadBroadcast(
-                executor, clock, settings.dataCentre(), endpoints, speeds, storeAgeMillis, this::openLinks, shares);
+                executor,
+                clock,
+                settings.dataCentre(),
+                endpoints,
+                speeds,
+                localFirst,
+                storeAgeMillis,
+                this::openLinks,
+                shares);
     }
 
     /** Sets the receiver of messages about turns and budgets; must be called before the start. */
@@ -184,6 +200,9 @@
     public void onOpen(PeerLink link) {
         links.computeIfAbsent(link.remote().id().name(), ignored -> new ArrayDeque<>())
                 .addFirst(link);
+        if (!link.remote().dataCentre().equals(settings.dataCentre())) {
+            link.onSentBytes(remoteBytesSent);
+        }
         log.write(log.event("link-open").put("peer", link.remote().id().toString()));
     }
 
