No second report of a prefix location while local-first is off

Cause: the program of a request was passed on with load control off too, so a prompt part that a second program used was reported to peers again.

Change: routing options carry the program only with LOCAL_FIRST on.

--- a/core/src/main/java/org/quetzalshunt/core/routing/RoutingOptions.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/RoutingOptions.java
@@ -11,7 +11,7 @@
  * @param enabled the parts of endpoint selection that are on
  * @param route route of the request, by which the usual time of requests without a prompt is learnt
  * @param objectiveMillis latency objective of the request; infinite if it has none
- * @param program program that the request belongs to; empty if unknown
+ * @param program program that the request belongs to; empty if unknown or if {@link Mechanism#LOCAL_FIRST} is off
  */
 public record RoutingOptions(Set<Mechanism> enabled, String route, double objectiveMillis, String program) {
     /** All parts are off. */
@@ -25,7 +25,9 @@
             Predicate<Mechanism> isEnabled, String route, double objectiveMillis, String program) {
         EnumSet<Mechanism> enabled = EnumSet.noneOf(Mechanism.class);
         PARTS.stream().filter(isEnabled).forEach(enabled::add);
-        return new RoutingOptions(enabled, route, objectiveMillis, program);
+        // Without it, prefix locations are reported as if programs were unknown.
+        String knownProgram = enabled.contains(Mechanism.LOCAL_FIRST) ? program : "";
+        return new RoutingOptions(enabled, route, objectiveMillis, knownProgram);
     }
 
     boolean isOn(Mechanism part) {
--- a/core/src/test/java/org/quetzalshunt/core/routing/LocalFirstTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/routing/LocalFirstTest.java
@@ -114,4 +114,13 @@
                 .containsExactly(
                         new PrefixLocation("a0", shared), new PrefixLocation("a0", new PrefixPart("two", 500)));
     }
+
+    /** Guards against additional reports of prefix locations in deployments that do not use load control. */
+    @Test
+    void partOfASecondProgramIsNotReportedAgainWhileOff() {
+        table.recordPrompt("a0", request(1_000, "one", Set.of()), 0);
+        table.takeNewLocations();
+        table.recordPrompt("a0", request(1_000, "two", Set.of()), 0);
+        assertThat(table.takeNewLocations()).containsExactly(new PrefixLocation("a0", new PrefixPart("two", 500)));
+    }
 }
