--- a/core/src/main/java/org/quetzalshunt/core/admission/StartSearch.java
+++ b/core/src/main/java/org/quetzalshunt/core/admission/StartSearch.java
@@ -86,7 +86,13 @@
             listener.accept(new TokenSearch.Result.OverQuota(shortestWaitMillis));
             return;
         }
-        requester.request(holders.get(bestIndex), maximumReturnMillis, offer -> listener.accept(result(offer)));
+        requester.request(holders.get(bestIndex), maximumReturnMillis, offer -> {
+            if (offer.equals(TokenOffer.RUNNING)) {
+                runningListener.run();
+                return;
+            }
+            listener.accept(result(offer));
+        });
     }
 
     private TokenSearch.Result result(TokenOffer offer) {
--- a/core/src/main/java/org/quetzalshunt/core/dispatch/FreeSlots.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/FreeSlots.java
@@ -39,6 +39,9 @@
     /** Part of its room that stays with programs in progress, in standard deviations of the number that return. */
     private static final double RESERVE_DEVIATIONS = 1;
 
+    /** Part of the free slots that one gateway may take at once while there is no shortage. */
+    private static final double UNLIMITED_PART = 0.25;
+
     /** Credits that a gateway holds while there are enough slots: programs of one caller start together. */
     private static final double MINIMUM_CREDITS = 3;
 
@@ -76,7 +79,8 @@
     void update(
             long nowMillis, ServiceUse use, int liveVms, ProgramForecast forecast, int ownWaiting, long peersWaiting) {
         int heardVms = use.reportingPeers() + 1;
-        slots = (int) Math.floor(use.slots() * knownPart(heardVms, liveVms));
+        // At least one slot while endpoints are known: 0 means that none is, and then nothing waits.
+        slots = use.slots() == 0 ? 0 : Math.max(1, (int) Math.floor(use.slots() * knownPart(heardVms, liveVms)));
         double inFlight = use.ownInFlight() + use.peersInFlight() + notYetInFlight(nowMillis);
         long elapsed = Math.max(0, nowMillis - updatedMillis);
         updatedMillis = nowMillis;
@@ -129,8 +133,15 @@
         credits = Math.min(maximumCredits, credits + elapsed * perMilli);
     }
 
-    /** Takes the credit for one first turn; false if there is none. */
+    /**
+     * Takes the credit for one first turn; false if there is none. Without a shortage, a small part of the free slots
+     * can be taken at once, so that the programs that a caller starts together don't wait on an idle fleet.
+     */
     boolean take(long nowMillis) {
+        if (!shortage && notYetInFlight(nowMillis) < UNLIMITED_PART * free) {
+            spend(nowMillis, Math.max(0, Math.min(1, credits)));
+            return true;
+        }
         if (credits < 1) {
             return false;
         }
--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -61,62 +61,72 @@
      * An account's quota admits whole programs: the first turn is admitted only if the quota covers the requests that
      * its program is expected to send. Without it: if there is one token. Part of load control.
      */
-    PROGRAM_ADMISSION(true),
+    PROGRAM_ADMISSION(Activation.LOAD_CONTROL),
     /**
      * First turns of programs wait at the gateway, in order of urgency and slack, until an endpoint has a free slot.
      * Without it: in the queues of the endpoints. Part of load control.
      */
-    DISPATCH_QUEUE(true),
+    DISPATCH_QUEUE(Activation.LOAD_CONTROL),
     /**
      * Engines rank all requests alike, since the gateways send first turns in order of urgency and slack; by route and
      * account only while far more requests are in flight than there are slots. Has an effect only with {@link
      * #DISPATCH_QUEUE}. Without it: always by route and account. Part of load control.
      */
-    SLACK_PRIORITY(true),
+    SLACK_PRIORITY(Activation.LOAD_CONTROL),
     /**
      * While a service is short of capacity, accounts that use more than their share wait or are refused first. Without
      * it: only their quotas limit them. Part of load control.
      */
-    ACCOUNT_SHARES(true),
+    ACCOUNT_SHARES(Activation.LOAD_CONTROL),
     /**
      * Samples endpoints in proportion to their free speed, which gateways report to each other. Without it: all
      * endpoints alike. Part of load control.
      */
-    SPEED_SAMPLING(true),
+    SPEED_SAMPLING(Activation.LOAD_CONTROL),
     /**
      * Avoids an endpoint whose events are overdue for as long as its slow phases last. Without it: it is avoided only
      * after failures. Part of load control.
      */
-    SLOWDOWN_DETECTION(true),
+    SLOWDOWN_DETECTION(Activation.LOAD_CONTROL),
     /**
      * Sends work to the VM's own data centre while that has free capacity. Without it: to any data centre whose
      * endpoint is expected to answer sooner. Part of load control.
      */
-    LOCAL_FIRST(true),
+    LOCAL_FIRST(Activation.LOAD_CONTROL),
     /**
      * Limits what is held in memory for callers, endpoints and peers. Without it: the memory is not limited. Part of
      * load control.
      */
-    MEMORY_LIMIT(true),
-    /**
-     * Continues a stream that broke at another endpoint where its route allows that. Without it: the response ends.
-     * Part of load control.
-     */
-    STREAM_RESUME(true);
+    MEMORY_LIMIT(Activation.LOAD_CONTROL);
+
+    /** When a mechanism has an effect. */
+    private enum Activation {
+        /** In every deployment. */
+        ALWAYS,
+        /** In deployments whose settings or routes call for load control. */
+        LOAD_CONTROL,
+        /** In deployments under load control whose operators request it by its name. */
+        LOAD_CONTROL_ON_REQUEST
+    }
 
-    private final boolean partOfLoadControl;
+    private final Activation activation;
 
     Mechanism() {
-        this(false);
+        this(Activation.ALWAYS);
     }
 
-    Mechanism(boolean partOfLoadControl) {
-        this.partOfLoadControl = partOfLoadControl;
+    Mechanism(Activation activation) {
+        this.activation = activation;
     }
 
     /** Whether the mechanism has an effect only in deployments whose settings or routes call for load control. */
     public boolean isPartOfLoadControl() {
-        return partOfLoadControl;
+        return activation != Activation.ALWAYS;
+    }
+
+    /** Whether operators have to request the mechanism by its name. */
+    public boolean isOnRequest() {
+        return activation == Activation.LOAD_CONTROL_ON_REQUEST;
     }
 
     /** Name on the command line: lower case, with hyphens. */
--- a/core/src/main/java/org/quetzalshunt/core/policy/Policy.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Policy.java
@@ -24,6 +24,20 @@
         return new Policy(enabled);
     }
 
+    /**
+     * A policy with the mechanisms that need no request, changed by names on the command line.
+     *
+     * @param with mechanisms that are enabled in any case
+     * @param without mechanisms that are not enabled in any case; they override the others
+     */
+    public static Policy of(Collection<Mechanism> with, Collection<Mechanism> without) {
+        Set<Mechanism> enabled = EnumSet.allOf(Mechanism.class);
+        enabled.removeIf(Mechanism::isOnRequest);
+        enabled.addAll(with);
+        enabled.removeAll(without);
+        return new Policy(enabled);
+    }
+
     /** Whether a mechanism is enabled. */
     public boolean isEnabled(Mechanism mechanism) {
         return enabled.contains(mechanism);
--- a/core/src/test/java/org/quetzalshunt/core/policy/PolicyTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/policy/PolicyTest.java
@@ -22,6 +22,17 @@
         }
     }
 
+    // A mechanism that operators did not request must not take effect with the next release.
+    @ParameterizedTest
+    @EnumSource(Mechanism.class)
+    void mechanismsOnRequestNeedTheirName(Mechanism mechanism) {
+        assertThat(Policy.of(List.of(), List.of()).isEnabled(mechanism)).isEqualTo(!mechanism.isOnRequest());
+        assertThat(Policy.of(List.of(mechanism), List.of()).isEnabled(mechanism))
+                .isTrue();
+        assertThat(Policy.of(List.of(mechanism), List.of(mechanism)).isEnabled(mechanism))
+                .isFalse();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "PREFIX_AFFINITY", "prefix_affinity", "prefix-affinity ", "everything"})
     void unknownNameIsRejected(String flag) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -194,7 +194,29 @@
             return;
         }
         // A slot first: no token is taken for a request that has no slot.
-        gateway.starts().await(gateway, admitted, () -> runWithToken(received, admitted));
+        long offeredMillis = gateway.clock().now();
+        gateway.starts().await(gateway, admitted, () -> runWithSlot(received, admitted, offeredMillis));
+    }
+
+    /** Repeats the checks if the request waited for its slot: its key may have been withdrawn meanwhile. */
+    private void runWithSlot(ReceivedRequest received, AdmittedRequest admitted, long offeredMillis) {
+        if (gateway.clock().now() > offeredMillis && isOutdated(admitted)) {
+            gateway.starts().onNotSent(gateway, admitted);
+            resume(received);
+            return;
+        }
+        runWithToken(received, admitted);
+    }
+
+    private boolean isOutdated(AdmittedRequest admitted) {
+        boolean sameConfiguration = gateway.configuration()
+                .current()
+                .filter(current -> current.version() == admitted.configurationVersion())
+                .isPresent();
+        return !sameConfiguration
+                || !isCurrent()
+                || needsUnavailableStore(admitted)
+                || exhaustedBudget(admitted).isPresent();
     }
 
     private void runWithToken(ReceivedRequest received, AdmittedRequest admitted) {
@@ -255,6 +277,7 @@
     private void run(AdmittedRequest admitted) {
         admitted.timeline().markReached(RequestTimeline.Step.TOKEN);
         if (admitted.exchange().finished()) {
+            gateway.starts().onNotSent(gateway, admitted);
             ResultReporter.logDisconnected(gateway, admitted, Optional.empty());
             return;
         }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -346,7 +346,7 @@
         }
         gateway.metrics().countAttempt(endpointOutcome.name().toLowerCase(Locale.ROOT));
         if (outcome == AttemptOutcome.ANSWERED) {
-            gateway.starts().onTurnEnded(gateway, admitted, now - sentMillis);
+            gateway.starts().onTurnEnded(gateway, admitted, now - sentMillis - flow.pausedMillis());
         }
     }
 
