Slow readers: progress in steps, pauses of the process, overhead of writes; parts on request

Cause: a reviewer measured that the system reports a steady reader's progress only every 3 to 6 s at 20 KB/s, so that such callers were disconnected; small writes were accounted without their buffers; an engine seemed full when peers had requests there and this VM none.

--- a/core/src/main/java/org/quetzalshunt/core/memory/ReadProgress.java
+++ b/core/src/main/java/org/quetzalshunt/core/memory/ReadProgress.java
@@ -5,9 +5,16 @@
  * its deadline or, after the response is complete, for as long as its connection stays open.
  */
 public final class ReadProgress {
-    /** Time without any progress after which a caller is disconnected. */
+    /** Time after which a caller that has read nothing at all is disconnected. */
     public static final long LIMIT_MILLIS = 2_000;
 
+    /**
+     * Time without progress after which a caller that has read something is disconnected. The operating system reports
+     * progress in large steps: a caller that reads 20 KB per second all the time makes one in three to six seconds.
+     */
+    public static final long PROGRESS_LIMIT_MILLIS = 6_000;
+
+    private boolean progressed;
     private Object firstUnread;
     private long firstUnreadOffset;
     private long sinceMillis;
@@ -21,6 +28,16 @@
         firstUnread = null;
         firstUnreadOffset = 0;
         sinceMillis = nowMillis;
+        progressed = false;
+    }
+
+    /**
+     * Excludes a time in which this process did not run, since it could not see the caller read.
+     *
+     * @param millis length of the pause
+     */
+    public void skip(long millis) {
+        sinceMillis += millis;
     }
 
     /**
@@ -35,6 +52,7 @@
             firstUnread = unread;
             firstUnreadOffset = offset;
             sinceMillis = first ? sinceMillis : nowMillis;
+            progressed |= !first;
         }
     }
 
@@ -43,8 +61,8 @@
         return nowMillis - sinceMillis;
     }
 
-    /** Whether the caller has read nothing for longer than the limit. */
+    /** Whether the caller has made no progress for longer than the limit. */
     public boolean isTooSlow(long nowMillis) {
-        return stalledMillis(nowMillis) > LIMIT_MILLIS;
+        return stalledMillis(nowMillis) > (progressed ? PROGRESS_LIMIT_MILLIS : LIMIT_MILLIS);
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
+++ b/core/src/main/java/org/quetzalshunt/core/policy/Mechanism.java
@@ -66,33 +66,33 @@
      * First turns of programs wait at the gateway, in order of urgency and slack, until an endpoint has a free slot.
      * Without it: in the queues of the endpoints. Part of load control.
      */
-    DISPATCH_QUEUE(Activation.LOAD_CONTROL),
+    DISPATCH_QUEUE(Activation.LOAD_CONTROL_ON_REQUEST),
     /**
      * Engines rank all requests alike, since the gateways send first turns in order of urgency and slack; by route and
      * account only while far more requests are in flight than there are slots. Has an effect only with {@link
      * #DISPATCH_QUEUE}. Without it: always by route and account. Part of load control.
      */
-    SLACK_PRIORITY(Activation.LOAD_CONTROL),
+    SLACK_PRIORITY(Activation.LOAD_CONTROL_ON_REQUEST),
     /**
      * While a service is short of capacity, accounts that use more than their share wait or are refused first. Without
      * it: only their quotas limit them. Part of load control.
      */
-    ACCOUNT_SHARES(Activation.LOAD_CONTROL),
+    ACCOUNT_SHARES(Activation.LOAD_CONTROL_ON_REQUEST),
     /**
      * Samples endpoints in proportion to their free speed, which gateways report to each other. Without it: all
      * endpoints alike. Part of load control.
      */
-    SPEED_SAMPLING(Activation.LOAD_CONTROL),
+    SPEED_SAMPLING(Activation.LOAD_CONTROL_ON_REQUEST),
     /**
      * Avoids an endpoint whose events are overdue for as long as its slow phases last. Without it: it is avoided only
      * after failures. Part of load control.
      */
-    SLOWDOWN_DETECTION(Activation.LOAD_CONTROL),
+    SLOWDOWN_DETECTION(Activation.LOAD_CONTROL_ON_REQUEST),
     /**
      * Sends work to the VM's own data centre while that has free capacity. Without it: to any data centre whose
      * endpoint is expected to answer sooner. Part of load control.
      */
-    LOCAL_FIRST(Activation.LOAD_CONTROL),
+    LOCAL_FIRST(Activation.LOAD_CONTROL_ON_REQUEST),
     /**
      * Limits what is held in memory for callers, endpoints and peers. Without it: the memory is not limited. Part of
      * load control.
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointRow.java
@@ -29,6 +29,9 @@
      */
     private static final double PEER_RATE_WEIGHT = 0.7;
 
+    /** Weight of the newest request in the mean number of tokens, which covers about the last twenty requests. */
+    private static final double WORK_TOKENS_WEIGHT = 0.05;
+
     private static final long INITIAL_EJECTION_MILLIS = 300;
     private static final long MAXIMUM_EJECTION_MILLIS = 4_000;
 
@@ -42,6 +45,9 @@
     /** Tokens of prompt and maximum output of this VM's requests in flight. */
     long workTokens;
 
+    /** Mean tokens of this VM's requests here, by which those of peers are estimated. */
+    private double meanWorkTokens;
+
     double latencyMillis;
     /** Prompt tokens sent to the endpoint by this VM that it has not prefilled yet. */
     long prefillBacklogTokens;
@@ -75,13 +81,22 @@
         return Math.max(1, registration.slots());
     }
 
+    /** Adds the tokens of a request that starts, or subtracts those of one that ends. */
+    void addWork(long tokens) {
+        workTokens = Math.max(0, workTokens + tokens);
+        if (tokens > 0) {
+            meanWorkTokens =
+                    meanWorkTokens == 0 ? tokens : meanWorkTokens + WORK_TOKENS_WEIGHT * (tokens - meanWorkTokens);
+        }
+    }
+
     /**
      * Whether another request fits into the endpoint beside those in flight. The tokens of peers' requests are not
      * known; they are assumed to be the mean of this VM's.
      */
     boolean canHold(long tokens, long capacityTokens) {
-        long meanTokens = inFlight > 0 ? workTokens / inFlight : tokens;
-        return workTokens + peersInFlight * meanTokens + tokens <= capacityTokens;
+        double peersMean = meanWorkTokens > 0 ? meanWorkTokens : tokens;
+        return workTokens + peersInFlight * peersMean + tokens <= capacityTokens;
     }
 
     void recordSuccess(long nowMillis, long tookMillis) {
--- a/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/routing/EndpointTable.java
@@ -191,7 +191,7 @@
 
     /** Adds the tokens of prompt and maximum output of a request that starts; a negative number when it ends. */
     public void addWork(String id, long tokens) {
-        rows.find(id).ifPresent(row -> row.workTokens = Math.max(0, row.workTokens + tokens));
+        rows.find(id).ifPresent(row -> row.addWork(tokens));
     }
 
     /** Records the end of an attempt at an endpoint. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -352,6 +352,7 @@
 
     private void recordPlainTime(long now, AttemptOutcome outcome) {
         if (outcome == AttemptOutcome.ANSWERED
+                && !flow.wasBlocked()
                 && admitted.request().prefixParts().isEmpty()
                 && gateway.isEnabled(Mechanism.SPEED_SAMPLING)) {
             gateway.endpoints()
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResponseFlow.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResponseFlow.java
@@ -12,6 +12,9 @@
 
 /** Reads a response from its endpoint at the pace at which the caller reads it. */
 final class ResponseFlow {
+    /** Shorter pauses occur with each response that is larger than the write watermark. */
+    private static final long NOTABLE_PAUSE_MILLIS = 100;
+
     private final Gateway gateway;
     private final Supplier<HttpCall> call;
     private final ReadPacing pacing = new ReadPacing();
@@ -75,9 +78,9 @@
         return fault && wasBlocked() ? AttemptOutcome.NEUTRAL : outcome;
     }
 
-    /** Whether the response was held back at some time. */
+    /** Whether the response was held back for a time that can explain a failure. */
     boolean wasBlocked() {
-        return pausedMillis() > 0 || pacing.isBlocked();
+        return pausedMillis() >= NOTABLE_PAUSE_MILLIS || pacing.isBlocked();
     }
 
     /** Time in which the response was held back. */
--- a/server/src/main/java/org/quetzalshunt/server/http/CallerMemory.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/CallerMemory.java
@@ -29,12 +29,16 @@
 
     private static final long CHECK_INTERVAL_MILLIS = 100;
 
+    /** A check that is later than this shows that the process was paused, and not that callers stopped reading. */
+    private static final long MAXIMUM_DELAY_MILLIS = 300;
+
     private final Optional<MemoryBudget> budget;
     private final BooleanSupplier enabled;
     private final BooleanSupplier admitsConnection;
     private final Listener listener;
     private final Set<ConnectionMemory> unread = new LinkedHashSet<>();
     private boolean checkScheduled;
+    private long checkDueMillis;
     private boolean reliefScheduled;
 
     private CallerMemory(
@@ -136,6 +140,7 @@
             return;
         }
         checkScheduled = true;
+        checkDueMillis = nowMillis() + CHECK_INTERVAL_MILLIS;
         executor.schedule(() -> check(executor), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -143,7 +148,11 @@
         checkScheduled = false;
         long now = nowMillis();
         boolean limited = isEnabled();
+        long pauseMillis = now - checkDueMillis;
         for (ConnectionMemory connection : List.copyOf(unread)) {
+            if (pauseMillis > MAXIMUM_DELAY_MILLIS) {
+                connection.skip(pauseMillis);
+            }
             connection.checkProgress(now, limited);
         }
         scheduleCheck(executor);
--- a/server/src/main/java/org/quetzalshunt/server/http/ConnectionMemory.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/ConnectionMemory.java
@@ -12,6 +12,9 @@
 
 /** Memory held for one connection of a caller, and the caller's progress in reading its responses. */
 final class ConnectionMemory {
+    /** Memory of the buffers and promises of one write that is not accepted yet, beside its data. */
+    private static final long WRITE_OVERHEAD_BYTES = 512;
+
     private final CallerMemory memory;
     private final ReadProgress progress = new ReadProgress();
     private Channel channel;
@@ -70,14 +73,15 @@
     }
 
     private void holdUntilWritten(ChannelFuture written, long bytes) {
-        holder.hold(MemoryUse.RESPONSES, bytes);
+        long held = bytes + WRITE_OVERHEAD_BYTES;
+        holder.hold(MemoryUse.RESPONSES, held);
         if (unreadWrites == 0) {
             progress.start(CallerMemory.nowMillis());
             memory.watch(this, channel.eventLoop());
         }
         unreadWrites++;
         written.addListener(done -> {
-            holder.release(MemoryUse.RESPONSES, bytes);
+            holder.release(MemoryUse.RESPONSES, held);
             unreadWrites--;
             if (unreadWrites == 0) {
                 memory.unwatch(this);
@@ -91,6 +95,11 @@
         memory.relieve();
     }
 
+    /** Excludes a pause of this process from the time without progress. */
+    void skip(long millis) {
+        progress.skip(millis);
+    }
+
     void checkProgress(long nowMillis, boolean limited) {
         ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
         if (pending == null) {
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -20,10 +20,10 @@
     private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
 
     /**
-     * Send buffer of a connection while memory is limited: enough for 64 MB/s at a round trip of 2 ms. The system's
+     * Send buffer of a connection while memory is limited: enough for 16 MB/s at a round trip of 2 ms. The system's
      * buffers grow to megabytes for each caller that does not read, and count as memory of the VM.
      */
-    private static final int LIMITED_SEND_BUFFER_BYTES = 128 * 1024;
+    private static final int LIMITED_SEND_BUFFER_BYTES = 32 * 1024;
 
     private final Channel channel;
     private final Set<Channel> connections;
