--- a/core/src/main/java/org/quetzalshunt/core/admission/AccountAdmission.java
+++ b/core/src/main/java/org/quetzalshunt/core/admission/AccountAdmission.java
@@ -28,10 +28,13 @@
     private long refusedMillis = Long.MIN_VALUE / 2;
     private boolean refusing;
 
-    /** Begins with the tokens that the share has now. */
+    /**
+     * Begins with a burst in the start bucket. A share that was just acquired, after its owner was lost, has no tokens; a start
+     * bucket as empty as the share would refuse an account's programs until it has earned the tokens of a whole one.
+     */
     AccountAdmission(long nowMillis, TokenBucket share) {
         this.share = share;
-        this.startBucket = new StartBucket(nowMillis, share.tokens(nowMillis));
+        this.startBucket = new StartBucket(nowMillis, share.capacity());
         this.recent = new RecentStarts(nowMillis);
     }
 
