--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -81,8 +81,8 @@
         TrafficConfiguration configuration = current.get();
         Optional<Route> route = configuration.routes().find(request.host(), request.path());
         boolean keyless = route.filter(Route::keyless).isPresent();
-        if (!isCurrent() && configuration.keysRequired() && !keyless) {
-            if (!awaitRecovery(received, this::isCurrent)) {
+        if (!AdmissionChecks.isCurrent(gateway) && configuration.keysRequired() && !keyless) {
+            if (!awaitRecovery(received, () -> AdmissionChecks.isCurrent(gateway))) {
                 refuse(
                         received,
                         refusalWithRetry(received, ResultCode.CONFIGURATION_STALE, "the configuration is too old"));
@@ -108,10 +108,6 @@
         admit(received, configuration, route.get(), account);
     }
 
-    private boolean isCurrent() {
-        return gateway.configuration().ageMillis() < gateway.settings().maximumKeyAgeMillis();
-    }
-
     /**
      * Queues a request until an outage that affects all VMs ends, for part of the caller's timeout. Returns false when
      * that time is used up, or when a retry at another VM is more likely to succeed.
@@ -170,7 +166,7 @@
             ResultReporter.refuse(gateway, admitted, refusal, Optional.empty());
             return;
         }
-        if (needsUnavailableStore(admitted)) {
+        if (AdmissionChecks.needsUnavailableStore(gateway, admitted)) {
             // Without the store, the turn could not get a token grant or be stored after its run, so its work would be
             // lost.
             if (!awaitRecovery(received, () -> !gateway.store().isUnavailable())) {
@@ -179,7 +175,7 @@
             }
             return;
         }
-        Optional<BudgetManager.Verdict.Exhausted> exhausted = exhaustedBudget(admitted);
+        Optional<BudgetManager.Verdict.Exhausted> exhausted = AdmissionChecks.exhaustedBudget(gateway, admitted);
         if (exhausted.isPresent()) {
             // Checked before a rate token is taken: a program that loops on its exhausted budget must not use up the
             // rate of its account.
@@ -200,7 +196,7 @@
 
     /** Repeats the checks if the request waited for its slot: its key may have been withdrawn meanwhile. */
     private void runWithSlot(ReceivedRequest received, AdmittedRequest admitted, long offeredMillis) {
-        if (gateway.clock().now() > offeredMillis && isOutdated(admitted)) {
+        if (gateway.clock().now() > offeredMillis && AdmissionChecks.isOutdated(gateway, admitted)) {
             gateway.starts().onNotSent(gateway, admitted);
             resume(received);
             return;
@@ -208,17 +204,6 @@
         runWithToken(received, admitted);
     }
 
-    private boolean isOutdated(AdmittedRequest admitted) {
-        boolean sameConfiguration = gateway.configuration()
-                .current()
-                .filter(current -> current.version() == admitted.configurationVersion())
-                .isPresent();
-        return !sameConfiguration
-                || !isCurrent()
-                || needsUnavailableStore(admitted)
-                || exhaustedBudget(admitted).isPresent();
-    }
-
     private void runWithToken(ReceivedRequest received, AdmittedRequest admitted) {
         if (admitted.account().isEmpty()) {
             run(admitted);
@@ -258,22 +243,6 @@
         gateway.executor().schedule(() -> run(admitted), waitMillis, TimeUnit.MILLISECONDS);
     }
 
-    private boolean needsUnavailableStore(AdmittedRequest admitted) {
-        if (!gateway.store().isUnavailable()) {
-            return false;
-        }
-        return admitted.keepsHistory()
-                || admitted.budgetedProgram()
-                        .filter(program -> !gateway.budgets()
-                                .canGrantLocally(program, admitted.maximumTokens(), admitted.recordRetentionMillis()))
-                        .isPresent();
-    }
-
-    private Optional<BudgetManager.Verdict.Exhausted> exhaustedBudget(AdmittedRequest admitted) {
-        return admitted.budgetedProgram().flatMap(program -> gateway.budgets()
-                .knownExhausted(program, admitted.request().tokenBudget().getAsLong(), admitted.maximumTokens()));
-    }
-
     private void run(AdmittedRequest admitted) {
         admitted.timeline().markReached(RequestTimeline.Step.TOKEN);
         if (admitted.exchange().finished()) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -12,12 +12,10 @@
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
-import org.quetzalshunt.core.route.EngineCapacity;
 import org.quetzalshunt.core.route.RequestKind;
 import org.quetzalshunt.core.routing.AttemptOutcome;
 import org.quetzalshunt.core.routing.EndpointLimits;
 import org.quetzalshunt.core.routing.Registration;
-import org.quetzalshunt.core.routing.RoutingOptions;
 import org.quetzalshunt.core.routing.RoutingRequest;
 import org.quetzalshunt.core.routing.Selection;
 import org.quetzalshunt.server.http.CallTimeouts;
@@ -79,12 +77,6 @@
      */
     private static final double HEADERS_TIMEOUT_TARGETS = 2;
 
-    /**
-     * Share of the request rate of a cold endpoint that all VMs together use. The rest is a margin, since VMs may
-     * disagree on the number of live VMs.
-     */
-    private static final double COLD_RATE_SHARE = 0.5;
-
     private final Gateway gateway;
     private final AdmittedRequest admitted;
     private final byte[] body;
@@ -181,7 +173,7 @@
             refuse(Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, "no time left"));
             return;
         }
-        RoutingRequest request = routingRequest();
+        RoutingRequest request = RoutingRequests.of(gateway, admitted, excluded, memory);
         Optional<Selection> selected = gateway.endpoints().select(now, request);
         if (selected.isEmpty()) {
             onNoEndpoint(remainingMillis, request.limits());
@@ -221,34 +213,6 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    private RoutingRequest routingRequest() {
-        int liveVms = Math.max(1, gateway.quotas().liveVms());
-        int maximumInFlight = Math.max(2, admitted.service().maximumConnections() / liveVms);
-        long cacheTokens = admitted.service()
-                .engine()
-                .map(EngineCapacity::cacheTokens)
-                .filter(tokens -> tokens > 0)
-                .orElse(Long.MAX_VALUE);
-        double coldRequestsPerSecond = COLD_RATE_SHARE * admitted.service().coldRequestsPerSecond() / liveVms;
-        EndpointLimits limits = new EndpointLimits(
-                maximumInFlight,
-                coldRequestsPerSecond > 0 ? coldRequestsPerSecond : Double.POSITIVE_INFINITY,
-                admitted.homeDataCentres(gateway.settings().regions()));
-        RoutingOptions options = RoutingOptions.of(
-                gateway::isEnabled,
-                admitted.route().name(),
-                (double) admitted.route().targetLatencyMillis(),
-                admitted.program().orElse(""));
-        return new RoutingRequest(
-                admitted.service().name(),
-                excluded,
-                admitted.request().prefixParts(),
-                cacheTokens,
-                limits,
-                options,
-                memory.workTokens(cacheTokens));
-    }
-
     private void onNoEndpoint(long remainingMillis, EndpointLimits limits) {
         switch (gateway.endpoints().availability(admitted.service().name(), limits)) {
             case EVACUATED ->
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -11,7 +11,6 @@
 import org.quetzalshunt.core.quota.VmLease;
 import org.quetzalshunt.core.route.TrafficConfiguration;
 import org.quetzalshunt.core.routing.EndpointTable;
-import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.SharedMap;
 import org.quetzalshunt.server.http.HttpClient;
 import org.quetzalshunt.server.http.HttpExchange;
@@ -161,7 +160,7 @@
         gateway.memory().start(group.next(), links::unreadBytes);
         pipeline = new AdmissionPipeline(gateway, () -> stopping);
         SlowdownWatch.startSweep(gateway);
-        registerGauges(metrics);
+        GatewayGauges.register(gateway);
         shares.start(group.next(), metrics);
         log.write(log.event("start")
                 .put("incarnation", settings.incarnation())
@@ -177,32 +176,6 @@
                         clock::detectJump, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void registerGauges(GatewayMetrics metrics) {
-        metrics.registerGauge(
-                "quetzalshunt.configuration.age.millis",
-                "age of the proof that the configuration is current",
-                () -> gateway.configuration().ageMillis());
-        metrics.registerGauge(
-                "quetzalshunt.registrations.age.millis",
-                "time since the endpoints' registrations were read",
-                () -> gateway.registrations().ageMillis());
-        metrics.registerGauge("quetzalshunt.endpoints", "endpoints believed in", () -> gateway.endpoints()
-                .ids()
-                .size());
-        metrics.registerGauge(
-                "quetzalshunt.evacuated.data.centres",
-                "data centres that operators evacuate",
-                () -> gateway.evacuations().ageMillis().size());
-        metrics.registerGauge(
-                "quetzalshunt.connections.opened",
-                "connections opened to endpoints and to the platform since the start",
-                () -> gateway.http().connectionsOpened());
-        RoutingReports.registerGauges(metrics, () -> gateway);
-        gateway.starts().registerGauges(metrics);
-        metrics.registerGauge("quetzalshunt.vms", "gateways believed to be live", () -> gateway.quotas()
-                .liveVms());
-    }
-
     private void listen() {
         callers = HttpServer.start(
                 group,
@@ -310,23 +283,4 @@
         fleet.stop();
         group.next().schedule(() -> stopped.complete(null), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
-
-    /** Passes the records of the fleet to the components that use them. */
-    private record FleetEvents(QuotaManager quotas, PeerConnections links, CrashReporter crashes)
-            implements FleetFollower.Listener {
-        @Override
-        public void onFleetRead() {
-            quotas.onFleetRead();
-        }
-
-        @Override
-        public void onSecret(byte[] secret) {
-            links.start(secret);
-        }
-
-        @Override
-        public void onCrashReport(MapEntry entry) {
-            crashes.onCrashReport(entry);
-        }
-    }
 }
