--- a/core/src/main/java/org/quetzalshunt/core/dispatch/FreeSlots.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/FreeSlots.java
@@ -39,9 +39,6 @@
     /** Part of its room that stays with programs in progress, in standard deviations of the number that return. */
     private static final double RESERVE_DEVIATIONS = 1;
 
-    /** Part of the free slots that one gateway may take at once while there is no shortage. */
-    private static final double UNLIMITED_PART = 0.25;
-
     /** Credits that a gateway holds while there are enough slots: programs of one caller start together. */
     private static final double MINIMUM_CREDITS = 3;
 
@@ -133,15 +130,8 @@
         credits = Math.min(maximumCredits, credits + elapsed * perMilli);
     }
 
-    /**
-     * Takes the credit for one first turn; false if there is none. Without a shortage, a small part of the free slots
-     * can be taken at once, so that the programs that a caller starts together don't wait on an idle fleet.
-     */
+    /** Takes the credit for one first turn; false if there is none. */
     boolean take(long nowMillis) {
-        if (!shortage && notYetInFlight(nowMillis) < UNLIMITED_PART * free) {
-            spend(nowMillis, Math.max(0, Math.min(1, credits)));
-            return true;
-        }
         if (credits < 1) {
             return false;
         }
