Slow readers: filling the buffers of the systems is no progress; arrival timeout only while reading

Change: progress counts from 500 ms on; the timeout is started again; the account is set after events are forwarded.

--- a/core/src/main/java/org/quetzalshunt/core/memory/ReadProgress.java
+++ b/core/src/main/java/org/quetzalshunt/core/memory/ReadProgress.java
@@ -14,7 +14,11 @@
      */
     public static final long PROGRESS_LIMIT_MILLIS = 6_000;
 
+    /** Time in which the buffers of the operating systems fill, which looks like progress of the caller. */
+    private static final long FILL_MILLIS = 500;
+
     private boolean progressed;
+    private long startedMillis;
     private Object firstUnread;
     private long firstUnreadOffset;
     private long sinceMillis;
@@ -29,6 +33,7 @@
         firstUnreadOffset = 0;
         sinceMillis = nowMillis;
         progressed = false;
+        startedMillis = nowMillis;
     }
 
     /**
@@ -52,7 +57,7 @@
             firstUnread = unread;
             firstUnreadOffset = offset;
             sinceMillis = first ? sinceMillis : nowMillis;
-            progressed |= !first;
+            progressed |= !first && nowMillis - startedMillis > FILL_MILLIS;
         }
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -218,6 +218,7 @@
             sentEvents += bufferedEvents.size();
             bufferedEvents.clear();
             bufferedBytes = 0;
+            held.set(output.size() + decoder.pendingBytes());
         }
         if (answerEnded) {
             storeAndEnd();
--- a/server/src/main/java/org/quetzalshunt/server/http/RequestArrivalTimeout.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/RequestArrivalTimeout.java
@@ -45,7 +45,16 @@
     }
 
     private void startTimeout(ChannelHandlerContext context) {
-        timeout = context.executor().schedule(() -> context.close(), limitMillis, TimeUnit.MILLISECONDS);
+        timeout = context.executor().schedule(() -> onTimeout(context), limitMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Closes the connection unless this VM does not read from it: then the caller may have sent everything. */
+    private void onTimeout(ChannelHandlerContext context) {
+        if (context.channel().config().isAutoRead()) {
+            context.close();
+            return;
+        }
+        startTimeout(context);
     }
 
     private void cancelTimeout() {
