--- a/core/src/main/java/org/quetzalshunt/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/Dispatcher.java
@@ -140,7 +140,7 @@
      * Priority of a request at an engine, from 0 (first) to 9. All are alike while the gateways keep the order: a full
      * engine preempts a less urgent request for a more urgent one and reads its prompt again, which stalls its whole
      * batch. Only while far more requests are in flight than there are slots, they rank by urgency, since many
-     * gateways with old reports may then have sent a crowd at once.
+     * gateways with old reports may then have sent too many requests at once.
      */
     public int enginePriority(long nowMillis, String service, int urgency) {
         FreeSlots slots = queue(service).slots();
--- a/core/src/main/java/org/quetzalshunt/core/dispatch/FreeSlots.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/FreeSlots.java
@@ -75,9 +75,9 @@
     /** Brings the state up to date with the reports known now. */
     void update(
             long nowMillis, ServiceUse use, int liveVms, ProgramForecast forecast, int ownWaiting, long peersWaiting) {
-        int heardVms = use.reportingPeers() + 1;
+        int reportingVms = use.reportingPeers() + 1;
         // At least one slot while endpoints are known: 0 means that none is, and then nothing waits.
-        slots = use.slots() == 0 ? 0 : Math.max(1, (int) Math.floor(use.slots() * knownPart(heardVms, liveVms)));
+        slots = use.slots() == 0 ? 0 : Math.max(1, (int) Math.floor(use.slots() * knownPart(reportingVms, liveVms)));
         double inFlight = use.ownInFlight() + use.peersInFlight() + notYetInFlight(nowMillis);
         long elapsed = Math.max(0, nowMillis - updatedMillis);
         updatedMillis = nowMillis;
@@ -89,8 +89,8 @@
                 - RESERVE_DEVIATIONS * Math.sqrt(expected * (1 - forecast.busyShare()));
         double ending = ENDING_PART * expected * REPORT_MILLIS / (forecast.turns() * forecast.turnMillis());
         double perReport = Math.max(0, free + ending);
-        double queuePart = (ownWaiting + 1) / (double) (ownWaiting + peersWaiting + heardVms);
-        double share = EQUAL_PART / heardVms + (1 - EQUAL_PART) * queuePart;
+        double queuePart = (ownWaiting + 1) / (double) (ownWaiting + peersWaiting + reportingVms);
+        double share = EQUAL_PART / reportingVms + (1 - EQUAL_PART) * queuePart;
         boolean wasShort = shortage;
         updateShortage(ownWaiting + peersWaiting > 0);
         // Without a random part, all gateways would earn their next credit at the same time.
@@ -100,12 +100,12 @@
     }
 
     /**
-     * Part of the slots that this VM and the peers it hears may use. A VM that hears less than half of the live VMs is
-     * cut off from the others, which go on using their part. One that hears more takes the silent ones for lost, so
-     * that nothing is kept for them.
+     * Part of the slots that this VM and its reporting peers may use. With reports of less than half of the live VMs,
+     * this VM is partitioned from the others, which continue to use their part. Otherwise the VMs without reports count
+     * as lost, and nothing is reserved for them.
      */
-    private static double knownPart(int heardVms, int liveVms) {
-        return 2 * heardVms < liveVms ? heardVms / (double) liveVms : 1;
+    private static double knownPart(int reportingVms, int liveVms) {
+        return 2 * reportingVms < liveVms ? reportingVms / (double) liveVms : 1;
     }
 
     private int notYetInFlight(long nowMillis) {
@@ -124,7 +124,7 @@
         double perReport = shortage ? ownPerReport : Math.max(MINIMUM_CREDITS, ownPerReport);
         maximumCredits = Math.max(1, perReport);
         double perMilli = perReport / REPORT_MILLIS;
-        // The rate before the shortage says nothing about the waits in it.
+        // The rate before the shortage does not predict the waits in it.
         double weight = shortageBegins ? 1 : Math.min(1, elapsed / RATE_MILLIS);
         meanCreditsPerMilli += (perMilli - meanCreditsPerMilli) * weight;
         credits = Math.min(maximumCredits, credits + elapsed * perMilli);
--- a/core/src/main/java/org/quetzalshunt/core/dispatch/RecentStarts.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/RecentStarts.java
@@ -2,7 +2,7 @@
 
 /** Rates at which first turns of each urgency arrived at this VM in about the last second. */
 final class RecentStarts {
-    /** Urgencies that are told apart; those beyond share the last one. */
+    /** Number of urgencies that are distinguished; higher ones count as the last. */
     private static final int LEVELS = 10;
 
     private static final double DECAY_MILLIS = 1_000;
--- a/core/src/main/java/org/quetzalshunt/core/dispatch/ShareView.java
+++ b/core/src/main/java/org/quetzalshunt/core/dispatch/ShareView.java
@@ -1,6 +1,6 @@
 package org.quetzalshunt.core.dispatch;
 
-/** Tells which client accounts use more than their share of a service while it is short of slots. */
+/** Determines which client accounts use more than their share of a service while it is short of slots. */
 @FunctionalInterface
 public interface ShareView {
     /** Whether an account is above its share; its first turns then wait behind all others and are refused first. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TokenTerms.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TokenTerms.java
@@ -5,7 +5,7 @@
 /**
  * The terms on which a request takes a token of its account's quota.
  *
- * @param request what the owners of the quota are told about the request
+ * @param request what is sent to the owners of the quota about the request
  * @param maximumWaitMillis longest time for which it may wait for a single token
  * @param maximumPromiseMillis longest time after which its caller may return to start its program, if it is a first
  *     turn
