Read at once when a peer has applied a change that this node has not

Callers saw: after an outage of the log, an entry refused everybody with 503 and code 5001 for up to two seconds, though their keys were valid (WholePathTest.anOutageOfTheLogRefusesNobody, 1 of 12 repeats).

Cause: nodes return to the log one by one, each after its own back-off of up to 2 s. The first one back applies a change and reports the higher offset; from then on Freshness rightly calls every other node behind, but nothing made them read before their back-off, or an unanswered read, was over.

Change: StreamSession.onPeerOffset starts one read for each new offset, after a jitter of up to 100 ms, and replaces a read that is unanswered for 300 ms. Requests wait for that read (CatchUpQueue), 1 s at most, and are refused as soon as it fails. A node that cannot read the change still refuses.

For operators: status, next and highestPeerNext in the dump, one log line for each change of the status, the gauge quetzalshunt_requests_catching_up.

Elsewhere: the gateway compares itself with no peer, retries its reads within 0.6 s and starts them anew when the store answers; sidecars read no stream.

--- a/app/src/main/java/org/quetzalshunt/app/bench/capacity/LogCosts.java
+++ b/app/src/main/java/org/quetzalshunt/app/bench/capacity/LogCosts.java
@@ -74,5 +74,10 @@
         public void read(String stream, long from, long waitMillis) {
             readPending = true;
         }
+
+        @Override
+        public void abandonRead(String stream) {
+            readPending = false;
+        }
     }
 }
--- a/core/src/main/java/org/quetzalshunt/core/log/StreamSession.java
+++ b/core/src/main/java/org/quetzalshunt/core/log/StreamSession.java
@@ -23,6 +23,7 @@
     private final Backlog backlog;
     private final Backoff appendBackoff;
     private final Backoff readBackoff;
+    private final CatchUp catchUp;
 
     private long commitIntervalMillis;
     private long nextOffset;
@@ -57,6 +58,7 @@
         this.backlog = Backlog.create(settings);
         this.appendBackoff = Backoff.create(settings.seed());
         this.readBackoff = Backoff.create(settings.seed() + 1);
+        this.catchUp = CatchUp.create(settings.seed() + 2);
         this.commitIntervalMillis = settings.commitIntervalMillis();
     }
 
@@ -153,6 +155,23 @@
     public void onReadFailed(long nowMillis) {
         readUnanswered = false;
         readBackoff.failed(nowMillis);
+        catchUp.onReadFailed();
+    }
+
+    /**
+     * Another process has applied the stream up to this offset, so the log is available. If this session has not, it
+     * reads soon instead of waiting for its back-off or for a read that is still unanswered.
+     */
+    public void onPeerOffset(long nowMillis, long peerNext) {
+        if (peerNext > nextOffset) {
+            catchUp.onPeerOffset(nowMillis, peerNext, readUnanswered);
+            startDueCalls(nowMillis);
+        }
+    }
+
+    /** Whether a read is due or pending that is expected to reach an offset reported by another process. */
+    public boolean isCatchingUp(long nowMillis) {
+        return catchUp.isExpected(nowMillis, nextOffset);
     }
 
     /** Starts the appends and reads that are due. */
@@ -389,8 +408,14 @@
     }
 
     private void readIfDue(long nowMillis) {
-        boolean urgent = completedReadSerial < requestedReadSerial;
-        if (readUnanswered || !(urgent || settings.tail()) || !readBackoff.isReady(nowMillis)) {
+        boolean catchingUp = catchUp.isReadDue(nowMillis, nextOffset);
+        if (catchingUp) {
+            catchUp.onReadStarted();
+            abandonPendingRead();
+        }
+        boolean urgent = catchingUp || completedReadSerial < requestedReadSerial;
+        boolean ready = catchingUp || readBackoff.isReady(nowMillis);
+        if (readUnanswered || !(urgent || settings.tail()) || !ready) {
             return;
         }
         readUnanswered = true;
@@ -399,4 +424,11 @@
         startedReadSerial = requestedReadSerial;
         transport.read(stream, nextOffset, urgent ? 0 : settings.longPollMillis());
     }
+
+    private void abandonPendingRead() {
+        if (readUnanswered) {
+            readUnanswered = false;
+            transport.abandonRead(stream);
+        }
+    }
 }
--- a/core/src/test/java/org/quetzalshunt/core/log/FakeLog.java
+++ b/core/src/test/java/org/quetzalshunt/core/log/FakeLog.java
@@ -21,6 +21,7 @@
     private int appends;
     private int reads;
     private boolean outage;
+    private long readFailureMillis = 20;
     private FaultRates rates = FaultRates.NONE;
     private AppendFault nextFault = AppendFault.NONE;
 
@@ -56,6 +57,7 @@
         private final List<Runnable> delayedAnswers = new ArrayList<>();
         private boolean crashed;
         private boolean paused;
+        private int readSerial;
 
         public void attach(StreamSession attached) {
             session = attached;
@@ -105,17 +107,31 @@
         @Override
         public void read(String stream, long from, long waitMillis) {
             reads++;
+            int serial = ++readSerial;
             if (outage || random.nextDouble() < rates.read()) {
-                after(20, () -> answer(() -> session.onReadFailed(nowMillis)));
+                after(readFailureMillis, () -> answerRead(serial, () -> session.onReadFailed(nowMillis)));
                 return;
             }
             long until = nowMillis + waitMillis;
-            after(1 + random.nextLong(3), () -> serve(from, until));
+            after(1 + random.nextLong(3), () -> serve(serial, from, until));
         }
 
-        private void serve(long from, long until) {
+        @Override
+        public void abandonRead(String stream) {
+            readSerial++;
+        }
+
+        private void answerRead(int serial, Runnable action) {
+            answer(() -> {
+                if (serial == readSerial) {
+                    action.run();
+                }
+            });
+        }
+
+        private void serve(int serial, long from, long until) {
             if (from >= next() && nowMillis < until && !crashed) {
-                after(POLL_MILLIS, () -> serve(from, until));
+                after(POLL_MILLIS, () -> serve(serial, from, until));
                 return;
             }
             List<LogEntry> entries = new ArrayList<>();
@@ -125,7 +141,7 @@
                 entries.add(new LogEntry(offset, records.get((int) offset)));
             }
             ReadAnswer read = new ReadAnswer(firstKept, next(), entries);
-            after(1 + random.nextLong(3), () -> answer(() -> session.onRead(nowMillis, read)));
+            after(1 + random.nextLong(3), () -> answerRead(serial, () -> session.onRead(nowMillis, read)));
         }
 
         private void answerAppend(long offset) {
@@ -165,6 +181,11 @@
         outage = down;
     }
 
+    /** Sets the time after which a failed read is reported. */
+    public void setReadFailureMillis(long millis) {
+        readFailureMillis = millis;
+    }
+
     /** Sets the fractions of appends and of reads that fail. */
     public void setFaults(double appendFraction, double readFraction) {
         rates = new FaultRates(appendFraction, readFraction);
--- a/server/src/main/java/org/quetzalshunt/server/entry/CallerApi.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/CallerApi.java
@@ -6,7 +6,9 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
+import org.quetzalshunt.core.configuration.CatchUpQueue;
 import org.quetzalshunt.core.configuration.Configuration;
+import org.quetzalshunt.core.configuration.ConfigurationStatus;
 import org.quetzalshunt.core.configuration.KeyOwner;
 import org.quetzalshunt.core.configuration.VersionedDocument;
 import org.quetzalshunt.core.document.ServiceDocument;
@@ -34,6 +36,7 @@
     private final RequestIds requestIds;
     private final int shards;
     private final BooleanSupplier stopping;
+    private final CatchUpQueue catchUpQueue = CatchUpQueue.create();
 
     CallerApi(
             EntryClock clock,
@@ -59,9 +62,44 @@
         return path.startsWith("/v1/");
     }
 
+    /** Continues or refuses the requests that waited until this entry has read a change of the configuration. */
+    void tick() {
+        catchUpQueue.tick(clock.now(), configurationStream.status());
+    }
+
+    /** Number of requests that wait until this entry has read a change of the configuration. */
+    int waitingRequests() {
+        return catchUpQueue.size();
+    }
+
     /** Handles one request of a caller. */
     void handle(HttpExchange exchange) {
         String requestId = requestIds.next();
+        boolean catchingUp =
+                configurationStream.isReady() && configurationStream.status() == ConfigurationStatus.CATCHING_UP;
+        if (catchingUp && catchUpQueue.offer(clock.now(), waitingRequest(exchange, requestId))) {
+            return;
+        }
+        handle(exchange, requestId);
+    }
+
+    private CatchUpQueue.Request waitingRequest(HttpExchange exchange, String requestId) {
+        return new CatchUpQueue.Request() {
+            @Override
+            public void proceed() {
+                if (!exchange.finished()) {
+                    handle(exchange, requestId);
+                }
+            }
+
+            @Override
+            public void refuse() {
+                CallerApi.this.refuse(exchange, "", requestId, staleRefusal());
+            }
+        };
+    }
+
+    private void handle(HttpExchange exchange, String requestId) {
         Optional<Refusal> refusal = stateRefusal().or(() -> headerRefusal(exchange));
         if (refusal.isPresent()) {
             refuse(exchange, "", requestId, refusal.get());
@@ -96,12 +134,16 @@
         if (!configurationStream.isReady()) {
             return Optional.of(Refusal.notRunRetryAfter(ResultCode.NOT_READY, "connect again", 1_000));
         }
-        if (!configurationStream.isFresh()) {
-            return Optional.of(Refusal.notRunRetryAfter(ResultCode.CONFIGURATION_STALE, "connect again", 1_000));
+        if (configurationStream.status() != ConfigurationStatus.FRESH) {
+            return Optional.of(staleRefusal());
         }
         return Optional.empty();
     }
 
+    private static Refusal staleRefusal() {
+        return Refusal.notRunRetryAfter(ResultCode.CONFIGURATION_STALE, "connect again", 1_000);
+    }
+
     private static Optional<Refusal> headerRefusal(HttpExchange exchange) {
         return patternRefusal(exchange, CallerHeaders.PROGRAM, PROGRAM_ID)
                 .or(() -> patternRefusal(exchange, CallerHeaders.IDEMPOTENCY_KEY, IDEMPOTENCY_KEY))
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryDump.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import org.quetzalshunt.core.configuration.ConfigurationStatus;
 import org.quetzalshunt.core.decision.AccountView;
 import org.quetzalshunt.core.decision.EndpointView;
 import org.quetzalshunt.core.decision.Scheduler;
@@ -65,7 +66,9 @@
     private ObjectNode configurationNode() {
         ObjectNode node = stream(configurationStream.session());
         node.put("complete", configurationStream.configuration().isComplete());
-        node.put("fresh", configurationStream.isFresh());
+        node.put("status", configurationStream.status().name());
+        node.put("fresh", configurationStream.status() == ConfigurationStatus.FRESH);
+        node.put("highestPeerNext", configurationStream.highestPeerNext());
         node.put("ageMillis", configurationStream.freshness().ageMillis(clock.now()));
         node.put("invalidRecords", configurationStream.configuration().invalidRecords());
         return node;
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.core.configuration.ConfigurationStatus;
 import org.quetzalshunt.core.decision.Scheduler;
 import org.quetzalshunt.core.decision.SchedulerSettings;
 import org.quetzalshunt.core.membership.Membership;
@@ -156,6 +157,7 @@
                 "quetzalshunt.work.queued", () -> workDispatcher.scheduler().queued());
         metrics.gauge(
                 "quetzalshunt.work.running", () -> workDispatcher.scheduler().running());
+        metrics.gauge("quetzalshunt.requests.catching.up", callerApi::waitingRequests);
         metrics.gauge("quetzalshunt.shards.owned", () -> shards.ownedNumbers().size());
         ticker = new Ticker(group.next(), this::tick, this::isBusy);
         ticker.start();
@@ -166,11 +168,14 @@
                 || router.waitingRequests() > 0
                 || shards.hasBacklog()
                 || configurationStream.session().backlogRecords() > 0
+                || configurationStream.session().isCatchingUp(clock.now())
+                || callerApi.waitingRequests() > 0
                 || rateLimiter.hasWaitingRequests();
     }
 
     private void tick() {
         configurationStream.tick();
+        callerApi.tick();
         shards.tick();
         workDispatcher.tick();
         rateLimiter.tick();
@@ -245,7 +250,7 @@
     private boolean isReady() {
         return !stopping
                 && configurationStream.isReady()
-                && configurationStream.isFresh()
+                && configurationStream.status() != ConfigurationStatus.STALE
                 && vmListPoller.hasReadList()
                 && rateLimiter.isServing();
     }
--- a/server/src/main/java/org/quetzalshunt/server/entry/Peers.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/Peers.java
@@ -68,6 +68,7 @@
         VmId sender = link.remote().id();
         membership.onHeartbeat(clock.now(), HeartbeatCodec.decodeOwn(sender.name(), sender.incarnation(), heartbeat));
         membership.onDigest(clock.now(), HeartbeatCodec.decodeDigest(heartbeat));
+        configurationStream.onPeerOffset(heartbeat.getConfigurationNext());
         lastSentMillisByPeer.put(link.remote().id().name(), heartbeat.getSentMillis());
         if (heartbeat.isSetEchoedSentMillis()) {
             configurationStream
--- a/server/src/main/java/org/quetzalshunt/server/log/LogClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/log/LogClient.java
@@ -36,6 +36,9 @@
     private final List<InetSocketAddress> addresses;
     private final LongSupplier clock;
     private final Map<String, StreamSession> sessions = new HashMap<>();
+    /** Number of the newest read of each stream; the answers of older reads are dropped. */
+    private final Map<String, Long> readSerials = new HashMap<>();
+
     private int addressIndex;
     private long appends;
     private long failures;
@@ -94,19 +97,38 @@
     public void read(String stream, long from, long waitMillis) {
         String uri = "/log/" + stream + "?from=" + from + "&maximumBytes=" + MAXIMUM_READ_BYTES + "&waitMillis="
                 + waitMillis;
+        long serial = nextReadSerial(stream);
         send("GET", uri, new byte[0], waitMillis + TIMEOUT_MILLIS, new BufferedResponseListener.Receiver() {
             @Override
             public void onAnswer(int status, byte[] body) {
-                onReadResponse(stream, status, body);
+                if (isCurrentRead(stream, serial)) {
+                    onReadResponse(stream, status, body);
+                }
             }
 
             @Override
             public void onFailure(String reason, boolean requestMayHaveArrived) {
-                onReadFailure(stream, reason);
+                if (isCurrentRead(stream, serial)) {
+                    onReadFailure(stream, reason);
+                }
             }
         });
     }
 
+    @Override
+    public void abandonRead(String stream) {
+        Logger.debug("read of stream {} abandoned", stream);
+        nextReadSerial(stream);
+    }
+
+    private long nextReadSerial(String stream) {
+        return readSerials.merge(stream, 1L, Long::sum);
+    }
+
+    private boolean isCurrentRead(String stream, long serial) {
+        return readSerials.get(stream) == serial;
+    }
+
     private void send(
             String method, String uri, byte[] body, long timeoutMillis, BufferedResponseListener.Receiver receiver) {
         InetSocketAddress address = addresses.get(addressIndex % addresses.size());
