All streams of a process retry when the log answers one of them

Cause: the same fault as an entry that is behind its peer: each stream's session has its own back-off of up to 2 s and did not use that another session of the process was answered.

Change: LogClient notices the end of an outage of 1 s or more (LogOutage) and lets the sessions in back-off retry within 100 ms. Shorter outages do not count, so a log that rejects part of the calls is not called more often.

Evidence: LogClientTest.endOfAnOutageIsNoticedByAllStreams fails without the notification (the stream has not read within 100 ms of the clock) and passes with it.

--- a/core/src/main/java/org/quetzalshunt/core/log/Backoff.java
+++ b/core/src/main/java/org/quetzalshunt/core/log/Backoff.java
@@ -30,6 +30,11 @@
         readyMillis = nowMillis + maximumMillis / 2 + random.nextLong(maximumMillis / 2 + 1);
     }
 
+    /** Shortens the current delay: the dependency is known to answer again. */
+    void retryWithin(long nowMillis, long maximumMillis) {
+        readyMillis = Math.min(readyMillis, nowMillis + random.nextLong(maximumMillis + 1));
+    }
+
     void succeeded() {
         failures = 0;
         readyMillis = Long.MIN_VALUE;
--- a/core/src/main/java/org/quetzalshunt/core/log/StreamSession.java
+++ b/core/src/main/java/org/quetzalshunt/core/log/StreamSession.java
@@ -14,6 +14,9 @@
  * applied at once, without reading it back; otherwise the records before it are read first.
  */
 public final class StreamSession {
+    /** Spreads the calls of sessions that learn of the end of an outage together. */
+    private static final long END_OF_OUTAGE_JITTER_MILLIS = 100;
+
     private final String stream;
     private final StreamSettings settings;
     private final String writer;
@@ -169,6 +172,12 @@
         }
     }
 
+    /** The log has answered a call of another session after an outage: calls that wait for their back-off start soon. */
+    public void onLogAvailable(long nowMillis) {
+        readBackoff.retryWithin(nowMillis, END_OF_OUTAGE_JITTER_MILLIS);
+        appendBackoff.retryWithin(nowMillis, END_OF_OUTAGE_JITTER_MILLIS);
+    }
+
     /** Whether a read is due or pending that is expected to reach an offset reported by another process. */
     public boolean isCatchingUp(long nowMillis) {
         return catchUp.isExpected(nowMillis, nextOffset);
--- a/server/src/main/java/org/quetzalshunt/server/log/LogClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/log/LogClient.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
+import org.quetzalshunt.core.log.LogOutage;
 import org.quetzalshunt.core.log.LogTransport;
 import org.quetzalshunt.core.log.ReadAnswer;
 import org.quetzalshunt.core.log.StreamSession;
@@ -39,6 +40,7 @@
     /** Number of the newest read of each stream; the answers of older reads are dropped. */
     private final Map<String, Long> readSerials = new HashMap<>();
 
+    private final LogOutage outage = LogOutage.create();
     private int addressIndex;
     private long appends;
     private long failures;
@@ -151,6 +153,7 @@
             onAppendFailure(stream, "status " + status, !refused);
             return;
         }
+        recordAnswer();
         session(stream).ifPresent(session -> session.onAppended(clock.getAsLong(), offset.getAsLong()));
     }
 
@@ -165,6 +168,7 @@
             onReadFailure(stream, "status " + status);
             return;
         }
+        recordAnswer();
         session(stream).ifPresent(session -> session.onRead(clock.getAsLong(), answer.get()));
     }
 
@@ -173,8 +177,17 @@
         session(stream).ifPresent(session -> session.onReadFailed(clock.getAsLong()));
     }
 
+    private void recordAnswer() {
+        long now = clock.getAsLong();
+        if (outage.endsWithAnswer(now)) {
+            Logger.info("the log answers again; {} streams retry soon", sessions.size());
+            sessions.values().forEach(session -> session.onLogAvailable(now));
+        }
+    }
+
     private void recordFailure(String call, String stream, String reason) {
         failures++;
+        outage.onFailure(clock.getAsLong());
         addressIndex = (addressIndex + 1) % addresses.size();
         Logger.debug("{} stream {} failed: {}", call, stream, reason);
     }
--- a/server/src/test/java/org/quetzalshunt/server/log/LogClientTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/log/LogClientTest.java
@@ -12,8 +12,11 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,6 +38,8 @@
     private final HttpServer server = HttpServer.start(
             group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), HttpLimits.defaults(), this::serve);
     private volatile String nextFault = "";
+    private final AtomicLong virtualMillis = new AtomicLong(1);
+    private volatile boolean outage;
 
     @AfterEach
     void stop() {
@@ -43,6 +48,10 @@
     }
 
     private void serve(HttpExchange exchange) {
+        if (outage) {
+            exchange.respondText(503, "outage");
+            return;
+        }
         if (exchange.method().equals("GET")) {
             long from = Long.parseLong(exchange.query("from").orElseThrow());
             StringBuilder body = new StringBuilder("{\"first\":0,\"next\":" + records.size() + ",\"records\":[");
@@ -119,6 +128,55 @@
         assertThat(folded).containsExactly("first", "second", "third").inOrder();
     }
 
+    /**
+     * Guards against work of a program that waits for seconds after an outage, because the stream of its shard is in its
+     * own back-off although another stream of the process was answered.
+     */
+    @Test
+    void endOfAnOutageIsNoticedByAllStreams() throws InterruptedException, ExecutionException {
+        LogClient client = LogClient.create(HttpClient.create(group), List.of(address()), virtualMillis::get);
+        StreamSession backedOff = attach(client, "shard-0");
+        StreamSession other = attach(client, "shard-1");
+        outage = true;
+        for (int failure = 0; failure < 10; failure++) {
+            long expectedFailures = failure + 1L;
+            virtualMillis.addAndGet(2_000);
+            group.execute(() -> backedOff.requestReadToEnd(virtualMillis.get()));
+            awaitTrue(() -> client.failures() == expectedFailures);
+        }
+        outage = false;
+        assertThat(backedOff.isCaughtUp()).isFalse();
+        group.execute(() -> other.requestReadToEnd(virtualMillis.get()));
+        awaitTrue(other::isCaughtUp);
+        virtualMillis.addAndGet(100);
+        group.execute(() -> backedOff.tick(virtualMillis.get()));
+        awaitTrue(backedOff::isCaughtUp);
+    }
+
+    private StreamSession attach(LogClient client, String stream) {
+        StreamSession session =
+                StreamSession.create(stream, StreamSettings.onDemand(1, 5), "vm#1", client, new LogFold() {
+                    @Override
+                    public void apply(long offset, byte[] record, int indexInBatch) {}
+
+                    @Override
+                    public void onGap(long firstKept) {}
+                });
+        client.attach(session);
+        return session;
+    }
+
+    /** Checks the condition on the event loop, to which the sessions belong. */
+    private void awaitTrue(Callable<Boolean> condition) throws InterruptedException, ExecutionException {
+        for (int check = 0; check < 1_000; check++) {
+            if (group.submit(condition).get()) {
+                return;
+            }
+            Thread.sleep(5);
+        }
+        throw new AssertionError("the condition was not met within 5 s");
+    }
+
     @Test
     void nextAddressIsUsedAfterAFailure() throws InterruptedException {
         InetSocketAddress unreachable = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
