Back pressure for streams whose tokens are not granted yet

Callers saw: under memory-limit and with a slow store, a gateway held whole streams (1.8 MB for three events of 300 KB) and could run into its budget: 3008 for new callers, the largest holder disconnected.

Cause: a turn may be sent before its tokens are granted, and its events wait for the grant. Reading stopped only when the caller's connection was full, which it never was, since nothing had been written to it.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResponseFlow.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResponseFlow.java
@@ -10,7 +10,10 @@
 import org.quetzalshunt.server.http.HttpCall;
 import org.quetzalshunt.server.http.HttpExchange;
 
-/** Reads a response from its endpoint at the pace at which the caller reads it. */
+/**
+ * Reads a response from its endpoint at the pace at which it can be passed on: as the caller reads it, and not before
+ * the caller may receive it.
+ */
 final class ResponseFlow {
     /** Shorter pauses occur with each response that is larger than the write watermark. */
     private static final long NOTABLE_PAUSE_MILLIS = 100;
@@ -19,6 +22,8 @@
     private final Supplier<HttpCall> call;
     private final ReadPacing pacing = new ReadPacing();
     private ScheduledFuture<?> endOfPause;
+    private boolean writable = true;
+    private boolean awaitingGrant;
 
     /**
      * Creates the flow of a request.
@@ -34,12 +39,28 @@
         }
     }
 
-    private void onWritability(boolean writable) {
+    /**
+     * Records whether the response may not be passed on yet although much of it is held. Guards against a response that
+     * is read into memory as a whole while the store is slow to grant its tokens.
+     */
+    void setAwaitingGrant(boolean awaiting) {
+        if (awaiting != awaitingGrant) {
+            awaitingGrant = awaiting;
+            update();
+        }
+    }
+
+    private void onWritability(boolean nowWritable) {
+        writable = nowWritable;
+        update();
+    }
+
+    private void update() {
         long now = gateway.clock().now();
-        if (writable) {
+        if (writable && !awaitingGrant) {
             pacing.onUnblocked(now);
             cancelTimer();
-        } else if (gateway.isEnabled(Mechanism.MEMORY_LIMIT)) {
+        } else if (gateway.isEnabled(Mechanism.MEMORY_LIMIT) && !pacing.isBlocked()) {
             pacing.onBlocked(now);
             cancelTimer();
             endOfPause = gateway.executor().schedule(this::onPauseEnd, ReadPacing.PAUSE_MILLIS, TimeUnit.MILLISECONDS);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.quetzalshunt.core.memory.ReadPacing;
 import org.quetzalshunt.core.result.Execution;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
@@ -124,6 +125,9 @@
             admitted.timeline().markReached(RequestTimeline.Step.GRANT);
             dispatchWhenReady();
             forwardEvents();
+            if (call != null) {
+                call.flow().setAwaitingGrant(false);
+            }
             return;
         }
         Refusal refusal = toRefusal(verdict);
@@ -200,7 +204,9 @@
         }
         forwardEvents();
         if (!finished) {
-            held.set(bufferedBytes + output.size() + decoder.pendingBytes());
+            long heldBytes = bufferedBytes + output.size() + decoder.pendingBytes();
+            held.set(heldBytes);
+            call.flow().setAwaitingGrant(!grant.granted() && heldBytes > ReadPacing.BUFFER_BYTES);
         }
     }
 
