Processor time of a gateway by kind of work, in metrics, dump and log

Whether restarts, retries or loops cost it was not known.

Change: ProcessorTime reads the kernel's counters of the process's threads and sums them by kind (event loop, compiler, collector, start, other): quetzalshunt_processor_millis{kind}, processorMillis in the dump, one log line every 10 s.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
@@ -28,6 +28,8 @@
         gateway.starts().addTo(dump, gateway.clock().now());
         gateway.shares().addToDump(dump);
         gateway.memory().addTo(dump.putObject("memory"));
+        ObjectNode processor = dump.putObject("processorMillis");
+        ProcessorTime.millis().forEach((kind, millis) -> processor.put(kind.label(), millis));
         ArrayNode endpoints = dump.putArray("endpoints");
         gateway.endpoints().ids().stream()
                 .limit(MAXIMUM_ENDPOINTS)
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayGauges.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayGauges.java
@@ -25,6 +25,14 @@
                 "quetzalshunt.connections.opened",
                 "connections opened to endpoints and to the platform since the start",
                 () -> gateway.http().connectionsOpened());
+        for (ProcessorTime.Kind kind : ProcessorTime.Kind.values()) {
+            metrics.registerGauge(
+                    "quetzalshunt.processor.millis",
+                    "processor time since the start by kind of work",
+                    "kind",
+                    kind.label(),
+                    () -> ProcessorTime.millis().get(kind));
+        }
         RoutingReports.registerGauges(metrics, () -> gateway);
         gateway.starts().registerGauges(metrics);
         metrics.registerGauge("quetzalshunt.vms", "gateways believed to be live", () -> gateway.quotas()
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -1,5 +1,6 @@
 package org.quetzalshunt.server.gateway;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -35,6 +36,7 @@
     private static final long LAST_RESPONSES_MILLIS = 700;
 
     private static final long CHECK_INTERVAL_MILLIS = 100;
+    private static final long PROCESSOR_TIME_INTERVAL_MILLIS = 10_000;
 
     private final GatewaySettings settings;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -171,11 +173,23 @@
         registrations.start();
         quotas.start(links);
         fleet.start(new FleetEvents(quotas, links, crashes));
+        group.next()
+                .scheduleWithFixedDelay(
+                        this::logProcessorTime,
+                        PROCESSOR_TIME_INTERVAL_MILLIS,
+                        PROCESSOR_TIME_INTERVAL_MILLIS,
+                        TimeUnit.MILLISECONDS);
         group.next()
                 .scheduleWithFixedDelay(
                         clock::detectJump, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void logProcessorTime() {
+        ObjectNode line = log.event("processor-time");
+        ProcessorTime.millis().forEach((kind, millis) -> line.put(kind.label(), millis));
+        log.write(line);
+    }
+
     private void listen() {
         callers = HttpServer.start(
                 group,
