--- a/server/src/main/java/org/quetzalshunt/server/entry/CallerApi.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/CallerApi.java
@@ -75,9 +75,10 @@
     /** Handles one request of a caller. */
     void handle(HttpExchange exchange) {
         String requestId = requestIds.next();
-        boolean catchingUp =
-                configurationStream.isReady() && configurationStream.status() == ConfigurationStatus.CATCHING_UP;
-        if (catchingUp && catchUpQueue.offer(clock.now(), waitingRequest(exchange, requestId))) {
+        boolean mayWait = !stopping.getAsBoolean()
+                && configurationStream.isReady()
+                && configurationStream.status() == ConfigurationStatus.CATCHING_UP;
+        if (mayWait && catchUpQueue.offer(clock.now(), waitingRequest(exchange, requestId))) {
             return;
         }
         handle(exchange, requestId);
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
@@ -290,6 +290,7 @@
                 && owner.callRuns().isEmpty()
                 && router.forwardedRequests() == 0
                 && router.waitingRequests() == 0
+                && callerApi.waitingRequests() == 0
                 && (rateLimiter.limits().isHandoverComplete()
                         || membership.liveEntries().size() <= 1);
         if (idle || clock.now() > stopDeadlineMillis) {
