Processor time: no log line without figures, a failing listing of threads ends nothing

A failed iteration over /proc/self/task is a DirectoryIteratorException, which would have ended the periodic log line and failed the dump.

--- a/core/src/main/java/org/quetzalshunt/core/log/LogTransport.java
+++ b/core/src/main/java/org/quetzalshunt/core/log/LogTransport.java
@@ -1,9 +1,8 @@
 package org.quetzalshunt.core.log;
 
 /**
- * Asynchronous access to the log service. Each call is answered exactly once, unless it is
- * abandoned, by one of the session's {@code on…}
- * methods on the session's thread, at the latest after the transport's own deadline.
+ * Asynchronous access to the log service. Each call is answered exactly once, unless it is abandoned, by one of
+ * the session's {@code on…} methods on the session's thread, at the latest after the transport's own deadline.
  */
 public interface LogTransport {
     /** Appends one batch to a stream; answered by {@code onAppended} or {@code onAppendFailed}. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -185,8 +186,12 @@
     }
 
     private void logProcessorTime() {
+        Map<ProcessorTime.Kind, Long> millisByKind = ProcessorTime.millis();
+        if (millisByKind.isEmpty()) {
+            return;
+        }
         ObjectNode line = log.event("processor-time");
-        ProcessorTime.millis().forEach((kind, millis) -> line.put(kind.label(), millis));
+        millisByKind.forEach((kind, millis) -> line.put(kind.label(), millis));
         log.write(line);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ProcessorTime.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ProcessorTime.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.gateway;
 
 import java.io.IOException;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -48,7 +49,7 @@
             for (Path thread : threads) {
                 read(thread).ifPresent(usage -> sums.merge(usage.kind(), usage.millis(), Long::sum));
             }
-        } catch (IOException unavailable) {
+        } catch (IOException | DirectoryIteratorException unavailable) {
             // Without /proc there are no figures, which the metrics show as missing.
             return Map.of();
         }
