--- a/core/src/main/java/org/quetzalshunt/core/log/CatchUp.java
+++ b/core/src/main/java/org/quetzalshunt/core/log/CatchUp.java
@@ -22,7 +22,9 @@
     private static final long EXPECTED_MILLIS = 1_000;
 
     private final SplittableRandom random;
+    /** Highest offset that another process has reported. */
     private long peerNext;
+
     private long reportedMillis;
     private long dueMillis;
     private boolean started;
--- a/core/src/test/java/org/quetzalshunt/core/log/CatchUpTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/log/CatchUpTest.java
@@ -21,12 +21,12 @@
 final class CatchUpTest {
     private static final long FRESHNESS_MILLIS = 2_000;
     private static final long HEARTBEAT_MILLIS = 500;
-    /** Jitter, one read of a pending read's time, and the answer; callers wait for up to a second. */
-    private static final long READ_MILLIS = 450;
+    /** The time of an unanswered read (300 ms), the jitter (100 ms) and one read; requests wait for up to a second. */
+    private static final long CATCH_UP_MILLIS = 450;
 
     private final FakeLog log = new FakeLog(5);
 
-    /** A node with the freshness of its configuration. Time is cut into milliseconds. */
+    /** A node that serves callers by its copy of the stream, and counts the milliseconds in which it would refuse them. */
     private final class Node {
         private final SessionNode session;
         private final Freshness freshness = Freshness.create(FRESHNESS_MILLIS);
@@ -101,7 +101,7 @@
             assertWithMessage("milliseconds in which callers are refused")
                     .that(node.refusingMillis)
                     .isEqualTo(0);
-            assertThat(node.staleMillis).isAtMost(READ_MILLIS);
+            assertThat(node.staleMillis).isAtMost(CATCH_UP_MILLIS);
         }
     }
 
