Log removals of expired turns and incomplete chains

Each append that removes records now names them (turns-removed), an ancestor that is not found is named with its position (chain-incomplete), and quetzalshunt_turn_records_total counts records stored, removed and missing.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayMetrics.java
@@ -72,6 +72,11 @@
         registry.counter("quetzalshunt.remote.bytes", "reason", reason).increment(bytes);
     }
 
+    /** Counts records of turns that were stored or removed, and ancestors of turns that were not found. */
+    void countTurnRecord(String event) {
+        registry.counter("quetzalshunt.turn.records", "event", event).increment();
+    }
+
     /** Counts a request sent to an endpoint, by the data centre of the endpoint: local or remote. */
     void countSelection(String place) {
         registry.counter("quetzalshunt.selections", "place", place).increment();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -113,7 +113,8 @@
                 shares,
                 bytes -> RoutingReports.countPeerBytes(gateway, bytes));
         CrashReporter crashes = new CrashReporter(group.next(), http, store, clock, log, settings);
-        TurnHistory history = new TurnHistory(group.next(), store, clock, () -> gateway.isolatedFromStore());
+        TurnHistory history =
+                new TurnHistory(group.next(), store, clock, log, metrics, () -> gateway.isolatedFromStore());
         BudgetManager budgets = new BudgetManager(
                 group.next(),
                 store,
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
@@ -1,5 +1,7 @@
 package org.quetzalshunt.server.gateway;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.util.concurrent.EventExecutor;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.quetzalshunt.core.store.AppendAnswer;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapShard;
@@ -58,6 +61,8 @@
     private final StoreClient store;
     private final NodeClock clock;
     private final BooleanSupplier isolated;
+    private final DecisionLog log;
+    private final GatewayMetrics metrics;
     private final TurnCache cache = TurnCache.create(CACHE_BYTES);
     private final Map<Integer, Deque<StoredTurn>> storedTurns = new HashMap<>();
 
@@ -66,8 +71,16 @@
      *
      * @param isolated whether a retry at another VM is more likely to succeed than another attempt here
      */
-    TurnHistory(EventExecutor executor, StoreClient store, NodeClock clock, BooleanSupplier isolated) {
+    TurnHistory(
+            EventExecutor executor,
+            StoreClient store,
+            NodeClock clock,
+            DecisionLog log,
+            GatewayMetrics metrics,
+            BooleanSupplier isolated) {
         this.isolated = isolated;
+        this.log = log;
+        this.metrics = metrics;
         this.executor = executor;
         this.store = store;
         this.clock = clock;
@@ -126,7 +139,8 @@
         }
         TurnRecord[] turns = new TurnRecord[ids.size() + 1];
         turns[ids.size()] = last;
-        ChainCollector collector = new ChainCollector(turns, ids.size(), listener);
+        ChainCollector collector =
+                new ChainCollector(turns, ids.size(), listener, missing -> logMissing(last, missing));
         for (int index = 0; index < ids.size(); index++) {
             int position = index;
             readTurn(
@@ -140,22 +154,25 @@
     private static final class ChainCollector {
         private final TurnRecord[] turns;
         private final Consumer<Chain> listener;
+        private final IntConsumer onMissing;
         private int outstanding;
         private String failureReason;
 
-        ChainCollector(TurnRecord[] turns, int outstanding, Consumer<Chain> listener) {
+        ChainCollector(TurnRecord[] turns, int outstanding, Consumer<Chain> listener, IntConsumer onMissing) {
             this.turns = turns;
             this.outstanding = outstanding;
             this.listener = listener;
+            this.onMissing = onMissing;
         }
 
         void add(int position, Lookup answer) {
             if (answer instanceof Lookup.Read read && read.record().isPresent()) {
                 turns[position] = read.record().get();
+            } else if (answer instanceof Lookup.Unavailable unavailable) {
+                failureReason = unavailable.reason();
             } else {
-                failureReason = answer instanceof Lookup.Unavailable unavailable
-                        ? unavailable.reason()
-                        : "an earlier turn is missing";
+                failureReason = "an earlier turn is missing";
+                onMissing.accept(position);
             }
             outstanding--;
             if (outstanding > 0) {
@@ -166,6 +183,16 @@
         }
     }
 
+    private void logMissing(TurnRecord last, int position) {
+        metrics.countTurnRecord("missing");
+        log.write(log.event("chain-incomplete")
+                .put("turn", last.id())
+                .put("expiresInMillis", last.expiresMillis() - clock.wallMillis())
+                .put("missing", last.ancestors().get(position))
+                .put("position", position)
+                .put("ancestors", last.ancestors().size()));
+    }
+
     private sealed interface Lookup {
         record Read(Optional<TurnRecord> record) implements Lookup {}
 
@@ -250,6 +277,8 @@
         removals.forEach(each -> entries.add(MapEntry.removal(each.id())));
         store.append(shard, entries, OptionalLong.empty(), answer -> {
             if (answer instanceof AppendAnswer.Appended) {
+                metrics.countTurnRecord("stored");
+                logRemovals(removals);
                 cache.put(turn);
                 storedIn(shard).addLast(new StoredTurn(turn.id(), turn.expiresMillis()));
                 listener.accept(true);
@@ -265,6 +294,19 @@
         });
     }
 
+    private void logRemovals(List<StoredTurn> removals) {
+        if (removals.isEmpty()) {
+            return;
+        }
+        ObjectNode line = log.event("turns-removed");
+        ArrayNode turns = line.putArray("turns");
+        for (StoredTurn removal : removals) {
+            metrics.countTurnRecord("removed");
+            turns.add(removal.id());
+        }
+        log.write(line);
+    }
+
     private Deque<StoredTurn> storedIn(MapShard shard) {
         return storedTurns.computeIfAbsent(shard.number(), ignored -> new ArrayDeque<>());
     }
