Keep the chain of a turn for as long as the turn itself

Cause: a turn's record expired at its own end + retention + 10 s, and the gateway that had stored it removed it 15 s later. A turn that continued from it did not extend this, although a turn is kept together with its chain.

Change: a turn whose ancestors would expire first stores copies of all of them in the same append, with its own lifetime; later turns refer to these. The expiry counts from the deadline of the response. Lifetimes are measured by the monotonic clock of the gateway that removes a record.

Why it works: a record never changes and is removed only by the process that stored it, after its own fixed lifetime; whoever needs it longer has a copy of its own, in the same append as the turn that needs it.

Cost: no store call more (100 turns of a conversation: 100 appends) and no connection.

--- a/core/src/main/java/org/quetzalshunt/core/store/SharedMap.java
+++ b/core/src/main/java/org/quetzalshunt/core/store/SharedMap.java
@@ -9,6 +9,11 @@
  * listener exactly once, on the caller's event loop.
  */
 public interface SharedMap {
+    /** Limits on the size of appends. */
+    default AppendLimits appendLimits() {
+        return AppendLimits.DEFAULT;
+    }
+
     /**
      * Reads the newest record of each key after {@code after}, which need not exist.
      *
--- a/core/src/main/java/org/quetzalshunt/core/turn/TurnCache.java
+++ b/core/src/main/java/org/quetzalshunt/core/turn/TurnCache.java
@@ -42,6 +42,14 @@
         return Optional.of(record);
     }
 
+    /**
+     * Finds a record as the ancestor of another turn. Its own expiry does not matter: the turns that continue from it
+     * decide how long it is needed.
+     */
+    public Optional<TurnRecord> findAncestor(String id) {
+        return Optional.ofNullable(records.get(id));
+    }
+
     /** Size of all cached records in bytes. */
     public long bytes() {
         return bytes;
--- a/core/src/test/java/org/quetzalshunt/core/turn/TurnTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/turn/TurnTest.java
@@ -8,7 +8,7 @@
 
 final class TurnTest {
     private static TurnRecord turn(String id, String input, String output, long expires) {
-        return new TurnRecord(id, "arusha", List.of(), bytes(input), bytes(output), expires);
+        return new TurnRecord(id, "arusha", List.of(), bytes(input), bytes(output), expires, 0);
     }
 
     private static byte[] bytes(String text) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/NodeClock.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/NodeClock.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.gateway;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Monotonic and wall-clock time of this VM, with detection of pauses during which the monotonic clock stopped.
@@ -14,20 +15,29 @@
     private static final long TOLERANCE_MILLIS = 250;
 
     private final Runnable onJump;
-    private long offsetMillis = offset();
+    private final LongSupplier monotonicMillis;
+    private final LongSupplier wallMillis;
+    private long offsetMillis;
 
     NodeClock(Runnable onJump) {
+        this(onJump, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), System::currentTimeMillis);
+    }
+
+    NodeClock(Runnable onJump, LongSupplier monotonicMillis, LongSupplier wallMillis) {
         this.onJump = onJump;
+        this.monotonicMillis = monotonicMillis;
+        this.wallMillis = wallMillis;
+        this.offsetMillis = offset();
     }
 
     /** Monotonic time in milliseconds. */
     long now() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        return monotonicMillis.getAsLong();
     }
 
     /** Wall-clock time in Unix milliseconds. */
     long wallMillis() {
-        return System.currentTimeMillis();
+        return wallMillis.getAsLong();
     }
 
     /** Runs the jump action if the clocks have diverged since the last call. */
@@ -40,7 +50,7 @@
         onJump.run();
     }
 
-    private static long offset() {
-        return System.currentTimeMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    private long offset() {
+        return wallMillis() - now();
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StoreClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StoreClient.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.quetzalshunt.core.store.AppendAnswer;
+import org.quetzalshunt.core.store.AppendLimits;
 import org.quetzalshunt.core.store.ChangesAnswer;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapShard;
@@ -72,6 +73,10 @@
         return failedSinceMillis;
     }
 
+    AppendLimits appendLimits() {
+        return map.appendLimits();
+    }
+
     void range(MapShard shard, String after, Consumer<RangeAnswer> listener) {
         long sentMillis = clock.now();
         map.range(shard, after, readTimeoutMillis(), answer -> {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -261,29 +261,24 @@
             return;
         }
         storing = true;
-        String id = admitted.request().id();
         if (!admitted.keepsHistory()) {
             onStored(true);
             return;
         }
-        gateway.history().save(record(id), () -> !finished, this::onStored);
+        gateway.history().save(newTurn(), () -> !finished, this::onStored);
     }
 
-    private TurnRecord record(String id) {
-        List<String> ancestors = new ArrayList<>();
-        if (!chain.isEmpty()) {
-            TurnRecord last = chain.get(chain.size() - 1);
-            ancestors.addAll(last.ancestors());
-            ancestors.add(last.id());
-        }
-        long expires = gateway.clock().wallMillis() + admitted.recordRetentionMillis();
-        return new TurnRecord(
-                id,
+    /** The turn to store, which is needed for the retention period from the end of the response, at its deadline. */
+    private TurnHistory.NewTurn newTurn() {
+        long remainingMillis =
+                Math.max(0, admitted.deadlineMillis() - gateway.clock().now());
+        return new TurnHistory.NewTurn(
+                admitted.request().id(),
                 admitted.accountName(),
-                List.copyOf(ancestors),
+                chain,
                 admitted.exchange().body(),
                 output.toByteArray(),
-                expires);
+                remainingMillis + admitted.recordRetentionMillis());
     }
 
     private void onStored(boolean stored) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnHistory.java
@@ -1,34 +1,25 @@
 package org.quetzalshunt.server.gateway;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.util.concurrent.EventExecutor;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
+import java.util.OptionalInt;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
-import org.quetzalshunt.core.store.AppendAnswer;
-import org.quetzalshunt.core.store.MapEntry;
-import org.quetzalshunt.core.store.MapShard;
-import org.quetzalshunt.core.store.RangeAnswer;
+import org.quetzalshunt.core.turn.ChainRetention;
 import org.quetzalshunt.core.turn.TurnCache;
 import org.quetzalshunt.core.turn.TurnRecord;
-import org.quetzalshunt.wire.record.StoredRecords;
 
 /**
- * Reads and writes turns in the store. Each turn is stored under its own id together with the ids of the turns before
- * it, so that any VM can find it without knowing its program, and reads a whole chain in two round trips.
- *
- * <p>A record never changes, so an append without a response is simply repeated: the stored content is the same
- * whichever append is applied.
+ * Finds and stores turns. Each turn is stored under its own id together with the ids of the turns before it, so that
+ * any VM can find it without knowing its program, and reads a whole chain in two round trips. A turn whose ancestors
+ * would expire before it is stored with copies of them ({@link ChainRetention}).
  */
 final class TurnHistory {
     /** Result of a search for a turn. */
@@ -43,28 +34,27 @@
         record Unavailable(String reason) implements Chain {}
     }
 
+    /**
+     * A turn to be stored.
+     *
+     * @param id id of the request that ran the turn
+     * @param account client account that it belongs to
+     * @param chain turns before it, oldest first
+     * @param input body of the request
+     * @param output data of the response's events, each followed by a line feed
+     * @param neededMillis time from now for which the turn and its chain must be kept
+     */
+    record NewTurn(String id, String account, List<TurnRecord> chain, byte[] input, byte[] output, long neededMillis) {}
+
     /** About two minutes of one VM's turns at the expected load; other turns are read from the store. */
     private static final long CACHE_BYTES = 12 * 1024 * 1024;
 
-    /** The wall clocks of VMs may differ; a record is removed only when it has expired by every clock. */
-    private static final long EXPIRY_MARGIN_MILLIS = 15_000;
-
-    /** Maximum number of removals of expired turns in one append, to keep appends small. */
-    private static final int MAXIMUM_REMOVALS = 8;
-
-    /** Minimum number of attempts of a read, since a response may have been lost. */
-    private static final int MINIMUM_READS = 2;
-
-    private record StoredTurn(String id, long expiresMillis) {}
-
-    private final EventExecutor executor;
-    private final StoreClient store;
     private final NodeClock clock;
-    private final BooleanSupplier isolated;
     private final DecisionLog log;
     private final GatewayMetrics metrics;
+    private final TurnReader reader;
+    private final TurnWriter writer;
     private final TurnCache cache = TurnCache.create(CACHE_BYTES);
-    private final Map<Integer, Deque<StoredTurn>> storedTurns = new HashMap<>();
 
     /**
      * Creates a history with an empty cache.
@@ -78,12 +68,11 @@
             DecisionLog log,
             GatewayMetrics metrics,
             BooleanSupplier isolated) {
-        this.isolated = isolated;
+        this.clock = clock;
         this.log = log;
         this.metrics = metrics;
-        this.executor = executor;
-        this.store = store;
-        this.clock = clock;
+        this.reader = new TurnReader(executor, store, clock, isolated);
+        this.writer = new TurnWriter(executor, store, clock, log, metrics);
     }
 
     /**
@@ -92,20 +81,34 @@
      * @param retryUntilMillis time until which failed reads are retried
      */
     void find(String id, String account, long retryUntilMillis, Consumer<Chain> listener) {
-        readTurn(id, ReadRetry.until(id, retryUntilMillis), head -> {
-            if (head instanceof Lookup.Unavailable unavailable) {
-                listener.accept(new Chain.Unavailable(unavailable.reason()));
-                return;
-            }
-            Optional<TurnRecord> record = ((Lookup.Read) head).record();
-            if (record.filter(found -> found.account().equals(account)).isEmpty()) {
-                listener.accept(new Chain.Missing());
+        Optional<TurnRecord> cached = cache.find(id, clock.wallMillis());
+        if (cached.isPresent()) {
+            readChain(cached, List.of(), account, retryUntilMillis, listener);
+            return;
+        }
+        reader.read(id, retryUntilMillis, answer -> {
+            if (answer instanceof TurnReader.Lookup.Read read) {
+                read.record().ifPresent(cache::put);
+                readChain(read.record(), read.copies(), account, retryUntilMillis, listener);
                 return;
             }
-            readAncestors(record.get(), retryUntilMillis, listener);
+            listener.accept(new Chain.Unavailable(((TurnReader.Lookup.Unavailable) answer).reason()));
         });
     }
 
+    private void readChain(
+            Optional<TurnRecord> turn,
+            List<TurnRecord> copies,
+            String account,
+            long retryUntilMillis,
+            Consumer<Chain> listener) {
+        if (turn.filter(found -> found.account().equals(account)).isEmpty()) {
+            listener.accept(new Chain.Missing());
+            return;
+        }
+        new ChainRead(turn.get(), copies, retryUntilMillis, listener).start();
+    }
+
     /** Whether the turn is in this VM's cache. */
     boolean isCached(String id) {
         return cache.find(id, clock.wallMillis()).isPresent();
@@ -120,7 +123,7 @@
         }
         List<TurnRecord> turns = new ArrayList<>();
         for (String ancestor : last.get().ancestors()) {
-            cache.find(ancestor, clock.wallMillis()).ifPresent(turns::add);
+            cache.findAncestor(ancestor).ifPresent(turns::add);
         }
         turns.add(last.get());
         return turns.size() == last.get().ancestors().size() + 1 ? Optional.of(turns) : Optional.empty();
@@ -131,56 +134,32 @@
         cache.put(turn);
     }
 
-    private void readAncestors(TurnRecord last, long retryUntilMillis, Consumer<Chain> listener) {
-        List<String> ids = last.ancestors();
-        if (ids.isEmpty()) {
-            listener.accept(new Chain.Found(List.of(last)));
-            return;
-        }
-        TurnRecord[] turns = new TurnRecord[ids.size() + 1];
-        turns[ids.size()] = last;
-        ChainCollector collector =
-                new ChainCollector(turns, ids.size(), listener, missing -> logMissing(last, missing));
-        for (int index = 0; index < ids.size(); index++) {
-            int position = index;
-            readTurn(
-                    ids.get(index),
-                    ReadRetry.until(ids.get(index), retryUntilMillis),
-                    answer -> collector.add(position, answer));
-        }
-    }
-
-    /** Collects the ancestors of a turn; if one is missing, the chain is unavailable. */
-    private static final class ChainCollector {
-        private final TurnRecord[] turns;
-        private final Consumer<Chain> listener;
-        private final IntConsumer onMissing;
-        private int outstanding;
-        private String failureReason;
-
-        ChainCollector(TurnRecord[] turns, int outstanding, Consumer<Chain> listener, IntConsumer onMissing) {
-            this.turns = turns;
-            this.outstanding = outstanding;
-            this.listener = listener;
-            this.onMissing = onMissing;
-        }
-
-        void add(int position, Lookup answer) {
-            if (answer instanceof Lookup.Read read && read.record().isPresent()) {
-                turns[position] = read.record().get();
-            } else if (answer instanceof Lookup.Unavailable unavailable) {
-                failureReason = unavailable.reason();
-            } else {
-                failureReason = "an earlier turn is missing";
-                onMissing.accept(position);
-            }
-            outstanding--;
-            if (outstanding > 0) {
-                return;
+    /**
+     * Stores a turn, with retries until it is stored or no longer wanted.
+     *
+     * @param stillWanted checked before each retry
+     * @param listener receives whether the turn is certainly stored
+     */
+    void save(NewTurn turn, BooleanSupplier stillWanted, Consumer<Boolean> listener) {
+        long nowMillis = clock.wallMillis();
+        long neededUntilMillis = nowMillis + turn.neededMillis();
+        int copied = ChainRetention.copiedAncestors(turn.chain(), neededUntilMillis);
+        TurnRecord record = new TurnRecord(
+                turn.id(),
+                turn.account(),
+                turn.chain().stream().map(TurnRecord::id).toList(),
+                turn.input(),
+                turn.output(),
+                ChainRetention.expiresMillis(neededUntilMillis),
+                copied);
+        boolean storesCopies = copied == turn.chain().size();
+        List<TurnRecord> ancestors = storesCopies ? turn.chain() : List.of();
+        writer.save(record, record.expiresMillis() - nowMillis, ancestors, stillWanted, stored -> {
+            if (stored) {
+                cache.put(record);
             }
-            listener.accept(
-                    failureReason == null ? new Chain.Found(List.of(turns)) : new Chain.Unavailable(failureReason));
-        }
+            listener.accept(stored);
+        });
     }
 
     private void logMissing(TurnRecord last, int position) {
@@ -190,136 +169,116 @@
                 .put("expiresInMillis", last.expiresMillis() - clock.wallMillis())
                 .put("missing", last.ancestors().get(position))
                 .put("position", position)
-                .put("ancestors", last.ancestors().size()));
+                .put("ancestors", last.ancestors().size())
+                .put("copiedAncestors", last.copiedAncestors()));
     }
 
-    private sealed interface Lookup {
-        record Read(Optional<TurnRecord> record) implements Lookup {}
-
-        record Unavailable(String reason) implements Lookup {}
-    }
-
-    /** Retry state of the reads of one turn. */
-    private static final class ReadRetry {
+    /**
+     * The read of the ancestors of a turn. Copied ancestors are read beside the turn that holds the copies, in one
+     * read; the others under their own ids.
+     */
+    private final class ChainRead {
+        private final TurnRecord last;
         private final long retryUntilMillis;
-        private final Backoff backoff;
-        private int failures;
+        private final Consumer<Chain> listener;
+        private final Map<String, TurnRecord> turns = new HashMap<>();
+        private final Set<Integer> copiesRead = new HashSet<>();
+        private Optional<String> failureReason = Optional.empty();
+        private int outstanding;
 
-        private ReadRetry(long retryUntilMillis, Backoff backoff) {
+        ChainRead(TurnRecord last, List<TurnRecord> copies, long retryUntilMillis, Consumer<Chain> listener) {
+            this.last = last;
             this.retryUntilMillis = retryUntilMillis;
-            this.backoff = backoff;
+            this.listener = listener;
+            last.ancestors().forEach(id -> cache.findAncestor(id).ifPresent(this::add));
+            copies.forEach(this::addRead);
+            add(last);
         }
 
-        static ReadRetry until(String id, long retryUntilMillis) {
-            return new ReadRetry(retryUntilMillis, new Backoff(id.hashCode()));
+        private void add(TurnRecord turn) {
+            turns.put(turn.id(), turn);
         }
 
-        /** Counts a failed read and returns whether to retry it. */
-        boolean retryAfterFailure(long nowMillis) {
-            failures++;
-            return failures < MINIMUM_READS || nowMillis < retryUntilMillis;
+        private void addRead(TurnRecord turn) {
+            add(turn);
+            cache.put(turn);
         }
 
-        long pauseMillis() {
-            return failures < MINIMUM_READS ? 0 : backoff.nextDelayMillis();
+        void start() {
+            int copied = last.copiedAncestors();
+            Set<String> reads = new LinkedHashSet<>();
+            OptionalInt missing = firstMissing();
+            if (missing.isPresent() && missing.getAsInt() < copied) {
+                copiesRead.add(copied);
+                reads.add(last.holderOfCopies(copied));
+            }
+            last.ancestors().stream()
+                    .skip(copied)
+                    .filter(id -> !turns.containsKey(id))
+                    .forEach(reads::add);
+            readAll(reads);
         }
-    }
 
-    private void readTurn(String id, ReadRetry retry, Consumer<Lookup> listener) {
-        Optional<TurnRecord> cached = cache.find(id, clock.wallMillis());
-        if (cached.isPresent()) {
-            listener.accept(new Lookup.Read(cached));
-            return;
-        }
-        store.range(Shards.ofTurn(id), keyBefore(id), answer -> {
-            if (answer instanceof RangeAnswer.Page page) {
-                Optional<TurnRecord> found = findEntry(page.entries(), id);
-                found.ifPresent(cache::put);
-                listener.accept(new Lookup.Read(found));
-                return;
+        private OptionalInt firstMissing() {
+            for (int position = 0; position < last.ancestors().size(); position++) {
+                if (!turns.containsKey(last.ancestors().get(position))) {
+                    return OptionalInt.of(position);
+                }
             }
-            if (retry.retryAfterFailure(clock.now()) && !isolated.getAsBoolean()) {
-                executor.schedule(() -> readTurn(id, retry, listener), retry.pauseMillis(), TimeUnit.MILLISECONDS);
+            return OptionalInt.empty();
+        }
+
+        private void readAll(Set<String> ids) {
+            outstanding = ids.size();
+            if (ids.isEmpty()) {
+                complete();
                 return;
             }
-            listener.accept(new Lookup.Unavailable(((RangeAnswer.Unavailable) answer).reason()));
-        });
-    }
-
-    /** A key that sorts shortly before the id, so that the first page of a range read after it contains the id. */
-    private static String keyBefore(String id) {
-        return id.substring(0, id.length() - 1);
-    }
-
-    private static Optional<TurnRecord> findEntry(List<MapEntry> entries, String id) {
-        return entries.stream()
-                .filter(entry -> entry.key().equals(id))
-                .findFirst()
-                .flatMap(MapEntry::value)
-                .flatMap(bytes -> StoredRecords.turn(id, bytes));
-    }
+            ids.forEach(id -> reader.read(id, retryUntilMillis, this::onRead));
+        }
 
-    /**
-     * Stores a turn, with retries until it is stored or no longer wanted.
-     *
-     * @param stillWanted checked before each retry
-     * @param listener receives whether the turn is certainly stored
-     */
-    void save(TurnRecord turn, BooleanSupplier stillWanted, Consumer<Boolean> listener) {
-        save(turn, stillWanted, listener, new Backoff(turn.id().hashCode()));
-    }
+        private void onRead(TurnReader.Lookup answer) {
+            if (answer instanceof TurnReader.Lookup.Read read) {
+                read.copies().forEach(this::addRead);
+                read.record().ifPresent(this::addRead);
+            } else {
+                failureReason = Optional.of(((TurnReader.Lookup.Unavailable) answer).reason());
+            }
+            outstanding--;
+            if (outstanding == 0) {
+                complete();
+            }
+        }
 
-    private void save(TurnRecord turn, BooleanSupplier stillWanted, Consumer<Boolean> listener, Backoff backoff) {
-        MapShard shard = Shards.ofTurn(turn.id());
-        List<MapEntry> entries = new ArrayList<>();
-        entries.add(MapEntry.of(turn.id(), StoredRecords.encode(turn)));
-        List<StoredTurn> removals = pollExpired(shard);
-        removals.forEach(each -> entries.add(MapEntry.removal(each.id())));
-        store.append(shard, entries, OptionalLong.empty(), answer -> {
-            if (answer instanceof AppendAnswer.Appended) {
-                metrics.countTurnRecord("stored");
-                logRemovals(removals);
-                cache.put(turn);
-                storedIn(shard).addLast(new StoredTurn(turn.id(), turn.expiresMillis()));
-                listener.accept(true);
+        private void complete() {
+            OptionalInt missing = firstMissing();
+            if (missing.isEmpty()) {
+                List<TurnRecord> chain = new ArrayList<>();
+                last.ancestors().forEach(id -> chain.add(turns.get(id)));
+                chain.add(last);
+                listener.accept(new Chain.Found(chain));
                 return;
             }
-            removals.forEach(storedIn(shard)::addFirst);
-            if (!stillWanted.getAsBoolean()) {
-                listener.accept(false);
+            if (failureReason.isPresent()) {
+                listener.accept(new Chain.Unavailable(failureReason.get()));
                 return;
             }
-            executor.schedule(
-                    () -> save(turn, stillWanted, listener, backoff), backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
-        });
-    }
-
-    private void logRemovals(List<StoredTurn> removals) {
-        if (removals.isEmpty()) {
-            return;
-        }
-        ObjectNode line = log.event("turns-removed");
-        ArrayNode turns = line.putArray("turns");
-        for (StoredTurn removal : removals) {
-            metrics.countTurnRecord("removed");
-            turns.add(removal.id());
+            OptionalInt copies = unreadCopiesOf(missing.getAsInt());
+            if (copies.isPresent()) {
+                copiesRead.add(copies.getAsInt());
+                readAll(Set.of(last.holderOfCopies(copies.getAsInt())));
+                return;
+            }
+            logMissing(last, missing.getAsInt());
+            listener.accept(new Chain.Unavailable("an earlier turn is missing"));
         }
-        log.write(line);
-    }
-
-    private Deque<StoredTurn> storedIn(MapShard shard) {
-        return storedTurns.computeIfAbsent(shard.number(), ignored -> new ArrayDeque<>());
-    }
 
-    private List<StoredTurn> pollExpired(MapShard shard) {
-        Deque<StoredTurn> queue = storedIn(shard);
-        List<StoredTurn> removals = new ArrayList<>();
-        long before = clock.wallMillis() - EXPIRY_MARGIN_MILLIS;
-        while (removals.size() < MAXIMUM_REMOVALS
-                && !queue.isEmpty()
-                && queue.peekFirst().expiresMillis() < before) {
-            removals.add(queue.pollFirst());
+        /** Finds copies that only an ancestor refers to: the last turn may be from a version that makes no copies. */
+        private OptionalInt unreadCopiesOf(int position) {
+            return turns.values().stream()
+                    .mapToInt(TurnRecord::copiedAncestors)
+                    .filter(copied -> copied > position && !copiesRead.contains(copied))
+                    .max();
         }
-        return removals;
     }
 }
--- a/wire/src/main/java/org/quetzalshunt/wire/record/StoredRecords.java
+++ b/wire/src/main/java/org/quetzalshunt/wire/record/StoredRecords.java
@@ -1,6 +1,6 @@
 package org.quetzalshunt.wire.record;
 
-import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.quetzalshunt.core.quota.LeaseTerm;
@@ -8,6 +8,7 @@
 import org.quetzalshunt.core.quota.VmHeartbeat;
 import org.quetzalshunt.core.turn.TurnRecord;
 import org.quetzalshunt.wire.generated.StoredAllotment;
+import org.quetzalshunt.wire.generated.StoredChainCopy;
 import org.quetzalshunt.wire.generated.StoredHeartbeat;
 import org.quetzalshunt.wire.generated.StoredQuotaShare;
 import org.quetzalshunt.wire.generated.StoredTurn;
@@ -30,12 +31,15 @@
 
     /** Encodes a turn without its id, which is the key of the record. */
     public static byte[] encode(TurnRecord turn) {
-        return MessageCodec.encode(new StoredTurn(
-                turn.account(),
-                turn.ancestors(),
-                ByteBuffer.wrap(turn.input()),
-                ByteBuffer.wrap(turn.output()),
-                turn.expiresMillis()));
+        return MessageCodec.encode(storedTurn(turn).setAccount(turn.account()).setAncestors(turn.ancestors()));
+    }
+
+    private static StoredTurn storedTurn(TurnRecord turn) {
+        return new StoredTurn()
+                .setInput(turn.input())
+                .setOutput(turn.output())
+                .setExpiresMillis(turn.expiresMillis())
+                .setCopiedAncestors(turn.copiedAncestors());
     }
 
     /** Decodes a turn from its key and its record. */
@@ -47,13 +51,49 @@
         if (stored.getInput() == null || stored.getOutput() == null) {
             return Optional.empty();
         }
-        return Optional.of(new TurnRecord(
+        return Optional.of(turnRecord(id, stored.getAccount(), List.copyOf(stored.getAncestors()), stored));
+    }
+
+    private static TurnRecord turnRecord(String id, String account, List<String> ancestors, StoredTurn stored) {
+        int copiedAncestors = Math.max(0, Math.min(ancestors.size(), stored.getCopiedAncestors()));
+        return new TurnRecord(
                 id,
-                stored.getAccount(),
-                List.copyOf(stored.getAncestors()),
+                account,
+                ancestors,
                 stored.getInput(),
                 stored.getOutput(),
-                stored.getExpiresMillis()));
+                stored.getExpiresMillis(),
+                copiedAncestors);
+    }
+
+    /**
+     * Encodes copies of consecutive ancestors of a turn.
+     *
+     * @param firstPosition position of the first of them among the ancestors
+     */
+    public static byte[] encodeChainCopy(int firstPosition, List<TurnRecord> turns) {
+        return MessageCodec.encode(new StoredChainCopy(
+                firstPosition, turns.stream().map(StoredRecords::storedTurn).toList()));
+    }
+
+    /** Decodes copies of ancestors that were stored beside a turn. */
+    public static List<TurnRecord> chainCopy(TurnRecord holder, byte[] bytes) {
+        StoredChainCopy stored = new StoredChainCopy();
+        if (!MessageCodec.decode(bytes, stored) || stored.getTurns() == null || stored.getFirstPosition() < 0) {
+            return List.of();
+        }
+        List<TurnRecord> turns = new ArrayList<>();
+        List<String> ancestors = holder.ancestors();
+        int position = stored.getFirstPosition();
+        for (StoredTurn turn : stored.getTurns()) {
+            if (position >= ancestors.size() || turn.getInput() == null || turn.getOutput() == null) {
+                return List.of();
+            }
+            turns.add(turnRecord(
+                    ancestors.get(position), holder.account(), List.copyOf(ancestors.subList(0, position)), turn));
+            position++;
+        }
+        return turns;
     }
 
     /** Encodes an allotment. */
--- a/wire/src/main/thrift/quetzalshunt.thrift
+++ b/wire/src/main/thrift/quetzalshunt.thrift
@@ -542,6 +542,17 @@
   3: binary input
   4: binary output
   5: i64 expiresMillis
+  /**
+   * Number of ancestors, oldest first, that are stored again beside the ancestor that follows them, or beside this turn
+   * if none follows.
+   */
+  6: optional i32 copiedAncestors
+}
+
+/** Copies of consecutive ancestors of a turn, without their accounts and ancestors. */
+struct StoredChainCopy {
+  1: i32 firstPosition
+  2: list<StoredTurn> turns
 }
 
 /** Tokens of a program's budget that are allotted to a VM. */
