Never send a request again on the connection of its last response

Cause: after a rejection by every server, a gateway sends the request again with the same id, on the connection that was used last, which is the one of the rejection. A late second copy of the rejection has the same id and was taken for the response to the second send; the request, then running, was sent once more.

Evidence: the log line of a request has localPorts now, the connections of its sends.

Change: the pool leaves out connections whose last request has the same id. A response without an id is accepted on a new connection only. Unmatched responses are counted by kind. The stand-in of servers echoes the id in its rejections, as the platform's servers do.

Why it works: a late response comes where the next response on its connection is expected. That one is now always of another request, whose id differs, so that the copy is skipped and the connection closed.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
@@ -6,6 +6,7 @@
 import org.quetzalshunt.core.route.TrafficConfiguration;
 import org.quetzalshunt.core.routing.Registration;
 import org.quetzalshunt.server.http.HttpExchange;
+import org.quetzalshunt.server.http.ResponseMatch;
 
 /**
  * Encodes and decodes requests, headers and records in the platform's formats. Implementations convert only and make
@@ -22,7 +23,7 @@
     HttpHeaders endpointRequestHeaders(HttpHeaders callerHeaders, OutboundHeaderValues terms);
 
     /** Whether the headers of a response identify it as the response to this request. */
-    boolean isResponseTo(String requestId, HttpHeaders answerHeaders);
+    ResponseMatch responseMatch(String requestId, HttpHeaders answerHeaders);
 
     /** Kind of an endpoint's response, by its status and headers. */
     ResponseKind responseKind(int status, HttpHeaders answerHeaders);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -2,7 +2,9 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -23,6 +25,7 @@
 import org.quetzalshunt.server.http.HttpResponseListener;
 import org.quetzalshunt.server.http.IpPort;
 import org.quetzalshunt.server.http.OutboundRequest;
+import org.quetzalshunt.server.http.ResponseMatch;
 
 /**
  * Sends one request to an endpoint of its service. If the endpoint cannot be reached or answers that it did not run
@@ -77,6 +80,9 @@
      */
     private static final double HEADERS_TIMEOUT_TARGETS = 2;
 
+    /** A request that waits for a full service is sent many times; its log line has the ports of the first ones. */
+    private static final int MAXIMUM_LOGGED_PORTS = 8;
+
     private final Gateway gateway;
     private final AdmittedRequest admitted;
     private final byte[] body;
@@ -85,6 +91,7 @@
     private final RequestMemory memory;
     private final Set<String> excluded = new HashSet<>();
     private final SlowdownWatch watch;
+    private final List<Integer> localPorts = new ArrayList<>();
     private Registration endpoint;
     private Selection selection;
     private HttpCall call;
@@ -166,6 +173,11 @@
         return attemptCount;
     }
 
+    /** Local ports of the connections of the first attempts that have ended, in their order. */
+    List<Integer> localPorts() {
+        return localPorts;
+    }
+
     private void send() {
         long now = gateway.clock().now();
         long remainingMillis = admitted.deadlineMillis() - now;
@@ -197,7 +209,7 @@
                 .send(
                         outboundRequest(remainingMillis),
                         callTimeouts(remainingMillis),
-                        this::isOwnResponse,
+                        this::match,
                         new ResponseHandler());
     }
 
@@ -262,7 +274,8 @@
                 admitted.exchange().method(),
                 admitted.exchange().uri(),
                 headers,
-                body);
+                body,
+                Optional.of(admitted.request().id()));
     }
 
     /** Parses the address of a registration, which was validated when the registration was decoded. */
@@ -275,8 +288,8 @@
                 Math.min(CONNECT_TIMEOUT_MILLIS, remainingMillis), remainingMillis, MAXIMUM_IDLE_MILLIS);
     }
 
-    private boolean isOwnResponse(HttpHeaders headers) {
-        return gateway.dialect().isResponseTo(admitted.request().id(), headers);
+    private ResponseMatch match(HttpHeaders headers) {
+        return gateway.dialect().responseMatch(admitted.request().id(), headers);
     }
 
     /** Records that events of the response arrived. */
@@ -296,6 +309,9 @@
     }
 
     private void endAttempt(AttemptOutcome outcome) {
+        if (call != null && localPorts.size() < MAXIMUM_LOGGED_PORTS) {
+            call.localPort().ifPresent(localPorts::add);
+        }
         call = null;
         memory.ended(endpoint.id());
         headersTimeout.cancel(false);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayGauges.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayGauges.java
@@ -1,5 +1,8 @@
 package org.quetzalshunt.server.gateway;
 
+import java.util.Locale;
+import org.quetzalshunt.server.http.UnmatchedResponses;
+
 /** Gauges of what a gateway knows and how it is connected. */
 final class GatewayGauges {
     private GatewayGauges() {}
@@ -25,6 +28,14 @@
                 "quetzalshunt.connections.opened",
                 "connections opened to endpoints and to the platform since the start",
                 () -> gateway.http().connectionsOpened());
+        for (UnmatchedResponses.Kind kind : UnmatchedResponses.Kind.values()) {
+            metrics.registerGauge(
+                    "quetzalshunt.responses.unmatched",
+                    "responses that no request was waiting for, since the start",
+                    "kind",
+                    kind.name().toLowerCase(Locale.ROOT),
+                    () -> gateway.http().unmatched().count(kind));
+        }
         for (ProcessorTime.Kind kind : ProcessorTime.Kind.values()) {
             metrics.registerGauge(
                     "quetzalshunt.processor.millis",
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
@@ -4,9 +4,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 
 /** One request in progress. Ends exactly once. */
 public final class HttpCall {
@@ -17,21 +19,25 @@
     }
 
     private final HttpResponseListener listener;
-    private final Predicate<HttpHeaders> matchesRequest;
+    private final Optional<String> requestId;
+    private final ResponseMatcher matcher;
     private final Release release;
     private Channel channel;
     private ScheduledFuture<?> timeout;
     private boolean sent;
     private boolean done;
 
-    private HttpCall(HttpResponseListener listener, Predicate<HttpHeaders> matchesRequest, Release release) {
+    private HttpCall(
+            HttpResponseListener listener, Optional<String> requestId, ResponseMatcher matcher, Release release) {
         this.listener = listener;
-        this.matchesRequest = matchesRequest;
+        this.requestId = requestId;
+        this.matcher = matcher;
         this.release = release;
     }
 
-    static HttpCall create(HttpResponseListener listener, Predicate<HttpHeaders> matchesRequest, Release release) {
-        return new HttpCall(listener, matchesRequest, release);
+    static HttpCall create(
+            HttpResponseListener listener, Optional<String> requestId, ResponseMatcher matcher, Release release) {
+        return new HttpCall(listener, requestId, matcher, release);
     }
 
     /** Cancels the request: closes the connection and makes no further call to the listener. */
@@ -45,6 +51,13 @@
         }
     }
 
+    /** Local port of the connection; empty if there is none yet. */
+    public OptionalInt localPort() {
+        return channel != null && channel.localAddress() instanceof InetSocketAddress address
+                ? OptionalInt.of(address.getPort())
+                : OptionalInt.empty();
+    }
+
     void start(Channel connection, FullHttpRequest request, long timeoutMillis) {
         if (done) {
             request.release();
@@ -78,8 +91,12 @@
         }
     }
 
-    boolean isOwnResponse(HttpHeaders headers) {
-        return matchesRequest.test(headers);
+    Optional<String> requestId() {
+        return requestId;
+    }
+
+    ResponseMatch match(HttpHeaders headers) {
+        return matcher.match(headers);
     }
 
     void head(int status, HttpHeaders headers) {
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.tinylog.Logger;
@@ -19,7 +20,10 @@
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    private final UnmatchedResponses unmatched;
     private HttpCall call;
+    private Optional<String> lastRequestId = Optional.empty();
+    private boolean reused;
     private boolean keepAlive;
     private long keepAliveMillis = IdleConnection.UNSTATED;
     /** Whether the response being read is interim or belongs to another request. */
@@ -29,14 +33,25 @@
      */
     private boolean outOfSync;
 
+    HttpCallHandler(UnmatchedResponses unmatched) {
+        this.unmatched = unmatched;
+    }
+
     void attach(HttpCall newCall) {
+        reused = lastRequestId.isPresent();
+        lastRequestId = newCall.requestId().or(() -> Optional.of(""));
         call = newCall;
     }
 
+    /** Whether the last request on the connection had the given id. */
+    boolean isLastRequest(String id) {
+        return lastRequestId.equals(Optional.of(id));
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (call == null) {
-            context.close();
+            onUnexpected(context, message);
             return;
         }
         if (!message.decoderResult().isSuccess()) {
@@ -54,12 +69,28 @@
         }
     }
 
+    private void onUnexpected(ChannelHandlerContext context, HttpObject message) {
+        if (message instanceof HttpResponse) {
+            unmatched.record(UnmatchedResponses.Kind.UNEXPECTED);
+        }
+        context.close();
+    }
+
     private void onHead(HttpResponse response) {
-        boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean own = interim || call.isOwnResponse(response.headers());
-        skippingResponse = interim || !own;
-        outOfSync |= !own;
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            skippingResponse = true;
+            return;
+        }
+        ResponseMatch match = call.match(response.headers());
+        if (match == ResponseMatch.UNIDENTIFIED && reused) {
+            unmatched.record(UnmatchedResponses.Kind.UNIDENTIFIED);
+            detach().fail("response without a request id on a reused connection", true);
+            return;
+        }
+        skippingResponse = match == ResponseMatch.FOREIGN;
         if (skippingResponse) {
+            unmatched.record(UnmatchedResponses.Kind.FOREIGN);
+            outOfSync = true;
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(response);
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
@@ -22,10 +22,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -57,6 +58,7 @@
 
     private final EventLoopGroup group;
     private final Map<InetSocketAddress, Deque<IdleConnection>> idle = new HashMap<>();
+    private final UnmatchedResponses unmatched = new UnmatchedResponses();
     private long connectionsOpened;
     private int openConnections;
 
@@ -89,20 +91,18 @@
         headers.forEach(all::set);
         all.set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         CallTimeouts times = new CallTimeouts(CONNECT_TIMEOUT_MILLIS, timeoutMillis, NO_IDLE_LIMIT);
-        return send(new OutboundRequest(address, method, uri, all, body), times, ignored -> true, listener);
+        OutboundRequest request = new OutboundRequest(address, method, uri, all, body, Optional.empty());
+        return send(request, times, ResponseMatcher.ANY, listener);
     }
 
     /**
      * Sends a request; the listener receives the response.
      *
-     * @param matchesRequest whether a response, by its headers, belongs to this request. Other responses are ignored:
-     *     a faulty server may send a second response to an earlier request on the connection.
+     * @param matcher matches responses to the request. Responses to other requests are ignored: a faulty server may
+     *     send a second response to an earlier request on the connection.
      */
     public HttpCall send(
-            OutboundRequest outbound,
-            CallTimeouts times,
-            Predicate<HttpHeaders> matchesRequest,
-            HttpResponseListener listener) {
+            OutboundRequest outbound, CallTimeouts times, ResponseMatcher matcher, HttpResponseListener listener) {
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(outbound.method()),
@@ -113,8 +113,11 @@
         request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, outbound.body().length);
         InetSocketAddress address = outbound.address();
         HttpCall call = HttpCall.create(
-                listener, matchesRequest, (channel, keepAliveMillis) -> release(address, channel, keepAliveMillis));
-        Channel pooled = takeIdle(address, times.maximumIdleMillis());
+                listener,
+                outbound.id(),
+                matcher,
+                (channel, keepAliveMillis) -> release(address, channel, keepAliveMillis));
+        Channel pooled = takeIdle(address, times.maximumIdleMillis(), outbound.id());
         if (pooled != null) {
             call.start(pooled, request, times.responseMillis());
             return call;
@@ -154,6 +157,11 @@
         return connectionsOpened;
     }
 
+    /** Counts of the responses that no request was waiting for. */
+    public UnmatchedResponses unmatched() {
+        return unmatched;
+    }
+
     /** Number of open connections, in use and idle. */
     public int openConnections() {
         return openConnections;
@@ -195,7 +203,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec()).addLast(new HttpCallHandler());
+                        channel.pipeline().addLast(new HttpClientCodec()).addLast(new HttpCallHandler(unmatched));
                     }
                 })
                 .connect(address);
@@ -210,21 +218,34 @@
         });
     }
 
-    private Channel takeIdle(InetSocketAddress address, long maximumIdleMillis) {
+    /**
+     * Takes the idle connection that was used last, other than those whose last request had the same id: a late second
+     * response to that request may still be received there. It would be taken for the response to this one, and a
+     * rejection that is received so leads to another send of a request that is running.
+     */
+    private Channel takeIdle(InetSocketAddress address, long maximumIdleMillis, Optional<String> id) {
         Deque<IdleConnection> connections = idle.get(address);
         if (connections == null) {
             return null;
         }
         long now = nowMillis();
-        for (IdleConnection each = connections.pollLast(); each != null; each = connections.pollLast()) {
-            if (each.isUsable(now, maximumIdleMillis)) {
-                return each.channel();
+        for (Iterator<IdleConnection> each = connections.descendingIterator(); each.hasNext(); ) {
+            IdleConnection connection = each.next();
+            if (!connection.isUsable(now, maximumIdleMillis)) {
+                each.remove();
+                connection.channel().close();
+            } else if (id.isEmpty() || !isLastRequest(connection, id.get())) {
+                each.remove();
+                return connection.channel();
             }
-            each.channel().close();
         }
         return null;
     }
 
+    private static boolean isLastRequest(IdleConnection connection, String id) {
+        return connection.channel().pipeline().get(HttpCallHandler.class).isLastRequest(id);
+    }
+
     private void release(InetSocketAddress address, Channel channel, long keepAliveMillis) {
         Deque<IdleConnection> connections = idle.computeIfAbsent(address, ignored -> new ArrayDeque<>());
         if (!channel.isActive() || connections.size() >= MAXIMUM_IDLE_PER_ADDRESS) {
--- a/server/src/test/java/org/quetzalshunt/server/gateway/EvacuationDialect.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/EvacuationDialect.java
@@ -7,6 +7,7 @@
 import org.quetzalshunt.core.route.TrafficConfiguration;
 import org.quetzalshunt.core.routing.Registration;
 import org.quetzalshunt.server.http.HttpExchange;
+import org.quetzalshunt.server.http.ResponseMatch;
 
 /** Dialect that decodes only evacuations, for tests of components that pass other bytes on unread. */
 final class EvacuationDialect implements Dialect {
@@ -21,8 +22,8 @@
     }
 
     @Override
-    public boolean isResponseTo(String requestId, HttpHeaders answerHeaders) {
-        return false;
+    public ResponseMatch responseMatch(String requestId, HttpHeaders answerHeaders) {
+        return ResponseMatch.FOREIGN;
     }
 
     @Override
--- /dev/null
+++ b/server/src/test/java/org/quetzalshunt/server/http/HttpClientTest.java
@@ -0,0 +1,157 @@
+package org.quetzalshunt.server.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Responses of a faulty server on kept connections. */
+final class HttpClientTest {
+    private static final CallTimeouts TIMEOUTS = new CallTimeouts(1_000, 3_000, 10_000);
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpClient client = HttpClient.create(group);
+    private ScriptedServer server;
+
+    @AfterEach
+    void stop() throws IOException {
+        if (server != null) {
+            server.close();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void serve(ScriptedServer.Script script) throws IOException {
+        server = new ScriptedServer(script);
+    }
+
+    private static ResponseMatch match(String id, HttpHeaders headers) {
+        String echoed = headers.get("x-request-id");
+        if (echoed == null) {
+            return ResponseMatch.UNIDENTIFIED;
+        }
+        return echoed.equals(id) ? ResponseMatch.OWN : ResponseMatch.FOREIGN;
+    }
+
+    /** Sends a request and returns the status of its response, with its body or the reason of its failure. */
+    private String send(String id) {
+        CompletableFuture<String> result = new CompletableFuture<>();
+        HttpHeaders headers = new DefaultHttpHeaders().set("host", "server").set("x-request-id", id);
+        OutboundRequest request =
+                new OutboundRequest(server.address(), "GET", "/", headers, new byte[0], Optional.of(id));
+        BufferedResponseListener.Receiver receiver = new BufferedResponseListener.Receiver() {
+            @Override
+            public void onAnswer(int status, byte[] body) {
+                result.complete(status + " " + new String(body, StandardCharsets.US_ASCII));
+            }
+
+            @Override
+            public void onFailure(String reason, boolean requestMayHaveArrived) {
+                result.complete(reason);
+            }
+        };
+        group.next()
+                .execute(() -> client.send(
+                        request,
+                        TIMEOUTS,
+                        responseHeaders -> match(id, responseHeaders),
+                        BufferedResponseListener.to(receiver, 1_000)));
+        return result.orTimeout(5, TimeUnit.SECONDS).join();
+    }
+
+    private static void respond(OutputStream out, int status, String idHeader, String body) throws IOException {
+        String response = "HTTP/1.1 " + status + " Status\r\n" + idHeader + "content-length: " + body.length()
+                + "\r\n\r\n" + body;
+        out.write(response.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private long unmatched(UnmatchedResponses.Kind kind) {
+        return group.next()
+                .submit(() -> client.unmatched().count(kind))
+                .syncUninterruptibly()
+                .getNow();
+    }
+
+    /**
+     * Guards against a late second copy of a rejection that is taken for the response to a second send of the request:
+     * the request would be sent a third time while it runs.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {503, 421, 500, 200})
+    void lateCopyOfAResponseIsNotTakenForTheResponseToASecondSend(int status) throws Exception {
+        serve((connection, request, out) -> {
+            if (request > 0) {
+                respond(out, status, "x-request-id: a\r\n", "first");
+            }
+            respond(out, connection == 0 ? status : 200, "x-request-id: a\r\n", connection == 0 ? "first" : "second");
+        });
+        assertThat(send("a")).isEqualTo(status + " first");
+
+        assertThat(send("a")).isEqualTo("200 second");
+
+        assertThat(server.connections()).isEqualTo(2);
+    }
+
+    /** Guards against a connection that is lost to other requests because one request must not use it again. */
+    @Test
+    void anotherRequestUsesTheConnectionAndSkipsTheLateCopy() throws Exception {
+        serve((connection, request, out) -> {
+            String id = request == 0 ? "a" : "b";
+            if (request > 0) {
+                respond(out, 503, "x-request-id: a\r\n", "first");
+            }
+            respond(out, 200, "x-request-id: " + id + "\r\n", "response to " + id);
+        });
+        send("a");
+
+        assertThat(send("b")).isEqualTo("200 response to b");
+
+        assertThat(server.connections()).isEqualTo(1);
+        assertThat(unmatched(UnmatchedResponses.Kind.FOREIGN)).isEqualTo(1);
+        // The connection is out of step and is not used again.
+        send("a");
+        assertThat(server.connections()).isEqualTo(2);
+    }
+
+    /** Guards against new connections for every attempt: another response in between shows that the connection is sound. */
+    @Test
+    void connectionIsUsedAgainAfterAnotherRequest() throws Exception {
+        serve((connection, request, out) ->
+                respond(out, 200, "x-request-id: " + (request == 1 ? "b" : "a") + "\r\n", "sound"));
+        send("a");
+        send("b");
+
+        assertThat(send("a")).isEqualTo("200 sound");
+
+        assertThat(server.connections()).isEqualTo(1);
+    }
+
+    /**
+     * Guards against a late response without an id that is taken for the response to another request. On a new
+     * connection there is no earlier request that it could belong to.
+     */
+    @Test
+    void responseWithoutAnIdIsAcceptedOnANewConnectionOnly() throws Exception {
+        serve((connection, request, out) -> respond(out, 200, "", "anonymous"));
+
+        assertThat(send("a")).isEqualTo("200 anonymous");
+        assertThat(send("b")).isEqualTo("response without a request id on a reused connection");
+        assertThat(send("b")).isEqualTo("200 anonymous");
+
+        assertThat(unmatched(UnmatchedResponses.Kind.UNIDENTIFIED)).isEqualTo(1);
+        assertThat(server.connections()).isEqualTo(2);
+    }
+}
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -109,15 +109,15 @@
     }
 
     private void handle(HttpExchange exchange) {
+        String requestId = exchange.header("x-request-id").orElse("");
         if (!exchange.header("x-expect-instance").equals(Optional.of(id))) {
-            exchange.respond(421, Map.of("x-instance-id", id), new byte[0]);
+            exchange.respond(421, Map.of("x-request-id", requestId, "x-instance-id", id), new byte[0]);
             return;
         }
         if (fault == ServerFault.FULL) {
-            exchange.respond(503, Map.of("x-not-executed", "1"), new byte[0]);
+            exchange.respond(503, Map.of("x-request-id", requestId, "x-not-executed", "1"), new byte[0]);
             return;
         }
-        String requestId = exchange.header("x-request-id").orElse("");
         Map<String, String> headers = new HashMap<>();
         exchange.headers().forEach(header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
