Keep the allotments of ended processes while their program goes on

Cause: as with the chains of turns, a record's lifetime counted from the last act of its writer. The allotment of a process that has ended expired, and its tokens were no longer counted, although the program went on elsewhere.

Evidence: allotment-expired, a new log line for a record that is left out.

Change: a raise, and a refusal, also renews the records of the program's other holders, in the same append on condition of the shard's end. The retention of a budget counts from the deadline of the turn.

Why it works: while any gateway grants tokens without the store, the records of all holders outlast that grant, because its last raise renewed them; and a renewal cannot overwrite a raise, since both are conditional on the same end.

Cost: no store call more for a granted turn.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionChecks.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionChecks.java
@@ -31,13 +31,26 @@
         return admitted.keepsHistory()
                 || admitted.budgetedProgram()
                         .filter(program -> !gateway.budgets()
-                                .canGrantLocally(program, admitted.maximumTokens(), admitted.recordRetentionMillis()))
+                                .canGrantLocally(
+                                        program,
+                                        admitted.maximumTokens(),
+                                        admitted.recordsNeededMillis(
+                                                gateway.clock().now())))
                         .isPresent();
     }
 
     /** The verdict on a budget that is known to be exhausted. */
     static Optional<BudgetManager.Verdict.Exhausted> exhaustedBudget(Gateway gateway, AdmittedRequest admitted) {
-        return admitted.budgetedProgram().flatMap(program -> gateway.budgets()
-                .knownExhausted(program, admitted.request().tokenBudget().getAsLong(), admitted.maximumTokens()));
+        Optional<BudgetManager.Verdict.Exhausted> exhausted = admitted.budgetedProgram()
+                .flatMap(program -> gateway.budgets()
+                        .knownExhausted(
+                                program, admitted.request().tokenBudget().getAsLong(), admitted.maximumTokens()));
+        if (exhausted.isPresent()) {
+            gateway.budgets()
+                    .keepRecords(
+                            admitted.budgetedProgram().orElseThrow(),
+                            admitted.recordsNeededMillis(gateway.clock().now()));
+        }
+        return exhausted;
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmittedRequest.java
@@ -137,10 +137,13 @@
     }
 
     /**
-     * How long the record of the turn and of the tokens that it consumed must be kept after its end, in milliseconds.
+     * How long from now the records of the turn and of the tokens of its program must be kept, in milliseconds: for the
+     * retention period from the end of its response, which is at its deadline at the latest.
+     *
+     * @param nowMillis current time on this VM's clock
      */
-    long recordRetentionMillis() {
-        return route.retentionMillis() + RETENTION_MARGIN_MILLIS;
+    long recordsNeededMillis(long nowMillis) {
+        return Math.max(0, deadlineMillis - nowMillis) + route.retentionMillis() + RETENTION_MARGIN_MILLIS;
     }
 
     /** Whether the turn is stored, so that later turns can continue it. */
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.concurrent.EventExecutor;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -12,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.quetzalshunt.core.budget.AllotmentRecords;
 import org.quetzalshunt.core.budget.ProgramAllotment;
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.store.AppendAnswer;
@@ -49,13 +51,16 @@
             String program,
             long budget,
             long maximumTokens,
-            long recordRetentionMillis,
+            long neededMillis,
             long retryUntilMillis,
             Backoff backoff,
             Consumer<Verdict> listener) {}
 
     private static final class ProgramState {
         final ProgramAllotment allotment;
+        final AllotmentRecords records = AllotmentRecords.create();
+        /** When all records of the program were last known to be kept for long enough, on this VM's clock. */
+        long renewedMillis = Long.MIN_VALUE / 2;
         /**
          * Epoch of the shard when this state was read; once the epoch differs, other VMs may have changed the
          * allotments.
@@ -65,6 +70,10 @@
         ProgramState(ProgramAllotment allotment) {
             this.allotment = allotment;
         }
+
+        boolean isRead(Shard shard) {
+            return readEpoch == shard.epoch;
+        }
     }
 
     private static final class Shard {
@@ -88,7 +97,11 @@
     /** An allotment that expired longer ago than this is ignored; the margin covers clock differences between VMs. */
     private static final long EXPIRY_MARGIN_MILLIS = 15_000;
 
-    /** Added to the expiry of an allotment, so that its record is not renewed for every turn of a running program. */
+    /**
+     * Time for which tokens are granted without an access to the store beyond the time for which they are needed, so
+     * that the records are not renewed for every turn of a running program. Records are kept for twice this time, so
+     * that those of other VMs outlast the grants from this one.
+     */
     private static final long RENEWAL_MARGIN_MILLIS = 60_000;
 
     private static final char SEPARATOR = '/';
@@ -96,6 +109,7 @@
     private final EventExecutor executor;
     private final StoreClient store;
     private final NodeClock clock;
+    private final DecisionLog log;
     private final BooleanSupplier isolated;
     private final ExhaustionListener onExhausted;
     private final String holder;
@@ -120,6 +134,7 @@
             EventExecutor executor,
             StoreClient store,
             NodeClock clock,
+            DecisionLog log,
             GatewaySettings settings,
             BooleanSupplier isolated,
             ExhaustionListener onExhausted) {
@@ -128,6 +143,7 @@
         this.executor = executor;
         this.store = store;
         this.clock = clock;
+        this.log = log;
         this.holder = settings.incarnationId();
         this.transfersAllotments = settings.policy().isEnabled(Mechanism.PEER_HISTORY);
     }
@@ -150,7 +166,9 @@
 
     /** Records the total allotment of a program whose budget another VM found exhausted. */
     void onPeerExhausted(String program, long allottedTokens) {
-        stateOf(program).allotment.allottedAtLeast(allottedTokens);
+        ProgramState state = stateOf(program);
+        state.allotment.allottedAtLeast(allottedTokens);
+        state.renewedMillis = clock.now();
     }
 
     /** Whether this VM has read, or received from a peer, the allotments of other VMs from the program's budget. */
@@ -162,11 +180,11 @@
     /**
      * Whether this VM can grant a turn of the program without an access to the store.
      *
-     * @param recordRetentionMillis how long the record of the tokens that the turn consumes must be kept
+     * @param neededMillis time from now for which the record of the tokens that the turn consumes must be kept
      */
-    boolean canGrantLocally(String program, long maximumTokens, long recordRetentionMillis) {
+    boolean canGrantLocally(String program, long maximumTokens, long neededMillis) {
         ProgramState state = programs.get(program);
-        return state != null && state.allotment.covers(maximumTokens, clock.wallMillis() + recordRetentionMillis);
+        return state != null && state.allotment.covers(maximumTokens, clock.wallMillis() + neededMillis);
     }
 
     /** Whether the budget, as last read, has room for several more turns, so that a grant is very likely. */
@@ -190,24 +208,25 @@
     /**
      * Reserves tokens for a turn.
      *
-     * @param recordRetentionMillis how long the program's history is kept after its last turn
+     * @param neededMillis time from now for which the records of the program's tokens must be kept
      * @param retryUntilMillis time until which failed store calls are retried
      */
     void reserve(
             String program,
             long budget,
             long maximumTokens,
-            long recordRetentionMillis,
+            long neededMillis,
             long retryUntilMillis,
             Consumer<Verdict> listener) {
         ProgramState state = stateOf(program);
-        if (state.allotment.covers(maximumTokens, clock.wallMillis() + recordRetentionMillis)) {
+        if (state.allotment.covers(maximumTokens, clock.wallMillis() + neededMillis)) {
             state.allotment.reserve(maximumTokens);
             listener.accept(new Verdict.Granted());
             return;
         }
         Optional<Verdict.Exhausted> exhausted = knownExhausted(program, budget, maximumTokens);
         if (exhausted.isPresent()) {
+            keepRecords(program, neededMillis);
             listener.accept(exhausted.get());
             return;
         }
@@ -217,13 +236,65 @@
                 program,
                 budget,
                 maximumTokens,
-                recordRetentionMillis,
+                neededMillis,
                 Math.max(retryUntilMillis, clock.now() + MINIMUM_RETRY_MILLIS),
                 new Backoff(program.hashCode()),
                 listener);
         enqueue(shard, () -> tryGrant(key, shard, pending));
     }
 
+    /**
+     * Keeps the records of a program that was refused without an access to the store: it may come again within its
+     * retention period, and its tokens must still be counted then.
+     *
+     * @param neededMillis time from now for which the records must be kept
+     */
+    void keepRecords(String program, long neededMillis) {
+        ProgramState state = stateOf(program);
+        if (clock.now() - state.renewedMillis < RENEWAL_MARGIN_MILLIS) {
+            return;
+        }
+        state.renewedMillis = clock.now();
+        MapShard key = Shards.ofProgram(program);
+        Shard shard = shards.computeIfAbsent(key, ignored -> new Shard());
+        enqueue(
+                shard,
+                () -> readAllotments(key, shard, program, state, read -> {
+                    if (read) {
+                        renew(key, shard, program, state, neededMillis);
+                    } else {
+                        state.renewedMillis = Long.MIN_VALUE / 2;
+                        runNext(shard);
+                    }
+                }));
+    }
+
+    /** Renews the records of a program without a change of tokens, and continues with the next task of the shard. */
+    private void renew(MapShard key, Shard shard, String program, ProgramState state, long neededMillis) {
+        List<AllotmentRecords.Allotment> renewals = renewals(state, neededMillis);
+        state.renewedMillis = clock.now();
+        if (renewals.isEmpty()) {
+            runNext(shard);
+            return;
+        }
+        store.append(key, entries(program, renewals), OptionalLong.of(shard.end), answer -> {
+            if (answer instanceof AppendAnswer.Appended appended) {
+                shard.end = appended.end();
+                renewals.forEach(state.records::put);
+            } else {
+                shard.epoch++;
+                state.renewedMillis = Long.MIN_VALUE / 2;
+            }
+            runNext(shard);
+        });
+    }
+
+    /** The records that would expire within the renewal margin after the needed time, with their new expiry. */
+    private List<AllotmentRecords.Allotment> renewals(ProgramState state, long neededMillis) {
+        long neededUntilMillis = clock.wallMillis() + neededMillis + RENEWAL_MARGIN_MILLIS;
+        return state.records.renewals(neededUntilMillis, neededUntilMillis + RENEWAL_MARGIN_MILLIS);
+    }
+
     private void enqueue(Shard shard, Runnable task) {
         shard.tasks.addLast(task);
         if (!shard.busy) {
@@ -239,9 +310,12 @@
         }
     }
 
-    private MapEntry allotmentEntry(String program, long tokens, long expiresMillis) {
-        StoredRecords.Allotment allotment = new StoredRecords.Allotment(tokens, expiresMillis);
-        return MapEntry.of(program + SEPARATOR + holder, StoredRecords.encode(allotment));
+    private static List<MapEntry> entries(String program, List<AllotmentRecords.Allotment> allotments) {
+        return allotments.stream()
+                .map(each -> MapEntry.of(
+                        program + SEPARATOR + each.holder(),
+                        StoredRecords.encode(new StoredRecords.Allotment(each.tokens(), each.expiresMillis()))))
+                .toList();
     }
 
     private void runNext(Shard shard) {
@@ -259,7 +333,7 @@
 
     private void tryGrant(MapShard key, Shard shard, Pending pending) {
         ProgramState state = stateOf(pending.program());
-        long neededUntilMillis = clock.wallMillis() + pending.recordRetentionMillis();
+        long neededUntilMillis = clock.wallMillis() + pending.neededMillis();
         if (state.allotment.covers(pending.maximumTokens(), neededUntilMillis)) {
             state.allotment.reserve(pending.maximumTokens());
             complete(shard, pending, new Verdict.Granted());
@@ -269,15 +343,22 @@
             complete(shard, pending, new Verdict.Unavailable("no grant in time"));
             return;
         }
-        if (state.readEpoch != shard.epoch) {
-            readAllotments(key, shard, pending, state);
+        if (!state.isRead(shard)) {
+            readAllotments(key, shard, pending.program(), state, read -> {
+                if (read) {
+                    tryGrant(key, shard, pending);
+                } else {
+                    retryLater(key, shard, pending);
+                }
+            });
             return;
         }
         state.allotment.discardReceivedBefore(neededUntilMillis);
         OptionalLong newAllotment = state.allotment.nextAllotment(pending.budget(), pending.maximumTokens());
         if (newAllotment.isEmpty()) {
             onExhausted.onExhausted(pending.program(), state.allotment.allotted() + state.allotment.others());
-            complete(shard, pending, new Verdict.Exhausted(state.allotment.allotted(), state.allotment.others()));
+            pending.listener().accept(new Verdict.Exhausted(state.allotment.allotted(), state.allotment.others()));
+            renew(key, shard, pending.program(), state, pending.neededMillis());
             return;
         }
         raiseAllotment(key, shard, pending, state, newAllotment.getAsLong());
@@ -288,11 +369,12 @@
                 () -> tryGrant(key, shard, pending), pending.backoff().nextDelayMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void readAllotments(MapShard key, Shard shard, Pending pending, ProgramState state) {
-        String prefix = pending.program() + SEPARATOR;
+    private void readAllotments(
+            MapShard key, Shard shard, String program, ProgramState state, Consumer<Boolean> listener) {
+        String prefix = program + SEPARATOR;
         store.range(key, prefix, answer -> {
             if (!(answer instanceof RangeAnswer.Page page)) {
-                retryLater(key, shard, pending);
+                listener.accept(false);
                 return;
             }
             if (page.end() != shard.end) {
@@ -302,41 +384,50 @@
             }
             applyEntries(state, prefix, page.entries());
             state.readEpoch = shard.epoch;
-            tryGrant(key, shard, pending);
+            listener.accept(true);
         });
     }
 
     private void applyEntries(ProgramState state, String prefix, List<MapEntry> entries) {
-        long others = 0;
-        long own = 0;
-        long ownExpiresMillis = 0;
-        long expiredBefore = clock.wallMillis() - EXPIRY_MARGIN_MILLIS;
+        List<AllotmentRecords.Allotment> found = new ArrayList<>();
+        long nowMillis = clock.wallMillis();
         for (MapEntry entry : entries) {
             if (!entry.key().startsWith(prefix)) {
                 break;
             }
-            Optional<StoredRecords.Allotment> found = entry.value().flatMap(StoredRecords::allotment);
-            if (found.filter(allotment -> allotment.expiresMillis() >= expiredBefore)
-                    .isEmpty()) {
-                continue;
-            }
-            if (entry.key().equals(prefix + holder)) {
-                own = found.get().tokens();
-                ownExpiresMillis = found.get().expiresMillis();
-            } else {
-                others += found.get().tokens();
-            }
+            entry.value().flatMap(StoredRecords::allotment).ifPresent(stored -> {
+                String vm = entry.key().substring(prefix.length());
+                if (stored.expiresMillis() >= nowMillis - EXPIRY_MARGIN_MILLIS) {
+                    found.add(new AllotmentRecords.Allotment(vm, stored.tokens(), stored.expiresMillis()));
+                } else {
+                    logExpired(entry.key(), stored, nowMillis);
+                }
+            });
         }
-        state.allotment.read(others, own, ownExpiresMillis);
+        state.records.read(found);
+        AllotmentRecords.Allotment own = state.records.of(holder);
+        state.allotment.read(
+                state.records.tokensOfOthers(holder), own.tokens(), own.expiresMillis() - RENEWAL_MARGIN_MILLIS);
+    }
+
+    private void logExpired(String key, StoredRecords.Allotment expired, long nowMillis) {
+        log.write(log.event("allotment-expired")
+                .put("allotment", key)
+                .put("tokens", expired.tokens())
+                .put("expiredMillisAgo", nowMillis - expired.expiresMillis()));
     }
 
     private void raiseAllotment(MapShard key, Shard shard, Pending pending, ProgramState state, long tokens) {
-        long expiresMillis = clock.wallMillis() + pending.recordRetentionMillis() + RENEWAL_MARGIN_MILLIS;
-        MapEntry entry = allotmentEntry(pending.program(), tokens, expiresMillis);
-        store.append(key, List.of(entry), OptionalLong.of(shard.end), answer -> {
+        long validUntilMillis = clock.wallMillis() + pending.neededMillis() + RENEWAL_MARGIN_MILLIS;
+        List<AllotmentRecords.Allotment> written = new ArrayList<>(renewals(state, pending.neededMillis()));
+        written.removeIf(each -> each.holder().equals(holder));
+        written.add(new AllotmentRecords.Allotment(holder, tokens, validUntilMillis + RENEWAL_MARGIN_MILLIS));
+        store.append(key, entries(pending.program(), written), OptionalLong.of(shard.end), answer -> {
             if (answer instanceof AppendAnswer.Appended appended) {
                 shard.end = appended.end();
-                state.allotment.granted(tokens, expiresMillis);
+                written.forEach(state.records::put);
+                state.renewedMillis = clock.now();
+                state.allotment.granted(tokens, validUntilMillis);
                 tryGrant(key, shard, pending);
                 return;
             }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -119,6 +119,7 @@
                 group.next(),
                 store,
                 clock,
+                log,
                 settings,
                 () -> gateway.isolatedFromStore(),
                 (program, allotted) -> gateway.chains().broadcastExhausted(program, allotted));
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -268,17 +268,14 @@
         gateway.history().save(newTurn(), () -> !finished, this::onStored);
     }
 
-    /** The turn to store, which is needed for the retention period from the end of the response, at its deadline. */
     private TurnHistory.NewTurn newTurn() {
-        long remainingMillis =
-                Math.max(0, admitted.deadlineMillis() - gateway.clock().now());
         return new TurnHistory.NewTurn(
                 admitted.request().id(),
                 admitted.accountName(),
                 chain,
                 admitted.exchange().body(),
                 output.toByteArray(),
-                remainingMillis + admitted.recordRetentionMillis());
+                admitted.recordsNeededMillis(gateway.clock().now()));
     }
 
     private void onStored(boolean stored) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnGrant.java
@@ -59,7 +59,7 @@
                         program.get(),
                         admitted.request().tokenBudget().getAsLong(),
                         admitted.maximumTokens(),
-                        admitted.recordRetentionMillis(),
+                        admitted.recordsNeededMillis(gateway.clock().now()),
                         admitted.outageWaitUntilMillis(),
                         verdict -> onVerdict(verdict, listener));
     }
--- a/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/BudgetManagerTest.java
@@ -4,6 +4,8 @@
 
 import io.netty.util.concurrent.DefaultEventExecutor;
 import io.netty.util.concurrent.EventExecutor;
+import java.io.OutputStream;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,8 +28,13 @@
     private static final int PROGRAMS = 40;
     private static final long RUN_MILLIS = 2_000;
 
+    private static final DecisionLog LOG = DecisionLog.start("vm", new PrintStream(OutputStream.nullOutputStream()));
+
     private final EventExecutor executor = new DefaultEventExecutor();
-    private final NodeClock clock = new NodeClock(() -> {});
+    /** Wall-clock time that passes in a second of a run in which records are renewed. */
+    private static final int FAST_WALL_SECONDS = 100;
+
+    private NodeClock clock = new NodeClock(() -> {});
 
     @AfterEach
     void stop() {
@@ -42,6 +49,23 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void budgetIsNotExceededWhenAppendResponsesAreLost(long seed) throws Exception {
+        spendThroughALossyStore(seed);
+    }
+
+    /**
+     * Guards against a renewal of another gateway's allotment that replaces a higher one which that gateway has stored
+     * at the same time.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13})
+    void budgetIsNotExceededWhenAllotmentsAreRenewedConcurrently(long seed) throws Exception {
+        NodeClock real = new NodeClock(() -> {});
+        long start = real.now();
+        clock = new NodeClock(() -> {}, real::now, () -> start + (real.now() - start) * FAST_WALL_SECONDS);
+        spendThroughALossyStore(seed);
+    }
+
+    private void spendThroughALossyStore(long seed) throws Exception {
         List<Loop> loops = new ArrayList<>();
         for (int program = 0; program < PROGRAMS; program++) {
             loops.add(new Loop(PROGRAMS * seed + program));
@@ -86,7 +110,7 @@
                         false,
                         VmCapacity.UNKNOWN);
                 managers.add(new BudgetManager(
-                        executor, new StoreClient(map, clock), clock, settings, () -> false, this::notifyPeers));
+                        executor, new StoreClient(map, clock), clock, LOG, settings, () -> false, this::notifyPeers));
             }
         }
 
