Sidecar: send every run on a new connection

A sidecar sent runs that may be repeated, and resumed streams, on kept connections. Endpoints of the product's own interface echo no id, so a late second response to one run was taken for the response to the next one, possibly of another program.

Change: runs and resumed streams get a new connection each, as runs that must not be repeated did before. Cancels, whose response nobody reads, keep theirs.

Cost: one connection a run between a sidecar and its own endpoint, on the same VM. Gateways are not concerned.

--- a/server/src/main/java/org/quetzalshunt/server/sidecar/AttemptExecutor.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/AttemptExecutor.java
@@ -36,8 +36,8 @@
     private final EventLoopGroup group;
     private final InetSocketAddress endpoint;
     private final boolean isEngine;
-    private final HttpClient pooled;
-    private final HttpClient unpooled;
+    private final HttpClient cancels;
+    private final HttpClient runs;
     private final Consumer<EndpointEvent> events;
     private final Long2ObjectHashMap<HttpCall> calls = new Long2ObjectHashMap<>();
 
@@ -45,8 +45,8 @@
         this.group = group;
         this.endpoint = settings.endpoint();
         this.isEngine = settings.kind() == ServiceKind.ENGINE;
-        this.pooled = HttpClient.create(group);
-        this.unpooled = HttpClient.create(group);
+        this.cancels = HttpClient.create(group);
+        this.runs = HttpClient.create(group);
         this.events = events;
     }
 
@@ -56,15 +56,14 @@
 
     void start(GateOutput.StartRun start) {
         AttemptOrder order = start.order();
-        HttpClient client = order.repeatable() ? pooled : freshConnectionClient();
         String method = isEngine ? "POST" : order.method();
         String path = isEngine ? CHAT_PATH : order.path();
-        send(client, order.attempt(), start.run(), method, path, headers(order), order.body(), start.timeoutMillis());
+        send(order.attempt(), start.run(), method, path, headers(order), order.body(), start.timeoutMillis());
     }
 
     void resume(GateOutput.ResumeRun resume) {
         String path = REQUESTS_PATH + resume.attempt() + "?from=" + resume.fromEvent();
-        send(pooled, resume.attempt(), resume.run(), "GET", path, Map.of(), NO_BODY, resume.timeoutMillis());
+        send(resume.attempt(), resume.run(), "GET", path, Map.of(), NO_BODY, resume.timeoutMillis());
     }
 
     void stop(long attempt) {
@@ -86,22 +85,16 @@
     void close() {
         calls.values().forEach(HttpCall::cancel);
         calls.clear();
-        pooled.close();
-        unpooled.close();
+        cancels.close();
+        runs.close();
     }
 
     /**
-     * Returns a client without idle connections. A service can close an idle connection just as a request is sent on
-     * it, which leaves the outcome of a request unknown that never arrived. A request that must not be repeated
-     * therefore gets a new connection.
+     * Sends a run on a new connection, which is cheap beside the endpoint. On an idle one, a late second response to an
+     * earlier run could be taken for the response to this one, since endpoints echo no id; and the endpoint can close
+     * it just as a request is sent, which leaves the outcome of a request unknown that never arrived.
      */
-    private HttpClient freshConnectionClient() {
-        unpooled.close();
-        return unpooled;
-    }
-
     private void send(
-            HttpClient client,
             long attempt,
             int run,
             String method,
@@ -111,8 +104,7 @@
             long timeoutMillis) {
         AttemptResponseListener listener =
                 AttemptResponseListener.of(attempt, run, isEngine, events, () -> calls.remove(attempt));
-        Optional<HttpCall> call =
-                trySend(client, method, path, headers, body, timeoutMillis + TIMEOUT_MARGIN_MILLIS, listener);
+        Optional<HttpCall> call = trySend(method, path, headers, body, timeoutMillis + TIMEOUT_MARGIN_MILLIS, listener);
         if (call.isEmpty()) {
             listener.onFailure("request is not valid HTTP", false);
             return;
@@ -124,15 +116,15 @@
 
     /** Empty when the method, the path or a header is not valid in HTTP; Netty rejects those before it connects. */
     private Optional<HttpCall> trySend(
-            HttpClient client,
             String method,
             String path,
             Map<String, String> headers,
             byte[] body,
             long timeoutMillis,
             HttpResponseListener listener) {
+        runs.close();
         try {
-            return Optional.of(client.send(endpoint, method, path, headers, body, timeoutMillis, listener));
+            return Optional.of(runs.send(endpoint, method, path, headers, body, timeoutMillis, listener));
         } catch (IllegalArgumentException malformed) {
             return Optional.empty();
         }
@@ -154,7 +146,7 @@
 
     private void sendCancel(long attempt) {
         String path = REQUESTS_PATH + attempt;
-        pooled.send(
+        cancels.send(
                 endpoint,
                 "DELETE",
                 path,
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
@@ -106,6 +106,25 @@
         assertThat(fixture.endpoint.requests("POST /issues")).hasSize(sent);
     }
 
+    // A faulty service sends a second copy of a response when the next request arrives on the connection. Services echo
+    // no id, so the caller of the next request would receive the response to another one.
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void lateCopyOfAResponseIsNotTheResponseToTheNextRequest(boolean repeatable) throws IOException {
+        try (RepeatingServer service = RepeatingServer.start()) {
+            FakeEntry entry = fixture.connect(
+                    fixture.startSidecar(ServiceKind.PLAIN, SidecarTimes.defaults(), service.address()));
+            for (long attempt = ATTEMPT; attempt < ATTEMPT + 3; attempt++) {
+                AttemptStart start = attemptStart(repeatable);
+                start.setAttempt(attempt);
+                start.setPath("/" + attempt);
+                entry.start(start);
+                assertThat(outcome(entry.awaitEnd(attempt))).isEqualTo("OK RAN");
+                assertThat(entry.chunks(attempt)).containsExactly("response to /" + attempt);
+            }
+        }
+    }
+
     // A service closes an idle connection just as the sidecar reuses it. A non-repeatable call would then have an
     // unknown outcome without ever having arrived, so each one must use a new connection.
     @Test
