Report a write that fails at once after the send

Suspected by the review: EndpointCall.send keeps the call that HttpClient.send returns. If the write fails inside that method, a retry starts a new call there, and the ended one then replaces it, so that a later time-out or cancel misses the running attempt. Only requests that may be repeated are concerned.

Change: the failure is reported in a task of its own on the event loop.

Test: HttpCallTest.writeThatFailsAtOnceIsReportedAfterTheSend fails before: the failure was reported inside the send.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
@@ -74,7 +74,9 @@
         writing.addListener(written -> {
             sent = written.isSuccess();
             if (!sent) {
-                fail("cannot send request: " + written.cause().getMessage(), true);
+                // A write can fail during this method, while the caller of the client does not have this call yet.
+                String reason = "cannot send request: " + written.cause().getMessage();
+                channel.eventLoop().execute(() -> fail(reason, true));
             } else if (!done) {
                 listener.onRequestRead();
             }
