Quarantine a request as long as it keeps coming

A request that had crashed three endpoints, and that its caller went on sending, was refused for two minutes only and then reached endpoints again.

Change: a refusal extends the quarantine at the gateway that refuses.

Test: CrashTableTest.quarantineLastsWhileTheRequestKeepsComing fails before.

Not covered: a gateway that starts later than two minutes after the last crash does not know of it, since the reports in the store expire.

--- a/core/src/main/java/org/quetzalshunt/core/quarantine/CrashTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/quarantine/CrashTable.java
@@ -7,7 +7,7 @@
 
 /**
  * Counts endpoint crashes by the fingerprint of the requests that were running at the time. A request that was running
- * in three crashes is quarantined: it is not run again until its entry expires.
+ * in three crashes is quarantined: it is not run again until it has not come for the time of its entry.
  *
  * <p>Guards against a request that crashes every endpoint that runs it and that its caller retries at any VM, which
  * would take down one endpoint after another. A request that only happened to be running when an endpoint crashed for
@@ -18,8 +18,8 @@
     public static final int QUARANTINE_CRASHES = 3;
 
     /**
-     * Time after the last crash of a request at which its entry expires. Callers retry within seconds, and an
-     * endpoint that was repaired should be tried again.
+     * Time after the last crash of a request, or after its last refusal, at which its entry expires: a request that
+     * keeps coming must not crash further endpoints once in this time, and one that has stopped should be tried again.
      */
     public static final long RETENTION_MILLIS = 120_000;
 
@@ -48,7 +48,7 @@
         entries.remove(fingerprint);
     }
 
-    /** Whether the request is quarantined and must not run. */
+    /** Whether the request is quarantined and must not run. Its quarantine then lasts on from now. */
     public boolean isQuarantined(long nowMillis, String fingerprint) {
         CrashEntry entry = entries.get(fingerprint);
         if (entry == null) {
@@ -58,7 +58,11 @@
             entries.remove(fingerprint);
             return false;
         }
-        return entry.crashIds.size() >= QUARANTINE_CRASHES;
+        boolean quarantined = entry.crashIds.size() >= QUARANTINE_CRASHES;
+        if (quarantined) {
+            entry.expiresMillis = nowMillis + RETENTION_MILLIS;
+        }
+        return quarantined;
     }
 
     /** Whether no crash is recorded, in which case callers need not compute fingerprints. */
--- a/core/src/test/java/org/quetzalshunt/core/quarantine/CrashTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/quarantine/CrashTableTest.java
@@ -38,6 +38,18 @@
         assertThat(table.isQuarantined(1, "f")).isFalse();
     }
 
+    /** Guards against a request that crashes further endpoints because it kept coming until its entry had expired. */
+    @Test
+    void quarantineLastsWhileTheRequestKeepsComing() {
+        for (int crash = 0; crash < CrashTable.QUARANTINE_CRASHES; crash++) {
+            table.recordCrash(0, "f", "a-" + crash);
+        }
+        long pauseMillis = CrashTable.RETENTION_MILLIS / 10;
+        for (long now = 0; now < 3 * CrashTable.RETENTION_MILLIS; now += pauseMillis) {
+            assertThat(table.isQuarantined(now, "f")).isTrue();
+        }
+    }
+
     @Test
     void quarantineExpires() {
         for (int crash = 0; crash < CrashTable.QUARANTINE_CRASHES; crash++) {
