Keep a root program while its sub-agents are active

Change: a root is as active as the most active of its sub-agents, and active while one of them runs a turn.

Test: ShardTest.aRootIsNotIdleWhileItsSubAgentIsActive, both cases fail before.

--- a/core/src/main/java/org/quetzalshunt/core/program/Shard.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/Shard.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -359,16 +361,28 @@
     }
 
     private void endIdlePrograms(long nowMillis) {
+        // A root that waits for its sub-agents is active with them, since its end would end them, too.
+        Map<String, Long> lastActiveOfRoots = new HashMap<>();
+        state.programs().forEach(program -> {
+            boolean runsTurn = !program.isEnded() && turns.find(program.id).isPresent();
+            long lastActive = runsTurn ? nowMillis : program.lastActiveMillis;
+            lastActiveOfRoots.merge(ShardNumbers.root(program.id), lastActive, Math::max);
+        });
         state.programs().stream()
                 .filter(program -> !program.isEnded() && turns.find(program.id).isEmpty())
                 // Submitted once per program: during a log outage, repeats would fill the backlog needed for turns.
                 .filter(program -> !endingPrograms.contains(program.id))
-                .filter(program -> program.lastActiveMillis + settings.programIdleMillis() < nowMillis)
+                .filter(program ->
+                        lastActiveMillis(program, lastActiveOfRoots) + settings.programIdleMillis() < nowMillis)
                 .map(program -> program.id)
                 .toList()
                 .forEach(id -> endProgram(nowMillis, id, ResultCode.DEADLINE_PASSED, ended -> {}));
     }
 
+    private static long lastActiveMillis(Program program, Map<String, Long> lastActiveOfRoots) {
+        return program.isRoot() ? lastActiveOfRoots.get(program.id) : program.lastActiveMillis;
+    }
+
     /** All programs, sorted by id. */
     public List<ProgramView> programs() {
         return state.programs().stream()
--- a/core/src/test/java/org/quetzalshunt/core/program/ShardTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/program/ShardTest.java
@@ -244,6 +244,46 @@
         assertThat(one.session.backlogRecords()).isEqualTo(1);
     }
 
+    /**
+     * Guards against a root that is ended as idle, and its sub-agents with it, although it waits for a sub-agent that
+     * was active lately or runs a turn.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRootIsNotIdleWhileItsSubAgentIsActive(boolean runsTurn) {
+        one.takeOver(this::ticks);
+        one.create(PROGRAM, 10_000);
+        log.run(60, this::ticks);
+        long later = log.now() + ShardSettings.defaults().programIdleMillis() + 2_000;
+        one.shard.createProgram(
+                new ShardRecord.ProgramCreated(
+                        one.shard.epoch(),
+                        "terrace.helper",
+                        ShardNode.ACCOUNT,
+                        Optional.of(PROGRAM),
+                        5_000,
+                        100,
+                        runsTurn ? log.now() : later - 1_000,
+                        false,
+                        "create helper"),
+                outcome -> {});
+        log.run(60, this::ticks);
+        if (runsTurn) {
+            one.offer("terrace.helper", "check stones");
+            log.run(60, this::ticks);
+            assertThat(one.turnsStarted).hasSize(1);
+        }
+
+        one.shard.tick(later);
+        log.run(60, this::ticks);
+
+        assertThat(one.shard.programs().stream().map(ProgramView::id).toList())
+                .containsExactly(PROGRAM, "terrace.helper");
+        assertThat(one.shard.programs().stream()
+                        .anyMatch(program -> program.endedCode().isPresent()))
+                .isFalse();
+    }
+
     /** A turn that is refused because its reservation cannot be recorded must not block later turns of its program. */
     @Test
     void aTurnRefusedForAFullBacklogDoesNotBlockItsProgram() {
