Bound the interim responses to one request

By the gateway's log the calls took up to 969 ms there, the next slowest case 546 ms: 1 MiB of interim heads is about 37,000 parsed responses on the event loop, which also delays other requests.

Change: at most 32 interim responses to a request.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -20,11 +20,15 @@
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /** Interim responses to one request. They are short, so that many fit into the limit on bytes. */
+    private static final int MAXIMUM_INTERIM_RESPONSES = 32;
+
     private final UnmatchedResponses unmatched;
     private final ProgressLimit limit;
     private HttpCall call;
     private Optional<String> lastRequestId = Optional.empty();
     private boolean reused;
+    private int interimResponses;
     private boolean keepAlive;
     private long keepAliveMillis = IdleConnection.UNSTATED;
     /** Whether the response being read is interim or belongs to another request. */
@@ -41,6 +45,7 @@
 
     void attach(HttpCall newCall) {
         reused = lastRequestId.isPresent();
+        interimResponses = 0;
         lastRequestId = newCall.requestId().or(() -> Optional.of(""));
         call = newCall;
     }
@@ -80,7 +85,7 @@
 
     private void onHead(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            skippingResponse = true;
+            onInterim();
             return;
         }
         ResponseMatch match = call.match(response.headers());
@@ -101,6 +106,14 @@
         call.head(response.status().code(), response.headers());
     }
 
+    private void onInterim() {
+        skippingResponse = true;
+        interimResponses++;
+        if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
+            detach().fail("more than " + MAXIMUM_INTERIM_RESPONSES + " interim responses", true);
+        }
+    }
+
     private void onChunk(HttpContent content) {
         if (content.content().isReadable()) {
             limit.onProgress();
