--- /dev/null
+++ b/review/standins-2/src/review2/Quarantine.java
@@ -0,0 +1,231 @@
+package review2;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A program starts sub-agents whose first turns have the same input. They run at the server that has the prompt of
+ * their parent in its cache, one of six, which crashes once, for four seconds. Later, other programs of the tenant, in
+ * another zone, send turns with the same input.
+ */
+final class Quarantine {
+    private static final int SERVERS = 6;
+    private static final int HELPERS = 3;
+    private static final int CRASHES = 3;
+    private static final int MAXIMUM_PARENTS = 20;
+    private static final int LATER_PROGRAMS = 10;
+    private static final int SENDS = 3;
+    private static final int ATTEMPTS = 2;
+    private static final long DOWN_MILLIS = 4_000;
+    private static final long CALM_MILLIS = 4_000;
+    private static final String SAME_INPUT = "yes, go on";
+    private static final String HEADERS = "X-Request-Id: %s\r\nX-Program-Id: %s\r\nX-Session-Id: %s\r\n"
+            + "X-Program-Deadline-Ms: 20000\r\nX-Deadline-Ms: 3000\r\nX-Token-Budget: 2240\r\n"
+            + "X-Token-Usage: 1460,12\r\nAuthorization: Bearer key-1\r\n";
+
+    /** What happened to the tries of one turn. */
+    private record Turn(String program, List<String> ids, List<Client.Outcome> outcomes) {
+        boolean served() {
+            return outcomes.get(outcomes.size() - 1).served();
+        }
+
+        boolean reachedServer(List<Server> servers) {
+            return servers.stream()
+                    .flatMap(server -> server.runs.stream())
+                    .anyMatch(run -> ids.contains(run.id()));
+        }
+    }
+
+    private Quarantine() {}
+
+    public static void main(String[] arguments) throws Exception {
+        Fleet fleet = new Fleet(Path.of(arguments[0]));
+        try {
+            run(fleet);
+        } catch (Exception failed) {
+            failed.printStackTrace();
+            fleet.finish(Fleet.NOT_RUN, "the case could not run: " + failed);
+        }
+    }
+
+    private static void run(Fleet fleet) throws Exception {
+        Store store = new Store();
+        Server.Work work = new Server.Work() {
+            @Override
+            public long millis(Http.Message request) {
+                String body = new String(request.body(), StandardCharsets.ISO_8859_1);
+                return body.endsWith(SAME_INPUT) ? 700 : 50;
+            }
+
+            @Override
+            public int answerBytes(Http.Message request) {
+                return 800;
+            }
+        };
+        List<Server> servers = new ArrayList<>();
+        store.put("keyed.op", "config", Configurations.plain(1));
+        for (int number = 1; number <= SERVERS; number++) {
+            Server server = new Server("llm-" + number, 8, work);
+            servers.add(server);
+            store.put("keyed.servers", server.id, server.entry("llm"));
+        }
+        for (String zone : List.of("tt-south-a", "tt-south-a", "tt-south-b", "tt-south-b")) {
+            fleet.addGateway(store.port(), zone);
+        }
+        fleet.awaitReady();
+        ExecutorService clients = Executors.newCachedThreadPool();
+        Thread.sleep(1_000);
+        List<Future<Turn>> helpers = new ArrayList<>();
+        for (int parent = 0; parent < MAXIMUM_PARENTS; parent++) {
+            helpers = startHelpers(fleet, clients, "early-" + parent);
+            Server busiest = awaitRunning(servers);
+            if (sameInputs(busiest) >= CRASHES) {
+                crash(fleet, store, busiest);
+                break;
+            }
+            for (Future<Turn> helper : helpers) {
+                helper.get();
+            }
+        }
+        for (Future<Turn> helper : helpers) {
+            Turn turn = helper.get();
+            fleet.note("sub-agent of " + turn.program() + ": " + turn.outcomes());
+        }
+        Thread.sleep(CALM_MILLIS);
+        fleet.note("later programs begin, over " + CALM_MILLIS + " ms after the crashed server was back");
+        judge(fleet, servers, clients);
+    }
+
+    /** Starts the sub-agents of a program after its first turn. */
+    private static List<Future<Turn>> startHelpers(Fleet fleet, ExecutorService clients, String program)
+            throws Exception {
+        List<Integer> ports = ports(fleet, 0);
+        String prefix = "shared:512," + program + ":160";
+        Turn first = turn(ports, program, "first", "", prefix, "question of " + program);
+        List<Future<Turn>> helpers = new ArrayList<>();
+        for (int number = 0; number < HELPERS; number++) {
+            String name = "helper-" + number;
+            String last = first.ids().get(first.ids().size() - 1);
+            helpers.add(clients.submit(
+                    () -> turn(ports, program, name, last, prefix + "," + program + name + ":12", SAME_INPUT)));
+        }
+        return helpers;
+    }
+
+    /** The two gateways of a zone; each try of a client reaches the other one. */
+    private static List<Integer> ports(Fleet fleet, int first) {
+        return List.of(fleet.gateways.get(first).port, fleet.gateways.get(first + 1).port);
+    }
+
+    /** Waits until all sub-agents run; returns the server that runs most of them. */
+    private static Server awaitRunning(List<Server> servers) throws InterruptedException {
+        long until = System.currentTimeMillis() + 500;
+        while (servers.stream().mapToLong(Quarantine::sameInputs).sum() < HELPERS
+                && System.currentTimeMillis() < until) {
+            Thread.sleep(2);
+        }
+        return busiest(servers);
+    }
+
+    private static void crash(Fleet fleet, Store store, Server server) throws Exception {
+        fleet.note("server " + server.id + " runs " + sameInputs(server) + " turns with the input '" + SAME_INPUT + "'");
+        if (!Fleet.trouble()) {
+            Thread.sleep(DOWN_MILLIS);
+            return;
+        }
+        server.crash();
+        fleet.note("server " + server.id + " has crashed");
+        Thread.sleep(DOWN_MILLIS);
+        server.restart();
+        store.put("keyed.servers", server.id, server.entry("llm"));
+        fleet.note("server " + server.id + " is back");
+    }
+
+    private static Server busiest(List<Server> servers) {
+        return servers.stream().max(Comparator.comparingLong(Quarantine::sameInputs)).orElseThrow();
+    }
+
+    private static long sameInputs(Server server) {
+        return server.running().values().stream()
+                .filter(body -> body.endsWith(SAME_INPUT))
+                .count();
+    }
+
+    private static void judge(Fleet fleet, List<Server> servers, ExecutorService clients) throws Exception {
+        int firstServed = 0;
+        int lost = 0;
+        int secondServed = 0;
+        for (int number = 0; number < LATER_PROGRAMS; number++) {
+            String program = "later-" + number;
+            List<Integer> ports = ports(fleet, 2);
+            String prefix = "shared:512," + program + ":160";
+            Turn first = turn(ports, program, "first", "", prefix, "question of " + program);
+            firstServed += first.served() ? 1 : 0;
+            Turn second = turn(
+                    ports, program, "second", first.ids().get(first.ids().size() - 1), prefix + ",s:12", SAME_INPUT);
+            secondServed += second.served() ? 1 : 0;
+            boolean reached = second.reachedServer(servers);
+            boolean isLost = first.served() && second.ids().size() >= 5 && !reached;
+            lost += isLost ? 1 : 0;
+            fleet.note(program + ": first turn " + first.outcomes() + "; second turn, " + second.ids().size()
+                    + " tries, " + (reached ? "reached a server" : "reached no server") + ": " + second.outcomes());
+        }
+        clients.shutdown();
+        clients.awaitTermination(5, TimeUnit.SECONDS);
+        fleet.note("first turns served: " + firstServed + " of " + LATER_PROGRAMS + ", second turns: " + secondServed
+                + "; at most one of " + SERVERS * 8 + " places was taken");
+        boolean broken = lost > 0 && firstServed * 10 >= LATER_PROGRAMS * 9;
+        fleet.finish(
+                broken ? Fleet.BROKEN : Fleet.HELD,
+                broken
+                        ? "LOST broken: " + lost + " turns reached no server in five tries or more"
+                        : "LOST held");
+    }
+
+    /** Sends a turn as the clients of the platform do: two attempts each, and again from its start, at most twice. */
+    private static Turn turn(List<Integer> ports, String program, String name, String previous, String prefix, String input)
+            throws Exception {
+        Turn turn = new Turn(program, new ArrayList<>(), new ArrayList<>());
+        for (int send = 0; send < SENDS; send++) {
+            for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+                String id = program + "-" + name + "-" + (turn.ids().size() + 1);
+                turn.ids().add(id);
+                int port = ports.get(turn.ids().size() % ports.size());
+                Client.Outcome outcome = attempt(port, program, id, previous, prefix, input);
+                turn.outcomes().add(outcome);
+                if (outcome.served()) {
+                    return turn;
+                }
+                if (outcome.status() != 503 && outcome.status() != 429) {
+                    break;
+                }
+                Thread.sleep(retryAfterMillis(outcome));
+            }
+            Thread.sleep(250);
+        }
+        return turn;
+    }
+
+    private static Client.Outcome attempt(
+            int port, String program, String id, String previous, String prefix, String input) throws IOException {
+        String headers = HEADERS.formatted(id, program, program)
+                + "X-Prompt-Prefix: " + prefix + "\r\n"
+                + (previous.isEmpty() ? "" : "X-Previous-Turn: " + previous + "\r\n");
+        try (Client client = new Client(port, 0, 4_000)) {
+            return client.exchange("POST", "/chat/1", headers, input.getBytes(StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    private static long retryAfterMillis(Client.Outcome outcome) {
+        String seconds = outcome.answer() == null ? "" : outcome.answer().header("retry-after");
+        return seconds.isEmpty() ? 50 : Math.min(1_000, (long) (Double.parseDouble(seconds) * 1_000));
+    }
+}
