--- a/review/standins-2/src/review2/Client.java
+++ b/review/standins-2/src/review2/Client.java
@@ -31,8 +31,11 @@
         }
     }
 
+    private static final int SENDS_PER_SECOND = 20;
+    private static final int MILLIS_PER_SECOND = 1_000;
     private final Socket socket = new Socket();
     private final InputStream in;
+    private int bytesPerSecond;
 
     /** Connects; the receive buffer is left to the system if the size is 0. */
     Client(int port, int receiveBufferBytes, int readTimeoutMillis) throws IOException {
@@ -53,10 +56,31 @@
         byte[] all = new byte[start.length + body.length];
         System.arraycopy(start, 0, all, 0, start.length);
         System.arraycopy(body, 0, all, start.length, body.length);
-        socket.getOutputStream().write(all);
+        int step = bytesPerSecond == 0 ? all.length : Math.max(1, bytesPerSecond / SENDS_PER_SECOND);
+        long nextMillis = System.currentTimeMillis();
+        for (int offset = 0; offset < all.length; offset += step) {
+            socket.getOutputStream().write(all, offset, Math.min(step, all.length - offset));
+            nextMillis += MILLIS_PER_SECOND / SENDS_PER_SECOND;
+            if (bytesPerSecond > 0) {
+                sleep(nextMillis - System.currentTimeMillis());
+            }
+        }
         return System.currentTimeMillis();
     }
 
+    /** Sends later requests at a steady pace. */
+    void pace(int newBytesPerSecond) {
+        bytesPerSecond = newBytesPerSecond;
+    }
+
+    private static void sleep(long millis) throws IOException {
+        try {
+            Thread.sleep(Math.max(0, millis));
+        } catch (InterruptedException interrupted) {
+            throw new IOException(interrupted);
+        }
+    }
+
     /** Sends a request and reads its answer. */
     Outcome exchange(String method, String path, String headers, byte[] body) {
         long sentMillis = System.currentTimeMillis();
@@ -121,11 +145,7 @@
         private void pause() throws IOException {
             long now = System.currentTimeMillis();
             nextMillis = Math.max(nextMillis + STEP_MILLIS, now);
-            try {
-                Thread.sleep(nextMillis - now);
-            } catch (InterruptedException interrupted) {
-                throw new IOException(interrupted);
-            }
+            sleep(nextMillis - now);
         }
     }
 }
--- a/review/standins-2/src/review2/Configurations.java
+++ b/review/standins-2/src/review2/Configurations.java
@@ -33,7 +33,8 @@
                   "engine":{"slots":8,"kv_capacity":90416,"chunk_tokens":4}},
                  {"name":"app","health_path":"/healthz","max_connections":100}],
                 %s
-                "tenants":[{"name":"arusha","api_keys":["key-1"],"priority":1,"rate_per_s":0,"burst":0}]}
+                "tenants":[{"name":"arusha","api_keys":["key-1"],"priority":1,"rate_per_s":0,"burst":0},
+                 {"name":"moshi","api_keys":["key-2"],"priority":1,"rate_per_s":0,"burst":0}]}
                """
                 .formatted(version, streamAttempts, retentionSeconds, LIMITS);
     }
--- a/review/standins-2/src/review2/Quarantine.java
+++ b/review/standins-2/src/review2/Quarantine.java
@@ -1,6 +1,5 @@
 package review2;
 
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -22,27 +21,9 @@
     private static final int CRASHES = 3;
     private static final int MAXIMUM_PARENTS = 20;
     private static final int LATER_PROGRAMS = 10;
-    private static final int SENDS = 3;
-    private static final int ATTEMPTS = 2;
     private static final long DOWN_MILLIS = 4_000;
     private static final long CALM_MILLIS = 4_000;
     private static final String SAME_INPUT = "yes, go on";
-    private static final String HEADERS = "X-Request-Id: %s\r\nX-Program-Id: %s\r\nX-Session-Id: %s\r\n"
-            + "X-Program-Deadline-Ms: 20000\r\nX-Deadline-Ms: 3000\r\nX-Token-Budget: 2240\r\n"
-            + "X-Token-Usage: 1460,12\r\nAuthorization: Bearer key-1\r\n";
-
-    /** What happened to the tries of one turn. */
-    private record Turn(String program, List<String> ids, List<Client.Outcome> outcomes) {
-        boolean served() {
-            return outcomes.get(outcomes.size() - 1).served();
-        }
-
-        boolean reachedServer(List<Server> servers) {
-            return servers.stream()
-                    .flatMap(server -> server.runs.stream())
-                    .anyMatch(run -> ids.contains(run.id()));
-        }
-    }
 
     private Quarantine() {}
 
@@ -83,20 +64,25 @@
         fleet.awaitReady();
         ExecutorService clients = Executors.newCachedThreadPool();
         Thread.sleep(1_000);
-        List<Future<Turn>> helpers = new ArrayList<>();
+        List<Future<Program.Turn>> helpers = new ArrayList<>();
+        boolean together = false;
         for (int parent = 0; parent < MAXIMUM_PARENTS; parent++) {
             helpers = startHelpers(fleet, clients, "early-" + parent);
             Server busiest = awaitRunning(servers);
             if (sameInputs(busiest) >= CRASHES) {
                 crash(fleet, store, busiest);
+                together = true;
                 break;
             }
-            for (Future<Turn> helper : helpers) {
+            for (Future<Program.Turn> helper : helpers) {
                 helper.get();
             }
         }
-        for (Future<Turn> helper : helpers) {
-            Turn turn = helper.get();
+        if (!together) {
+            fleet.finish(Fleet.NOT_RUN, "the sub-agents never ran at one server");
+        }
+        for (Future<Program.Turn> helper : helpers) {
+            Program.Turn turn = helper.get();
             fleet.note("sub-agent of " + turn.program() + ": " + turn.outcomes());
         }
         Thread.sleep(CALM_MILLIS);
@@ -105,21 +91,24 @@
     }
 
     /** Starts the sub-agents of a program after its first turn. */
-    private static List<Future<Turn>> startHelpers(Fleet fleet, ExecutorService clients, String program)
+    private static List<Future<Program.Turn>> startHelpers(Fleet fleet, ExecutorService clients, String program)
             throws Exception {
         List<Integer> ports = ports(fleet, 0);
         String prefix = "shared:512," + program + ":160";
-        Turn first = turn(ports, program, "first", "", prefix, "question of " + program);
-        List<Future<Turn>> helpers = new ArrayList<>();
+        Program.Turn first = program(ports, program, prefix).turn("first", "", "question of " + program);
+        List<Future<Program.Turn>> helpers = new ArrayList<>();
         for (int number = 0; number < HELPERS; number++) {
             String name = "helper-" + number;
-            String last = first.ids().get(first.ids().size() - 1);
-            helpers.add(clients.submit(
-                    () -> turn(ports, program, name, last, prefix + "," + program + name + ":12", SAME_INPUT)));
+            Program helper = program(ports, program, prefix + "," + program + name + ":12");
+            helpers.add(clients.submit(() -> helper.turn(name, first.lastId(), SAME_INPUT)));
         }
         return helpers;
     }
 
+    private static Program program(List<Integer> ports, String name, String prefix) {
+        return new Program(ports, name, new Program.Terms("key-1", 2_240, 12, prefix));
+    }
+
     /** The two gateways of a zone; each try of a client reaches the other one. */
     private static List<Integer> ports(Fleet fleet, int first) {
         return List.of(fleet.gateways.get(first).port, fleet.gateways.get(first + 1).port);
@@ -167,10 +156,10 @@
             String program = "later-" + number;
             List<Integer> ports = ports(fleet, 2);
             String prefix = "shared:512," + program + ":160";
-            Turn first = turn(ports, program, "first", "", prefix, "question of " + program);
+            Program.Turn first = program(ports, program, prefix).turn("first", "", "question of " + program);
             firstServed += first.served() ? 1 : 0;
-            Turn second = turn(
-                    ports, program, "second", first.ids().get(first.ids().size() - 1), prefix + ",s:12", SAME_INPUT);
+            Program.Turn second =
+                    program(ports, program, prefix + ",s:12").turn("second", first.lastId(), SAME_INPUT);
             secondServed += second.served() ? 1 : 0;
             boolean reached = second.reachedServer(servers);
             boolean isLost = first.served() && second.ids().size() >= 5 && !reached;
@@ -189,43 +178,4 @@
                         ? "LOST broken: " + lost + " turns reached no server in five tries or more"
                         : "LOST held");
     }
-
-    /** Sends a turn as the clients of the platform do: two attempts each, and again from its start, at most twice. */
-    private static Turn turn(List<Integer> ports, String program, String name, String previous, String prefix, String input)
-            throws Exception {
-        Turn turn = new Turn(program, new ArrayList<>(), new ArrayList<>());
-        for (int send = 0; send < SENDS; send++) {
-            for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
-                String id = program + "-" + name + "-" + (turn.ids().size() + 1);
-                turn.ids().add(id);
-                int port = ports.get(turn.ids().size() % ports.size());
-                Client.Outcome outcome = attempt(port, program, id, previous, prefix, input);
-                turn.outcomes().add(outcome);
-                if (outcome.served()) {
-                    return turn;
-                }
-                if (outcome.status() != 503 && outcome.status() != 429) {
-                    break;
-                }
-                Thread.sleep(retryAfterMillis(outcome));
-            }
-            Thread.sleep(250);
-        }
-        return turn;
-    }
-
-    private static Client.Outcome attempt(
-            int port, String program, String id, String previous, String prefix, String input) throws IOException {
-        String headers = HEADERS.formatted(id, program, program)
-                + "X-Prompt-Prefix: " + prefix + "\r\n"
-                + (previous.isEmpty() ? "" : "X-Previous-Turn: " + previous + "\r\n");
-        try (Client client = new Client(port, 0, 4_000)) {
-            return client.exchange("POST", "/chat/1", headers, input.getBytes(StandardCharsets.ISO_8859_1));
-        }
-    }
-
-    private static long retryAfterMillis(Client.Outcome outcome) {
-        String seconds = outcome.answer() == null ? "" : outcome.answer().header("retry-after");
-        return seconds.isEmpty() ? 50 : Math.min(1_000, (long) (Double.parseDouble(seconds) * 1_000));
-    }
 }
--- a/review/standins-2/src/review2/Server.java
+++ b/review/standins-2/src/review2/Server.java
@@ -138,7 +138,7 @@
             if (request.header("x-token-usage").isEmpty()) {
                 Http.respond(out, 200, head, body(work.answerBytes(request)));
             } else {
-                respondEvents(out, head);
+                respondEvents(out, head, request.header("x-token-usage").endsWith(",0") ? 0 : EVENTS);
             }
         } finally {
             running.remove(requestId);
@@ -154,11 +154,11 @@
         return body;
     }
 
-    private static void respondEvents(OutputStream out, String head) throws IOException {
+    private static void respondEvents(OutputStream out, String head, int events) throws IOException {
         String start = "HTTP/1.1 200 OK\r\n" + head
                 + "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
         out.write(start.getBytes(StandardCharsets.ISO_8859_1));
-        for (int event = 0; event < EVENTS; event++) {
+        for (int event = 0; event < events; event++) {
             String text = "id: " + event + "\ndata: piece " + event + "\n\n";
             out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
                     .getBytes(StandardCharsets.ISO_8859_1));
