--- a/review/standins-2/src/review2/Fleet.java
+++ b/review/standins-2/src/review2/Fleet.java
@@ -135,7 +135,7 @@
     }
 
     void signal(Gateway gateway, String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(gateway.process.pid()))
+        new ProcessBuilder("sh", "-c", "kill -" + name + " " + gateway.process.pid())
                 .start()
                 .waitFor();
         note("SIG" + name + " to gateway " + gateway.number);
