--- a/review/standins-2/src/review2/Fleet.java
+++ b/review/standins-2/src/review2/Fleet.java
@@ -126,6 +126,10 @@
         }
     }
 
+    boolean allReady() {
+        return gateways.stream().allMatch(Fleet::isReady);
+    }
+
     static boolean isReady(Gateway gateway) {
         try (Client probe = new Client(gateway.probePort, 0, 1_000)) {
             return probe.exchange("GET", "/readyz", "", new byte[0]).status() == 200;
--- a/review/standins-2/src/review2/Server.java
+++ b/review/standins-2/src/review2/Server.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A server of a service: runs the requests that are addressed to it, as many at once as it has slots, and rejects
@@ -36,6 +37,8 @@
     static final int EVENTS = 3;
     final List<Run> runs = new CopyOnWriteArrayList<>();
     final String id;
+    private static final AtomicInteger TAKEN = new AtomicInteger();
+    private static final AtomicInteger MOST_TAKEN = new AtomicInteger();
     private final int slots;
     private final Semaphore free;
     private final Work work;
@@ -63,6 +66,15 @@
         return opened.getLocalPort();
     }
 
+    /** Starts to count the most places taken at once, over all servers. */
+    static void resetMostTaken() {
+        MOST_TAKEN.set(TAKEN.get());
+    }
+
+    static int mostTaken() {
+        return MOST_TAKEN.get();
+    }
+
     /** Bodies of the requests that are being worked on, by request id. */
     Map<String, String> running() {
         return running;
@@ -131,6 +143,7 @@
             return;
         }
         try {
+            MOST_TAKEN.accumulateAndGet(TAKEN.incrementAndGet(), Math::max);
             runs.add(new Run(requestId, System.currentTimeMillis(), request.startLine()));
             running.put(requestId, new String(request.body(), StandardCharsets.ISO_8859_1));
             Thread.sleep(work.millis(request));
@@ -142,6 +155,7 @@
             }
         } finally {
             running.remove(requestId);
+            TAKEN.decrementAndGet();
             free.release();
         }
     }
