--- a/review/standins-2/src/review2/LongNames.java
+++ b/review/standins-2/src/review2/LongNames.java
@@ -20,7 +20,9 @@
                     + "agent-renewal/agent-address-check/agent-back-issues/agent-librarian-records/agent-order-draft/"
                     + "agent-price-list/agent-proof-read/agent-translation/agent-summary/agent-final-check";
 
-    private record Conversation(String name, String firstTurn, boolean isLong) {}
+    private static final long RETENTION_MILLIS = 60_000;
+
+    private record Conversation(String name, String firstTurn, boolean isLong, long answeredMillis) {}
 
     public static void main(String[] arguments) throws Exception {
         Fleet fleet = new Fleet(Path.of(arguments[0]));
@@ -42,16 +44,15 @@
         for (int number = 0; number < CONVERSATIONS; number++) {
             boolean isLong = number % 2 == 0;
             String name = (isLong ? AGENTS + "/" : "c-") + number;
-            Conversation conversation = new Conversation(name, name + "/turn-1", isLong);
-            Client.Outcome first = turn(gateway, conversation, conversation.firstTurn(), "");
-            fleet.note("turn 1 of conversation " + number + ", request id of "
-                    + conversation.firstTurn().length() + " characters: " + first);
+            String firstTurn = name + "/turn-1";
+            Client.Outcome first = turn(gateway, name, firstTurn, "");
+            fleet.note("turn 1 of conversation " + number + ", request id of " + firstTurn.length() + " characters: "
+                    + first);
             if (!first.served()) {
                 fleet.finish(Fleet.NOT_RUN, "NOT RUN: a first turn was not served");
             }
-            conversations.add(conversation);
+            conversations.add(new Conversation(name, firstTurn, isLong, first.endedMillis()));
         }
-        long answeredMillis = System.currentTimeMillis();
         if (Fleet.trouble()) {
             fleet.signal(gateway, "KILL");
             gateway.process.waitFor();
@@ -64,16 +65,16 @@
         int lost = 0;
         for (Conversation conversation : conversations) {
             String id = conversation.name() + "/turn-2";
-            Client.Outcome next = turn(gateway, conversation, id, conversation.firstTurn());
+            Client.Outcome next = turn(gateway, conversation.name(), id, conversation.firstTurn());
             for (int attempt = 2; next.status() == 503 && attempt <= 6; attempt++) {
                 Thread.sleep(500);
-                next = turn(gateway, conversation, id + "-attempt-" + attempt, conversation.firstTurn());
-            }
-            fleet.note("turn 2 of the conversation with " + (conversation.isLong() ? "long" : "short") + " ids, "
-                    + (System.currentTimeMillis() - answeredMillis) + " ms after turn 1 was answered whole: " + next);
-            if (next.status() == 404 || next.status() == 410) {
-                lost++;
+                next = turn(gateway, conversation.name(), id + "-attempt-" + attempt, conversation.firstTurn());
             }
+            long ageMillis = next.endedMillis() - conversation.answeredMillis();
+            fleet.note("turn 2 of the conversation with " + (conversation.isLong() ? "long" : "short") + " ids, answered "
+                    + ageMillis + " ms after turn 1 was answered whole: " + next);
+            boolean unknown = next.status() == 404 || next.status() == 410;
+            lost += unknown && ageMillis < RETENTION_MILLIS ? 1 : 0;
         }
         boolean broken = lost > 0;
         fleet.finish(
@@ -84,10 +85,10 @@
                         : "HELD: every conversation went on");
     }
 
-    private static Client.Outcome turn(Fleet.Gateway gateway, Conversation conversation, String id, String previous)
+    private static Client.Outcome turn(Fleet.Gateway gateway, String name, String id, String previous)
             throws Exception {
-        String headers = "X-Request-Id: " + id + "\r\nX-Program-Id: " + shortName(conversation) + "\r\nX-Session-Id: "
-                + shortName(conversation) + "\r\nX-Program-Deadline-Ms: 20000\r\nX-Deadline-Ms: 3000\r\nX-Token-Budget: "
+        String headers = "X-Request-Id: " + id + "\r\nX-Program-Id: " + shortName(name) + "\r\nX-Session-Id: "
+                + shortName(name) + "\r\nX-Program-Deadline-Ms: 20000\r\nX-Deadline-Ms: 3000\r\nX-Token-Budget: "
                 + BUDGET + "\r\nX-Token-Usage: 100,12\r\nAuthorization: Bearer " + KEY + "\r\n"
                 + (previous.isEmpty() ? "" : "X-Previous-Turn: " + previous + "\r\n");
         try (Client client = new Client(gateway.port, 0, 4_000)) {
@@ -95,8 +96,8 @@
         }
     }
 
-    private static String shortName(Conversation conversation) {
-        return "p-" + Integer.toHexString(conversation.name().hashCode());
+    private static String shortName(String name) {
+        return "p-" + Integer.toHexString(name.hashCode());
     }
 
     private static final class QuickWork implements Server.Work {
--- a/review/standins-2/src/review2/Store.java
+++ b/review/standins-2/src/review2/Store.java
@@ -17,9 +17,7 @@
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * The platform's store as PROTOCOL.md describes it, as far as a gateway uses it: keyed topics with conditional appends,
@@ -34,9 +32,6 @@
     private static final long HISTORY_MILLIS = 20_000;
     private static final int PAGE_ITEMS = 500;
     private static final int PAGE_BYTES = 1_000_000;
-    private static final String NO_TOPIC = "none";
-    /** Shorter than the answer to a second query takes. */
-    private static final long CUT_DELAY_MILLIS = 1;
 
     private record Stored(byte[] bytes, long atMillis) {}
 
@@ -54,9 +49,6 @@
     private long storedBytes;
     private long refusedAppends;
     private long removals;
-    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
-    private String cutAfterQueryOf = NO_TOPIC;
-    private long cutMillis;
 
     Store() throws IOException {
         listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
@@ -109,33 +101,11 @@
         notifyAll();
     }
 
-    /**
-     * Forgets the history of a topic; the newest record of each key is retained. Then cuts all connections once, as soon
-     * as the newest records of the topic are queried and the first page of them is answered.
-     */
-    synchronized void forgetAndCut(String topic) {
+    /** Forgets the history of a topic; the newest record of each key is retained. */
+    synchronized void forget(String topic) {
         Partition partition = partition(topic, "0");
         partition.first = partition.end;
         partition.history.clear();
-        cutAfterQueryOf = topic;
-    }
-
-    /** When the connections were cut; 0 before. */
-    synchronized long cutMillis() {
-        return cutMillis;
-    }
-
-    private synchronized String cutTopic() {
-        return cutAfterQueryOf;
-    }
-
-    private synchronized void cut() throws IOException {
-        cutAfterQueryOf = NO_TOPIC;
-        cutMillis = System.currentTimeMillis();
-        for (Socket connection : connections) {
-            connection.setSoLinger(true, 0);
-            connection.close();
-        }
     }
 
     private Partition partition(String topic, String part) {
@@ -166,7 +136,6 @@
             try {
                 Socket socket = listener.accept();
                 socket.setTcpNoDelay(true);
-                connections.add(socket);
                 Thread serving = new Thread(() -> serve(socket), "store-connection");
                 serving.setDaemon(true);
                 serving.start();
@@ -187,15 +156,9 @@
                 }
                 answer(request, out);
                 out.flush();
-                if (request.startLine().contains("/log-newest?topic=" + cutTopic())) {
-                    Thread.sleep(CUT_DELAY_MILLIS);
-                    cut();
-                }
             }
         } catch (IOException | InterruptedException ended) {
-            // The gateway closed the connection, or it was cut.
-        } finally {
-            connections.remove(socket);
+            // The gateway closed the connection.
         }
     }
 
--- a/review/standins-2/src/review2/UnreadPage.java
+++ b/review/standins-2/src/review2/UnreadPage.java
@@ -13,6 +13,7 @@
  */
 final class UnreadPage {
     private static final int OTHER_SERVERS = 505;
+    private static final String SECOND_PAGE = "GET /log-newest?topic=keyed.servers&part=0&after=";
     private static final int CLIENTS = 4;
     private static final long HEARTBEAT_MILLIS = 1_200;
     private static final long DRAIN_MILLIS = 2_000;
@@ -22,6 +23,9 @@
 
     private static final long STARTED_MILLIS = System.currentTimeMillis();
     private static final AtomicInteger SEQUENCE = new AtomicInteger();
+    /** Held while the heartbeats of the app servers are written. */
+    private static final Object HEARTBEATS = new Object();
+
     private static volatile boolean stopping;
     private static volatile Server left;
     private static final ConcurrentHashMap<String, Long> SENT = new ConcurrentHashMap<>();
@@ -39,8 +43,9 @@
             others.add(new Server("i-llm-%03d".formatted(number), 8, new QuickWork()));
         }
         writeHeartbeats(store, apps, others);
-        fleet.addGateway(store.port());
-        fleet.addGateway(store.port());
+        CutProxy proxy = new CutProxy(store.port(), SECOND_PAGE);
+        fleet.addGateway(proxy.port());
+        fleet.addGateway(proxy.port());
         fleet.awaitReady();
         fleet.note(OTHER_SERVERS + " servers of service llm and 3 of service app are registered");
         Thread.sleep(4_000);
@@ -50,11 +55,18 @@
         Thread.sleep(4_000);
 
         Server leaving = apps.get(0);
-        left = leaving;
-        store.put("keyed.servers", leaving.id, "");
+        synchronized (HEARTBEATS) {
+            left = leaving;
+        }
+        synchronized (store) {
+            store.put("keyed.servers", leaving.id, "");
+            if (Fleet.trouble()) {
+                store.forget("keyed.servers");
+            }
+        }
         long leftMillis = System.currentTimeMillis();
         if (Fleet.trouble()) {
-            store.forgetAndCut("keyed.servers");
+            proxy.arm();
         }
         fleet.note("the entry of " + leaving.id + " is removed; it goes on to serve for " + SERVES_ON_MILLIS + " ms"
                 + (Fleet.trouble()
@@ -65,10 +77,10 @@
         stopping = true;
         Thread.sleep(500);
 
-        if (Fleet.trouble() && store.cutMillis() == 0) {
+        if (Fleet.trouble() && proxy.cutMillis() == 0) {
             fleet.finish(Fleet.NOT_RUN, "NOT RUN: the store was not read again");
         }
-        long inTouchMillis = Math.max(leftMillis, store.cutMillis()) + STABLE_MILLIS;
+        long inTouchMillis = Math.max(leftMillis, proxy.cutMillis()) + STABLE_MILLIS;
         long first = leaving.runs.stream()
                 .filter(run -> run.startedMillis() > leftMillis + DRAIN_MILLIS)
                 .count();
@@ -96,9 +108,11 @@
         Thread writer = new Thread(() -> {
             while (!stopping) {
                 sleep(HEARTBEAT_MILLIS);
-                for (Server server : apps) {
-                    if (server != left) {
-                        store.put("keyed.servers", server.id, entry(server, "app"));
+                synchronized (HEARTBEATS) {
+                    for (Server server : apps) {
+                        if (server != left) {
+                            store.put("keyed.servers", server.id, entry(server, "app"));
+                        }
                     }
                 }
                 others.forEach(server -> store.put("keyed.servers", server.id, entry(server, "llm")));
