--- a/review/standins-2/src/review2/StoreFull.java
+++ b/review/standins-2/src/review2/StoreFull.java
@@ -10,18 +10,24 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Turns are stored until the store is nearly full, all of them kept for retention_s = 1. All processes are killed and
- * started again. Long after all those turns have expired, clients send turns again.
+ * Turns are stored until the store is nearly full, all of them kept for retention_s = 1, at about the usual number of
+ * turns a second of the site. All processes are killed and started again. Long after all those turns have expired,
+ * clients send turns again, of the usual size.
  */
 final class StoreFull {
-    private static final long FILL_BYTES = Store.LIMIT_BYTES - (6L << 20);
-    private static final int GATEWAYS = 3;
-    private static final int BODY_BYTES = 100_000;
+    /** What large turns fill, and what small ones do after them. */
+    private static final long LARGE_FILL_BYTES = Store.LIMIT_BYTES - (3L << 19);
+    private static final long FILL_BYTES = Store.LIMIT_BYTES - (3L << 16);
+
+    private static final int GATEWAYS = 8;
+    private static final int LARGE_BODY_BYTES = 100_000;
+    private static final int BODY_BYTES = 4_300;
     private static final int FILLING_CLIENTS = 24;
-    private static final long FILL_LIMIT_MILLIS = 20_000;
+    private static final double FILLING_TURNS_PER_SECOND = 145;
+    private static final long FILL_LIMIT_MILLIS = 45_000;
     private static final long DOWN_MILLIS = 1_000;
     /** Time after the start of the filling at which its first records are due for removal, with a margin. */
-    private static final long SECOND_WAVE_MILLIS = 100_000;
+    private static final long SECOND_WAVE_MILLIS = 98_000;
     private static final int SECOND_WAVE_TURNS = 300;
     private static final long SECOND_WAVE_GAP_MILLIS = 20;
     private static final String HEADERS = "X-Request-Id: %s\r\nX-Program-Id: p-%s\r\nX-Session-Id: p-%s\r\n"
@@ -64,7 +70,9 @@
         fleet.awaitReady();
         long startMillis = System.currentTimeMillis();
         int[] first = fill(fleet, store);
-        fleet.note("first wave: " + first[0] + " turns sent, " + first[1] + " served; " + stored(store));
+        long filledMillis = System.currentTimeMillis();
+        fleet.note("first wave: " + first[0] + " turns sent, " + first[1] + " served, "
+                + first[0] * 1_000L / (filledMillis - startMillis) + " a second; " + stored(store));
         if (store.storedBytes() < FILL_BYTES) {
             fleet.finish(Fleet.NOT_RUN, "too few turns in the first wave");
         }
@@ -82,7 +90,8 @@
         for (Fleet.Gateway gateway : fleet.gateways) {
             fleet.note("gateway " + gateway.number + (Fleet.isReady(gateway) ? " is ready" : " is not ready"));
         }
-        fleet.note("second wave begins; every turn of the first wave ended over 80 s ago; " + stored(store));
+        fleet.note("second wave begins; the last turn of the first wave ended "
+                + (System.currentTimeMillis() - filledMillis) / 1_000 + " s ago; " + stored(store));
         List<Client.Outcome> outcomes = secondWave(fleet);
         long served = outcomes.stream().filter(Client.Outcome::served).count();
         long refused = outcomes.stream().filter(each -> each.complete() && !each.served()).count();
@@ -107,15 +116,22 @@
     private static int[] fill(Fleet fleet, Store store) throws Exception {
         AtomicInteger sent = new AtomicInteger();
         AtomicInteger served = new AtomicInteger();
-        AtomicLong until = new AtomicLong(System.currentTimeMillis() + FILL_LIMIT_MILLIS);
+        long startMillis = System.currentTimeMillis();
+        AtomicLong until = new AtomicLong(startMillis + FILL_LIMIT_MILLIS);
         ExecutorService clients = Executors.newFixedThreadPool(FILLING_CLIENTS);
         for (int number = 0; number < FILLING_CLIENTS; number++) {
             int port = fleet.gateways.get(number % fleet.gateways.size()).port;
             clients.submit(() -> {
                 try (Client client = new Client(port, 0, 3_000)) {
                     while (store.storedBytes() < FILL_BYTES && System.currentTimeMillis() < until.get()) {
-                        String id = "%016x".formatted(0x1000000L + sent.incrementAndGet());
-                        Client.Outcome outcome = turn(client, id);
+                        int turn = sent.incrementAndGet();
+                        long dueMillis = startMillis + (long) (turn * 1_000 / FILLING_TURNS_PER_SECOND);
+                        Thread.sleep(Math.max(0, dueMillis - System.currentTimeMillis()));
+                        if (store.storedBytes() >= FILL_BYTES) {
+                            return null;
+                        }
+                        int bodyBytes = store.storedBytes() < LARGE_FILL_BYTES ? LARGE_BODY_BYTES : BODY_BYTES;
+                        Client.Outcome outcome = turn(client, "%016x".formatted(0x1000000L + turn), bodyBytes);
                         served.addAndGet(outcome.served() ? 1 : 0);
                         if (!outcome.complete()) {
                             return null;
@@ -126,7 +142,7 @@
             });
         }
         clients.shutdown();
-        clients.awaitTermination(30, TimeUnit.SECONDS);
+        clients.awaitTermination(60, TimeUnit.SECONDS);
         return new int[] {sent.get(), served.get()};
     }
 
@@ -138,7 +154,7 @@
             String id = "%016x".formatted(0x2000000L + number);
             clients.submit(() -> {
                 try (Client client = new Client(port, 0, 3_000)) {
-                    outcomes.add(turn(client, id));
+                    outcomes.add(turn(client, id, BODY_BYTES));
                 }
                 return null;
             });
@@ -149,7 +165,7 @@
         return outcomes;
     }
 
-    private static Client.Outcome turn(Client client, String id) {
-        return client.exchange("POST", "/chat/1", HEADERS.formatted(id, id, id), Server.body(BODY_BYTES));
+    private static Client.Outcome turn(Client client, String id, int bodyBytes) {
+        return client.exchange("POST", "/chat/1", HEADERS.formatted(id, id, id), Server.body(bodyBytes));
     }
 }
