--- a/review/standins-2/src/review2/LongNames.java
+++ b/review/standins-2/src/review2/LongNames.java
@@ -10,6 +10,7 @@
  * that answered their first turns is killed and starts again; then each conversation goes on there.
  */
 final class LongNames {
+    private static final int GATEWAYS = 8;
     private static final int CONVERSATIONS = 6;
     private static final int BUDGET = 10_000;
     private static final String KEY = "key-1";
@@ -34,8 +35,9 @@
             engines.add(engine);
             store.put("keyed.servers", engine.id, engine.entry("llm"));
         }
-        fleet.addGateway(store.port());
-        fleet.addGateway(store.port());
+        for (int number = 0; number < GATEWAYS; number++) {
+            fleet.addGateway(store.port());
+        }
         fleet.awaitReady();
         Thread.sleep(4_000);
 
--- a/review/standins-2/src/review2/StoreFull.java
+++ b/review/standins-2/src/review2/StoreFull.java
@@ -73,8 +73,8 @@
         long filledMillis = System.currentTimeMillis();
         fleet.note("first wave: " + first[0] + " turns sent, " + first[1] + " served, "
                 + first[0] * 1_000L / (filledMillis - startMillis) + " a second; " + stored(store));
-        if (store.storedBytes() < FILL_BYTES) {
-            fleet.finish(Fleet.NOT_RUN, "too few turns in the first wave");
+        if (store.storedBytes() < FILL_BYTES || first[1] * 4 < first[0]) {
+            fleet.finish(Fleet.NOT_RUN, "too few turns in the first wave, or less than a quarter of them served");
         }
         if (Fleet.trouble()) {
             for (Fleet.Gateway gateway : fleet.gateways) {
@@ -114,6 +114,7 @@
     }
 
     private static int[] fill(Fleet fleet, Store store) throws Exception {
+        AtomicInteger next = new AtomicInteger();
         AtomicInteger sent = new AtomicInteger();
         AtomicInteger served = new AtomicInteger();
         long startMillis = System.currentTimeMillis();
@@ -124,12 +125,13 @@
             clients.submit(() -> {
                 try (Client client = new Client(port, 0, 3_000)) {
                     while (store.storedBytes() < FILL_BYTES && System.currentTimeMillis() < until.get()) {
-                        int turn = sent.incrementAndGet();
+                        int turn = next.incrementAndGet();
                         long dueMillis = startMillis + (long) (turn * 1_000 / FILLING_TURNS_PER_SECOND);
                         Thread.sleep(Math.max(0, dueMillis - System.currentTimeMillis()));
                         if (store.storedBytes() >= FILL_BYTES) {
                             return null;
                         }
+                        sent.incrementAndGet();
                         int bodyBytes = store.storedBytes() < LARGE_FILL_BYTES ? LARGE_BODY_BYTES : BODY_BYTES;
                         Client.Outcome outcome = turn(client, "%016x".formatted(0x1000000L + turn), bodyBytes);
                         served.addAndGet(outcome.served() ? 1 : 0);
