Log the requests in progress at a planned stop, by step

The lines of a planned stop had only the number of connections, so that a request that was cut could not be told from one that waited or whose answer was being written. They now have the requests in progress by step, with ids, and the line of each request that ends during the stop has the time since the stop began (sinceStopMillis).

--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -14,6 +14,7 @@
 import org.quetzalshunt.core.route.ServiceConfiguration;
 import org.quetzalshunt.core.route.TrafficConfiguration;
 import org.quetzalshunt.server.http.HttpExchange;
+import org.quetzalshunt.server.http.PendingExchange;
 
 /**
  * Decides whether a fully received request may run. The checks run in this order: age of the configuration, route, API
@@ -65,6 +66,7 @@
             refuse(exchange, "", Refusal.notRun(ResultCode.MALFORMED_REQUEST, "the request has no id"));
             return;
         }
+        exchange.setPending(new PendingExchange(request.get().id(), () -> "waiting"));
         authenticate(
                 new ReceivedRequest(exchange, request.get(), gateway.clock().now()));
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
@@ -8,6 +8,7 @@
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.core.routing.AttemptOutcome;
+import org.quetzalshunt.server.http.PendingExchange;
 
 /**
  * Forwards a request and buffers the whole response before the first byte is sent to the caller. A broken response can
@@ -49,12 +50,17 @@
     static void start(Gateway gateway, AdmittedRequest admitted) {
         BufferedForwarder forwarder = new BufferedForwarder(gateway, admitted);
         admitted.exchange().onClose(forwarder::onCallerDisconnected);
+        admitted.exchange().setPending(new PendingExchange(admitted.request().id(), forwarder::step));
         long remainingMillis =
                 Math.max(1, admitted.deadlineMillis() - gateway.clock().now());
         forwarder.deadline = gateway.executor().schedule(forwarder::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
         forwarder.attempt();
     }
 
+    private String step() {
+        return call.isRunning() ? "at-endpoint" : "waiting-for-endpoint";
+    }
+
     private void attempt() {
         attempts++;
         body.clear();
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import org.quetzalshunt.core.policy.Mechanism;
 import org.quetzalshunt.core.quota.OutageWaitPolicy;
 import org.quetzalshunt.core.routing.EndpointTable;
+import org.quetzalshunt.core.stop.PlannedStop;
 import org.quetzalshunt.server.http.HttpClient;
 
 /** The components of one gateway, all of which run on one event loop. */
@@ -32,7 +33,8 @@
         StartDispatch starts,
         AccountShareControl shares,
         GatewayMemory memory,
-        ResponseBudget responses) {
+        ResponseBudget responses,
+        PlannedStop stop) {
     /** Retry-After when another VM can serve the request: short, since a retry reaches another VM. */
     private static final long OTHER_VM_RETRY_AFTER_MILLIS = 100;
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -12,6 +12,7 @@
 import org.quetzalshunt.core.quota.VmLease;
 import org.quetzalshunt.core.route.TrafficConfiguration;
 import org.quetzalshunt.core.routing.EndpointTable;
+import org.quetzalshunt.core.stop.PlannedStop;
 import org.quetzalshunt.core.store.SharedMap;
 import org.quetzalshunt.server.http.HttpClient;
 import org.quetzalshunt.server.http.HttpExchange;
@@ -46,7 +47,7 @@
     private Gateway gateway;
     private FleetFollower fleet;
     private AdmissionPipeline pipeline;
-    private boolean stopping;
+    private final PlannedStop stop = PlannedStop.create();
 
     private GatewayProcess(GatewaySettings settings) {
         this.settings = settings;
@@ -160,9 +161,10 @@
                         log,
                         http,
                         () -> gateway != null && gateway.isEnabled(Mechanism.MEMORY_LIMIT)),
-                ResponseBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+                ResponseBudget.ofHeap(Runtime.getRuntime().maxMemory()),
+                stop);
         gateway.memory().start(group.next(), links::unreadBytes);
-        pipeline = new AdmissionPipeline(gateway, () -> stopping);
+        pipeline = new AdmissionPipeline(gateway, stop::hasBegun);
         SlowdownWatch.startSweep(gateway);
         GatewayGauges.register(gateway);
         shares.start(group.next(), metrics);
@@ -207,7 +209,7 @@
         switch (exchange.path()) {
             case "/readyz" -> respondReady(exchange);
             case "/metrics" -> exchange.respondText(200, gateway.metrics().scrape());
-            case "/dump" -> exchange.respondJson(200, GatewayDump.toJson(gateway, stopping));
+            case "/dump" -> exchange.respondJson(200, GatewayDump.toJson(gateway, stop.hasBegun()));
             default -> exchange.respondText(404, "no such path\n");
         }
     }
@@ -218,7 +220,7 @@
     }
 
     private boolean isReady() {
-        return !stopping
+        return !stop.hasBegun()
                 && !gateway.isolatedFromStore()
                 && gateway.configuration().current().isPresent()
                 && gateway.configuration().ageMillis() < settings.maximumKeyAgeMillis()
@@ -256,12 +258,12 @@
      */
     public CompletableFuture<Void> stop() {
         group.next().execute(() -> {
-            if (stopping) {
+            if (stop.hasBegun()) {
                 return;
             }
-            stopping = true;
+            stop.begin(gateway.clock().now());
             gateway.starts().stop(gateway);
-            log.write(log.event("stop").put("connections", callers.connections()));
+            StopReport.write(log, "stop", callers);
             group.next().schedule(this::stopAccepting, BALANCER_REMOVAL_MILLIS, TimeUnit.MILLISECONDS);
             long delayMillis = Math.max(0, settings.stopMillis() - LAST_RESPONSES_MILLIS);
             group.next().schedule(this::complete, delayMillis, TimeUnit.MILLISECONDS);
@@ -283,7 +285,7 @@
         if (stopped.isDone()) {
             return;
         }
-        log.write(log.event("stopped").put("connections", callers.connections()));
+        StopReport.write(log, "stopped", callers);
         gateway.quotas().stop();
         fleet.stop();
         group.next().schedule(() -> stopped.complete(null), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
@@ -19,13 +19,14 @@
     static void refuse(Gateway gateway, HttpExchange exchange, String requestId, Refusal refusal) {
         send(gateway, exchange, requestId, refusal);
         gateway.metrics().recordRequest("none", refusal.code().number(), 0);
-        gateway.log()
-                .write(gateway.log()
-                        .event("refused")
-                        .put("request", requestId)
-                        .put("code", refusal.code().number())
-                        .put("detail", refusal.detail())
-                        .put("configurationAgeMillis", gateway.configuration().ageMillis()));
+        ObjectNode line = gateway.log()
+                .event("refused")
+                .put("request", requestId)
+                .put("code", refusal.code().number())
+                .put("detail", refusal.detail())
+                .put("configurationAgeMillis", gateway.configuration().ageMillis());
+        addStop(line, gateway, gateway.clock().now());
+        gateway.log().write(line);
     }
 
     /** Refuses an admitted request, or reports that its outcome is unknown. */
@@ -43,6 +44,10 @@
         exchange.respond(refusal.code().status(), headers, body);
     }
 
+    private static void addStop(ObjectNode line, Gateway gateway, long now) {
+        gateway.stop().sinceMillis(now).ifPresent(since -> line.put("sinceStopMillis", since));
+    }
+
     /** Reports a request whose caller disconnected, or was disconnected, before its final response. */
     static void logDisconnected(Gateway gateway, AdmittedRequest admitted, Optional<EndpointCall> call) {
         Optional<DisconnectCause> cause = admitted.exchange().disconnectCause();
@@ -98,6 +103,7 @@
         if (!detail.isEmpty()) {
             line.put("detail", detail);
         }
+        addStop(line, gateway, now);
         gateway.log().write(line);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -15,6 +15,7 @@
 import org.quetzalshunt.core.routing.AttemptOutcome;
 import org.quetzalshunt.core.turn.TurnPrompt;
 import org.quetzalshunt.core.turn.TurnRecord;
+import org.quetzalshunt.server.http.PendingExchange;
 
 /**
  * Forwards a request whose response is a stream of events; on a route that stores history, this is a turn of a
@@ -64,12 +65,26 @@
     static void start(Gateway gateway, AdmittedRequest admitted) {
         StreamForwarder forwarder = new StreamForwarder(gateway, admitted);
         admitted.exchange().onClose(forwarder::onCallerDisconnected);
+        admitted.exchange().setPending(new PendingExchange(admitted.request().id(), forwarder::step));
         long remainingMillis =
                 Math.max(1, admitted.deadlineMillis() - gateway.clock().now());
         forwarder.deadline = gateway.executor().schedule(forwarder::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
         forwarder.begin();
     }
 
+    private String step() {
+        if (storing) {
+            return "storing-turn";
+        }
+        if (call == null) {
+            return "reading-history";
+        }
+        if (!call.isRunning()) {
+            return "waiting-for-endpoint";
+        }
+        return admitted.exchange().started() ? "streaming" : "at-endpoint";
+    }
+
     private void begin() {
         if (admitted.beginsChain()) {
             chainComplete = true;
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
@@ -10,6 +10,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import org.quetzalshunt.core.memory.MemoryUse;
@@ -88,6 +89,11 @@
         return current == null && pipelined.isEmpty();
     }
 
+    /** The request in progress, if its handler has described it. */
+    Optional<PendingExchange> pending() {
+        return Optional.ofNullable(current).flatMap(HttpExchange::pending);
+    }
+
     private void enqueue(ChannelHandlerContext context, FullHttpRequest request) {
         if (pipelined.size() >= MAXIMUM_PIPELINED) {
             context.close();
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
@@ -46,6 +46,7 @@
     private boolean finished;
     private Consumer<Boolean> writabilityListener = writable -> {};
     private Optional<DisconnectCause> disconnectCause = Optional.empty();
+    private Optional<PendingExchange> pending = Optional.empty();
 
     private HttpExchange(
             ChannelHandlerContext context, ConnectionMemory memory, FullHttpRequest request, Runnable doneAction) {
@@ -233,6 +234,16 @@
         return disconnectCause;
     }
 
+    /** Describes, in place of an earlier description, what is done with the request until it has its final response. */
+    public void setPending(PendingExchange description) {
+        pending = Optional.of(description);
+    }
+
+    /** The handler's description of the request; empty once it has its final response. */
+    Optional<PendingExchange> pending() {
+        return finished ? Optional.empty() : pending;
+    }
+
     void writabilityChanged(boolean writable) {
         if (!finished) {
             writabilityListener.accept(writable);
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** An HTTP/1.1 server on an event loop supplied by its owner. */
@@ -102,6 +104,18 @@
         return connections.size();
     }
 
+    /** Requests in progress that their handler has described. Call on the event loop. */
+    public List<PendingExchange> pending() {
+        return connections.stream()
+                .flatMap(connection -> handler(connection).stream())
+                .flatMap(handler -> handler.pending().stream())
+                .toList();
+    }
+
+    private static Optional<HttpConnection> handler(Channel connection) {
+        return Optional.ofNullable(connection.pipeline().get(HttpConnection.class));
+    }
+
     /** Accepts no new connections; open ones continue. */
     public void stopAccepting() {
         channel.close();
@@ -110,8 +124,7 @@
     /** Closes the connections without a request in progress. Call on the event loop. */
     public void closeIdle() {
         for (Channel connection : Set.copyOf(connections)) {
-            HttpConnection handler = connection.pipeline().get(HttpConnection.class);
-            if (handler != null && handler.isIdle()) {
+            if (handler(connection).filter(HttpConnection::isIdle).isPresent()) {
                 connection.close();
             }
         }
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/http/PendingExchange.java
@@ -0,0 +1,11 @@
+package org.quetzalshunt.server.http;
+
+import java.util.function.Supplier;
+
+/**
+ * A request without a final response, as its handler describes it.
+ *
+ * @param requestId id of the request
+ * @param step what the handler is doing; one of a few fixed names
+ */
+public record PendingExchange(String requestId, Supplier<String> step) {}
