Tell callers of a stopping gateway to reconnect, and close after the last byte

Cause: the header Connection was decided when a request arrived, so that responses to requests from before the SIGTERM said keep-alive however late they were sent. Streams, whose head can't tell any more, kept their connection too. And a connection was closed in one step: unread bytes of a next request make the operating system send a reset, which can destroy the end of the response at the caller.

Change: the header is decided with the head of the response. A stream from before the stop closes its connection after its last byte. Connections are closed in two steps (RFC 9112, 9.6). A pipelined request that was read is still answered, so that no response announces the end before it. A gateway that has lost the store announces it in the same way, but answers requests of callers that it could not tell, since it goes on running.

Costs: no store calls. A caller that is told opens its next connection to another gateway; before, it did so after the end of the process.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -56,11 +56,6 @@
     /** Processes a request; the response is sent during this call or later. */
     void handle(HttpExchange exchange) {
         gateway.clock().detectJump();
-        if (stopping.getAsBoolean() || gateway.isolatedFromStore()) {
-            // Closing a persistent connection moves its caller to another VM, since the balancer opens new ones only to
-            // ready VMs.
-            exchange.closeAfterAnswer();
-        }
         Optional<CallerRequest> request = gateway.dialect().decodeRequest(exchange);
         if (request.isEmpty()) {
             refuse(exchange, "", Refusal.notRun(ResultCode.MALFORMED_REQUEST, "the request has no id"));
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -14,6 +14,7 @@
 import org.quetzalshunt.core.routing.EndpointTable;
 import org.quetzalshunt.core.stop.PlannedStop;
 import org.quetzalshunt.core.store.SharedMap;
+import org.quetzalshunt.server.http.ConnectionReuse;
 import org.quetzalshunt.server.http.HttpClient;
 import org.quetzalshunt.server.http.HttpExchange;
 import org.quetzalshunt.server.http.HttpLimits;
@@ -189,10 +190,19 @@
                 settings.callerAddress(),
                 CALLER_LIMITS,
                 pipeline::handle,
-                gateway.memory().callers());
+                gateway.memory().callers(),
+                this::connectionReuse);
         probes = HttpServer.start(group, settings.probeAddress(), PROBE_LIMITS, this::probe);
     }
 
+    /** Closed connections move their callers to other VMs, since the balancer opens new ones only to ready VMs. */
+    private ConnectionReuse connectionReuse() {
+        if (stop.hasBegun()) {
+            return ConnectionReuse.ENDED;
+        }
+        return gateway.isolatedFromStore() ? ConnectionReuse.ENDS_WITH_RESPONSE : ConnectionReuse.ALLOWED;
+    }
+
     private void onConfigurationChange(TrafficConfiguration configuration) {
         if (gateway != null) {
             gateway.quotas().onConfigurationChange(configuration);
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
@@ -13,13 +14,14 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.quetzalshunt.core.memory.MemoryUse;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.tinylog.Logger;
 
 /** One server connection. Handles its requests one after the other, so that responses are sent in request order. */
-final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest> implements ExchangeConnection {
     private static final int MAXIMUM_PIPELINED = 16;
 
     /** Size of pipelined requests above which no more are read until they run. */
@@ -29,19 +31,30 @@
     private final HttpHandler handler;
     private final Set<Channel> connections;
     private final ConnectionMemory memory;
+    private final Supplier<ConnectionReuse> reuse;
     private final Queue<FullHttpRequest> pipelined = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private GracefulClose close;
     private HttpExchange current;
     private long pipelinedBytes;
 
-    HttpConnection(HttpLimits limits, HttpHandler handler, Set<Channel> connections, ConnectionMemory memory) {
+    HttpConnection(
+            HttpLimits limits,
+            HttpHandler handler,
+            Set<Channel> connections,
+            ConnectionMemory memory,
+            Supplier<ConnectionReuse> reuse) {
         this.limits = limits;
         this.handler = handler;
         this.connections = connections;
         this.memory = memory;
+        this.reuse = reuse;
     }
 
     @Override
-    public void channelActive(ChannelHandlerContext context) {
+    public void channelActive(ChannelHandlerContext activeContext) {
+        context = activeContext;
+        close = new GracefulClose(context.channel());
         memory.open(context.channel(), this::onDisconnecting);
         connections.add(context.channel());
         if (connections.size() > limits.maximumConnections() || !memory.admitsConnection()) {
@@ -85,7 +98,7 @@
         run(context, request);
     }
 
-    boolean isIdle() {
+    private boolean isIdle() {
         return current == null && pipelined.isEmpty();
     }
 
@@ -108,8 +121,7 @@
     }
 
     private void run(ChannelHandlerContext context, FullHttpRequest request) {
-        current = HttpExchange.of(
-                context, memory, request, () -> context.executor().execute(() -> runNext(context)));
+        current = HttpExchange.of(context, memory, request, this);
         if (!request.decoderResult().isSuccess()) {
             refuse(request.decoderResult().cause());
             return;
@@ -124,8 +136,37 @@
         }
     }
 
+    /** A request that was already read gets a response too, since its caller may not send it again. */
+    @Override
+    public boolean endsWithResponse() {
+        return reuse.get() != ConnectionReuse.ALLOWED && pipelined.isEmpty();
+    }
+
+    @Override
+    public void onExchangeEnd() {
+        context.executor().execute(() -> runNext(context));
+    }
+
+    @Override
+    public void closeAfter(ChannelFuture written) {
+        close.afterResponse(written);
+    }
+
+    /** Closes the connection unless it has a request. */
+    void closeIfIdle() {
+        if (isIdle() && !close.hasBegun()) {
+            context.close();
+        }
+    }
+
     private void runNext(ChannelHandlerContext context) {
         current = null;
+        if (reuse.get() == ConnectionReuse.ENDED && isIdle()) {
+            close.withoutReading();
+        }
+        if (close.hasBegun()) {
+            return;
+        }
         if (context.channel().isActive() && memory.isBlocked()) {
             // Continued when the caller has read the previous responses.
             return;
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpExchange.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -40,7 +39,7 @@
     private final HttpHeaders headers;
     private final byte[] body;
     private boolean keepAlive;
-    private final Runnable doneAction;
+    private final ExchangeConnection connection;
     private final List<Runnable> closeActions = new ArrayList<>();
     private boolean started;
     private boolean finished;
@@ -49,7 +48,10 @@
     private Optional<PendingExchange> pending = Optional.empty();
 
     private HttpExchange(
-            ChannelHandlerContext context, ConnectionMemory memory, FullHttpRequest request, Runnable doneAction) {
+            ChannelHandlerContext context,
+            ConnectionMemory memory,
+            FullHttpRequest request,
+            ExchangeConnection connection) {
         this.context = context;
         this.memory = memory;
         this.method = request.method().name();
@@ -57,13 +59,16 @@
         this.headers = request.headers().copy();
         this.body = ByteBufUtil.getBytes(request.content());
         this.keepAlive = HttpUtil.isKeepAlive(request);
-        this.doneAction = doneAction;
+        this.connection = connection;
         memory.holder().hold(MemoryUse.BODIES, body.length);
     }
 
     static HttpExchange of(
-            ChannelHandlerContext context, ConnectionMemory memory, FullHttpRequest request, Runnable doneAction) {
-        return new HttpExchange(context, memory, request, doneAction);
+            ChannelHandlerContext context,
+            ConnectionMemory memory,
+            FullHttpRequest request,
+            ExchangeConnection connection) {
+        return new HttpExchange(context, memory, request, connection);
     }
 
     /** Method, such as {@code POST}. */
@@ -273,10 +278,12 @@
     private void finish() {
         finished = true;
         memory.holder().release(MemoryUse.BODIES, body.length);
-        doneAction.run();
+        connection.onExchangeEnd();
     }
 
+    /** Decided with the head of the response, since the server may have begun to stop after the request arrived. */
     private void setConnectionHeader(HttpResponse response) {
+        keepAlive = keepAlive && !connection.endsWithResponse();
         response.headers()
                 .set(HttpHeaderNames.CONNECTION, keepAlive ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
     }
@@ -286,6 +293,6 @@
         if (keepAlive) {
             return;
         }
-        written.addListener(ChannelFutureListener.CLOSE);
+        connection.closeAfter(written);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /** An HTTP/1.1 server on an event loop supplied by its owner. */
 public final class HttpServer {
@@ -51,6 +52,21 @@
             HttpLimits limits,
             HttpHandler handler,
             CallerMemory memory) {
+        return start(group, address, limits, handler, memory, () -> ConnectionReuse.ALLOWED);
+    }
+
+    /**
+     * Binds and starts to serve, like the method above.
+     *
+     * @param reuse whether callers may send further requests on their connections, asked with each response
+     */
+    public static HttpServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            HttpLimits limits,
+            HttpHandler handler,
+            CallerMemory memory,
+            Supplier<ConnectionReuse> reuse) {
         Set<Channel> connections = new HashSet<>();
         Channel channel = new ServerBootstrap()
                 .group(group)
@@ -71,7 +87,7 @@
                                 .addLast(new RequestArrivalTimeout(limits.requestTimeoutMillis()))
                                 .addLast(new RequestBodyMeter(connectionMemory, limits.maximumBodyBytes()))
                                 .addLast(new HttpObjectAggregator(limits.maximumBodyBytes()))
-                                .addLast(new HttpConnection(limits, handler, connections, connectionMemory));
+                                .addLast(new HttpConnection(limits, handler, connections, connectionMemory, reuse));
                     }
                 })
                 .bind(address)
@@ -124,9 +140,7 @@
     /** Closes the connections without a request in progress. Call on the event loop. */
     public void closeIdle() {
         for (Channel connection : Set.copyOf(connections)) {
-            if (handler(connection).filter(HttpConnection::isIdle).isPresent()) {
-                connection.close();
-            }
+            handler(connection).ifPresent(HttpConnection::closeIfIdle);
         }
     }
 
--- a/server/src/test/java/org/quetzalshunt/server/http/MemoryAccountingTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/MemoryAccountingTest.java
@@ -53,7 +53,8 @@
         }
         ConnectionMemory connection = new ConnectionMemory(memory);
         channel.pipeline().addLast(new UnreadWrites(), new RequestBodyMeter(connection, 10_000));
-        HttpConnection handler = new HttpConnection(LIMITS, this::handle, new HashSet<>(), connection);
+        HttpConnection handler =
+                new HttpConnection(LIMITS, this::handle, new HashSet<>(), connection, () -> ConnectionReuse.ALLOWED);
         channel.pipeline().addLast(handler);
         channel.pipeline().fireChannelActive();
         return channel;
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -23,7 +23,8 @@
  * Stand-in for a server of the platform: executes the requests that are addressed to it and records them. The response
  * to a request with a token usage is a stream of events, to any other request a short body. The header {@code
  * x-answer-bytes} of a request enlarges each event, or the body, by that many bytes; {@code x-cut-after-ms} closes the
- * connection of a stream after that time instead of at the end.
+ * connection of a stream after that time instead of at the end, and {@code x-work-ms} delays the response to any other
+ * request, or the end of a stream.
  */
 public final class ServerStandin implements AutoCloseable {
     /**
@@ -159,7 +160,8 @@
 
     private void respondCompletely(HttpExchange exchange, Map<String, String> head) {
         if (exchange.header("x-token-usage").isEmpty()) {
-            exchange.respond(200, head, ("done" + padding(exchange)).getBytes(StandardCharsets.UTF_8));
+            byte[] body = ("done" + padding(exchange)).getBytes(StandardCharsets.UTF_8);
+            afterWork(exchange, () -> exchange.respond(200, head, body));
             return;
         }
         exchange.begin(200, head);
@@ -171,7 +173,16 @@
             group.next().schedule(exchange::abort, Long.parseLong(cutAfterMillis.get()), TimeUnit.MILLISECONDS);
             return;
         }
-        exchange.end();
+        afterWork(exchange, exchange::end);
+    }
+
+    private void afterWork(HttpExchange exchange, Runnable action) {
+        Optional<String> workMillis = exchange.header("x-work-ms");
+        if (workMillis.isEmpty()) {
+            action.run();
+            return;
+        }
+        group.next().schedule(action, Long.parseLong(workMillis.get()), TimeUnit.MILLISECONDS);
     }
 
     private static void respondPartially(HttpExchange exchange, Map<String, String> head) {
