Send the rest of a response before an idle connection is closed by a stop

Cause: a response counted as ended when it was handed to the HTTP library. The stop closed the connection as idle, which discards the bytes that the operating system had not accepted yet.

Change: a connection with unwritten bytes is closed after the last one of them.

Test that fails before: ServerStopTest.idleConnectionIsClosedAfterItsResponseIsWritten ("expected to be greater than: 8000000, but was: 3285060"). Costs: nothing; an idle connection without unwritten bytes is closed at once, as before.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -152,13 +153,25 @@
         close.afterResponse(written);
     }
 
-    /** Closes the connection unless it has a request. */
+    /** Closes the connection unless it has a request; a response that its caller has not read yet is sent first. */
     void closeIfIdle() {
-        if (isIdle() && !close.hasBegun()) {
+        if (!isIdle()) {
+            return;
+        }
+        if (hasUnwrittenBytes()) {
+            close.withoutReading();
+            return;
+        }
+        if (!close.hasBegun()) {
             context.close();
         }
     }
 
+    private boolean hasUnwrittenBytes() {
+        ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
+        return buffer != null && !buffer.isEmpty();
+    }
+
     private void runNext(ChannelHandlerContext context) {
         current = null;
         if (reuse.get() == ConnectionReuse.ENDED && isIdle()) {
--- a/server/src/test/java/org/quetzalshunt/server/http/ServerStopTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/ServerStopTest.java
@@ -140,4 +140,16 @@
             assertThat(paths).containsExactly("/1", "/2");
         }
     }
+
+    /** Guards against bytes of a response that wait for a slow caller and are discarded with an idle connection. */
+    @Test
+    void idleConnectionIsClosedAfterItsResponseIsWritten() throws Exception {
+        try (KeptConnection connection = connect()) {
+            connection.send(request("/1"));
+            onNextExchange(exchange -> exchange.respond(200, Map.of(), new byte[LARGE_BYTES]));
+            group.next().submit(server::closeIdle).sync();
+
+            assertThat(connection.readAll().length()).isGreaterThan(LARGE_BYTES);
+        }
+    }
 }
