Refuse requests that may outlast the planned stop

Cause: nothing compared the deadline of a request with the end of the process.

Change: from 2.6 s after the SIGTERM, when the balancer has removed the VM, a request whose deadline lies after the end of the stop is refused at once with 3004, Retry-After 0.1 and Connection: close, and is never passed on. Until then new connections still arrive, and most requests are short, so they are served.

Tests: PlannedStopTest.requestThatMayOutlastTheStopIsRefused fails before (no second response: the connection was closed while the request ran); PlannedStopTest of core has the limits. Costs: nothing before 2.6 s.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -19,7 +19,7 @@
 /**
  * Decides whether a fully received request may run. The checks run in this order: age of the configuration, route, API
  * key, size of the body, quarantine, availability of the store, token budget, free memory, free slot, account share, rate
- * quota. Where API keys are required, a configuration that may be out of date never causes a rejection for an unknown route
+ * quota. During a planned stop, requests that may outlast it are refused. Where API keys are required, a configuration that may be out of date never causes a rejection for an unknown route
  * or key.
  */
 final class AdmissionPipeline {
@@ -157,6 +157,10 @@
                 deadline,
                 new RequestTimeline(gateway.clock(), received.arrivedMillis()),
                 gateway.endpoints().mayHavePrefixCached(gateway.clock().now(), service.name(), request.prefixParts()));
+        if (!gateway.stop().admits(gateway.clock().now(), deadline)) {
+            ResultReporter.refuse(gateway, admitted, StopReport.refusal(), Optional.empty());
+            return;
+        }
         if (gateway.crashes().isQuarantined(admitted)) {
             Refusal refusal =
                     Refusal.notRun(ResultCode.CRASHES_ENDPOINTS, "it was running at three endpoints that crashed");
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -48,11 +48,17 @@
     private Gateway gateway;
     private FleetFollower fleet;
     private AdmissionPipeline pipeline;
-    private final PlannedStop stop = PlannedStop.create();
+    private final PlannedStop stop;
 
     private GatewayProcess(GatewaySettings settings) {
         this.settings = settings;
         this.log = DecisionLog.start(settings.vm(), System.out);
+        this.stop = PlannedStop.create(BALANCER_REMOVAL_MILLIS, serveMillis(settings));
+    }
+
+    /** Duration of a planned stop up to the end of the requests that are still in progress then. */
+    private static long serveMillis(GatewaySettings settings) {
+        return Math.max(0, settings.stopMillis() - LAST_RESPONSES_MILLIS);
     }
 
     /**
@@ -275,8 +281,7 @@
             gateway.starts().stop(gateway);
             StopReport.write(log, "stop", callers);
             group.next().schedule(this::stopAccepting, BALANCER_REMOVAL_MILLIS, TimeUnit.MILLISECONDS);
-            long delayMillis = Math.max(0, settings.stopMillis() - LAST_RESPONSES_MILLIS);
-            group.next().schedule(this::complete, delayMillis, TimeUnit.MILLISECONDS);
+            group.next().schedule(this::complete, serveMillis(settings), TimeUnit.MILLISECONDS);
         });
         return stopped;
     }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StartDispatch.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StartDispatch.java
@@ -27,9 +27,6 @@
     /** Interval at which waiting first turns are checked; well below the time of a turn. */
     private static final long CHECK_MILLIS = 10;
 
-    /** Retry-After when this VM stops: another VM can serve the request at once. */
-    private static final long STOPPING_RETRY_AFTER_MILLIS = 100;
-
     private record Waiting(AdmittedRequest admitted, Runnable resume) {}
 
     private final Dispatcher dispatcher;
@@ -175,7 +172,7 @@
     void stop(Gateway gateway) {
         stopping = true;
         StartDecision refuse = new StartDecision.Refuse(
-                ResultCode.STOPPING, "this VM stops and has no free slot", STOPPING_RETRY_AFTER_MILLIS);
+                ResultCode.STOPPING, "this VM stops and has no free slot", StopReport.RETRY_AFTER_MILLIS);
         dispatcher.clear().forEach(start -> apply(gateway, waiting.remove(start.id()), refuse));
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StopReport.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StopReport.java
@@ -6,16 +6,27 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.server.http.HttpServer;
 import org.quetzalshunt.server.http.PendingExchange;
 
-/** Log lines of a planned stop, with the requests in progress by their step. */
+/** Log lines and refusals of a planned stop. */
 final class StopReport {
     /** Ids listed for each step; the number of requests is always stated. */
     private static final int MAXIMUM_IDS = 20;
 
+    /** Retry-After when this VM stops: another VM can serve the request at once. */
+    static final long RETRY_AFTER_MILLIS = 100;
+
     private StopReport() {}
 
+    /** Refuses a request that has not run and cannot run before this VM ends. */
+    static Refusal refusal() {
+        return Refusal.notRunRetryAfter(ResultCode.STOPPING, "this VM stops", RETRY_AFTER_MILLIS);
+    }
+
+    /** Writes an event with the requests in progress by their step. */
     static void write(DecisionLog log, String event, HttpServer callers) {
         ObjectNode line = log.event(event).put("connections", callers.connections());
         Map<String, List<PendingExchange>> bySteps = callers.pending().stream()
