Answer the requests in progress at the end of a planned stop

Cause: the process ended 700 ms before the stop timeout, whatever was in progress.

Change: at that moment each request gets a final response: 503 (3004, not run) if no endpoint may have run it, 504 (4002) otherwise; a stream that has begun is cut, since it cannot be completed. A refused request does not run later. Then the connections close once their responses are sent, and the process ends 200 ms before the timeout at the latest. The log line stop-ends-requests has the requests by step.

Costs: a process with unread responses ends up to 500 ms later; leases are given up at the same time as before.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -46,11 +46,9 @@
     }
 
     private final Gateway gateway;
-    private final BooleanSupplier stopping;
 
-    AdmissionPipeline(Gateway gateway, BooleanSupplier stopping) {
+    AdmissionPipeline(Gateway gateway) {
         this.gateway = gateway;
-        this.stopping = stopping;
     }
 
     /** Processes a request; the response is sent during this call or later. */
@@ -61,9 +59,11 @@
             refuse(exchange, "", Refusal.notRun(ResultCode.MALFORMED_REQUEST, "the request has no id"));
             return;
         }
-        exchange.setPending(new PendingExchange(request.get().id(), () -> "waiting"));
-        authenticate(
-                new ReceivedRequest(exchange, request.get(), gateway.clock().now()));
+        ReceivedRequest received =
+                new ReceivedRequest(exchange, request.get(), gateway.clock().now());
+        exchange.setPending(
+                new PendingExchange(request.get().id(), () -> "waiting", () -> refuse(received, StopReport.refusal())));
+        authenticate(received);
     }
 
     private void authenticate(ReceivedRequest received) {
@@ -112,7 +112,7 @@
     private boolean awaitRecovery(ReceivedRequest received, BooleanSupplier ready) {
         long until = received.arrivedMillis() + OutageWaitPolicy.maximumWaitMillis(received.callerTimeoutMillis());
         boolean worthWaiting = gateway.settings().policy().isEnabled(Mechanism.OUTAGE_WAIT)
-                && !stopping.getAsBoolean()
+                && !gateway.stop().hasBegun()
                 && !gateway.isolatedFromStore()
                 && gateway.clock().now() < until;
         if (!worthWaiting) {
@@ -125,6 +125,9 @@
     }
 
     private void resume(ReceivedRequest received) {
+        if (received.exchange().started()) {
+            return;
+        }
         if (received.exchange().finished()) {
             refuse(received, Refusal.notRun(ResultCode.CANCELLED, "the caller disconnected"));
             return;
@@ -248,7 +251,9 @@
         admitted.timeline().markReached(RequestTimeline.Step.TOKEN);
         if (admitted.exchange().finished()) {
             gateway.starts().onNotSent(gateway, admitted);
-            ResultReporter.logDisconnected(gateway, admitted, Optional.empty());
+            if (!admitted.exchange().started()) {
+                ResultReporter.logDisconnected(gateway, admitted, Optional.empty());
+            }
             return;
         }
         if (admitted.route().kind() == RequestKind.STREAM) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
@@ -50,7 +50,8 @@
     static void start(Gateway gateway, AdmittedRequest admitted) {
         BufferedForwarder forwarder = new BufferedForwarder(gateway, admitted);
         admitted.exchange().onClose(forwarder::onCallerDisconnected);
-        admitted.exchange().setPending(new PendingExchange(admitted.request().id(), forwarder::step));
+        admitted.exchange()
+                .setPending(new PendingExchange(admitted.request().id(), forwarder::step, forwarder::onStop));
         long remainingMillis =
                 Math.max(1, admitted.deadlineMillis() - gateway.clock().now());
         forwarder.deadline = gateway.executor().schedule(forwarder::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
@@ -158,6 +159,12 @@
                         : Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, "no endpoint took it in time"));
     }
 
+    private void onStop() {
+        boolean mayHaveRun = call.isRunning() || attempts > 1;
+        call.cancel(AttemptOutcome.NEUTRAL);
+        refuse(mayHaveRun ? StopReport.unknownOutcome() : StopReport.refusal());
+    }
+
     private void onCallerDisconnected() {
         call.cancel(AttemptOutcome.NEUTRAL);
         if (markFinished()) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -39,6 +39,9 @@
 
     private static final long CHECK_INTERVAL_MILLIS = 100;
 
+    /** Part of the stop timeout that is reserved for the end of the process. */
+    private static final long EXIT_MILLIS = 200;
+
     private final GatewaySettings settings;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -49,6 +52,8 @@
     private FleetFollower fleet;
     private AdmissionPipeline pipeline;
     private final PlannedStop stop;
+    private boolean completing;
+    private boolean leftFleet;
 
     private GatewayProcess(GatewaySettings settings) {
         this.settings = settings;
@@ -171,7 +176,7 @@
                 ResponseBudget.ofHeap(Runtime.getRuntime().maxMemory()),
                 stop);
         gateway.memory().start(group.next(), links::unreadBytes);
-        pipeline = new AdmissionPipeline(gateway, stop::hasBegun);
+        pipeline = new AdmissionPipeline(gateway);
         SlowdownWatch.startSweep(gateway);
         GatewayGauges.register(gateway);
         shares.start(group.next(), metrics);
@@ -270,7 +275,8 @@
 
     /**
      * Graceful shutdown: reports "not ready" at once, serves new requests until the balancer has removed this VM,
-     * closes idle connections, and ends when the last request has its response or the stop timeout has passed.
+     * closes idle connections, and ends when the last request has its response. Requests that are in progress shortly
+     * before the stop timeout get a response that says whether they may have run.
      */
     public CompletableFuture<Void> stop() {
         group.next().execute(() -> {
@@ -280,8 +286,13 @@
             stop.begin(gateway.clock().now());
             gateway.starts().stop(gateway);
             StopReport.write(log, "stop", callers);
-            group.next().schedule(this::stopAccepting, BALANCER_REMOVAL_MILLIS, TimeUnit.MILLISECONDS);
-            group.next().schedule(this::complete, serveMillis(settings), TimeUnit.MILLISECONDS);
+            long serveMillis = serveMillis(settings);
+            group.next()
+                    .schedule(
+                            this::stopAccepting, Math.min(BALANCER_REMOVAL_MILLIS, serveMillis), TimeUnit.MILLISECONDS);
+            group.next().schedule(this::endRequests, serveMillis, TimeUnit.MILLISECONDS);
+            long completeMillis = Math.max(0, settings.stopMillis() - EXIT_MILLIS);
+            group.next().schedule(this::complete, completeMillis, TimeUnit.MILLISECONDS);
         });
         return stopped;
     }
@@ -296,13 +307,30 @@
         group.next().schedule(this::stopAccepting, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Ends the requests in progress; their connections close once the responses are sent. */
+    private void endRequests() {
+        if (!completing) {
+            StopReport.write(log, "stop-ends-requests", callers);
+            callers.endPending();
+            leaveFleet();
+        }
+    }
+
     private void complete() {
-        if (stopped.isDone()) {
+        if (completing) {
             return;
         }
+        completing = true;
         StopReport.write(log, "stopped", callers);
-        gateway.quotas().stop();
-        fleet.stop();
+        leaveFleet();
         group.next().schedule(() -> stopped.complete(null), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
+
+    private void leaveFleet() {
+        if (!leftFleet) {
+            leftFleet = true;
+            gateway.quotas().stop();
+            fleet.stop();
+        }
+    }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StopReport.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StopReport.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import org.quetzalshunt.core.result.Execution;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.server.http.HttpServer;
@@ -26,6 +27,11 @@
         return Refusal.notRunRetryAfter(ResultCode.STOPPING, "this VM stops", RETRY_AFTER_MILLIS);
     }
 
+    /** Ends a request that an endpoint may have run. */
+    static Refusal unknownOutcome() {
+        return Refusal.withExecution(ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN, "this VM stops");
+    }
+
     /** Writes an event with the requests in progress by their step. */
     static void write(DecisionLog log, String event, HttpServer callers) {
         ObjectNode line = log.event(event).put("connections", callers.connections());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/StreamForwarder.java
@@ -65,7 +65,8 @@
     static void start(Gateway gateway, AdmittedRequest admitted) {
         StreamForwarder forwarder = new StreamForwarder(gateway, admitted);
         admitted.exchange().onClose(forwarder::onCallerDisconnected);
-        admitted.exchange().setPending(new PendingExchange(admitted.request().id(), forwarder::step));
+        admitted.exchange()
+                .setPending(new PendingExchange(admitted.request().id(), forwarder::step, forwarder::onStop));
         long remainingMillis =
                 Math.max(1, admitted.deadlineMillis() - gateway.clock().now());
         forwarder.deadline = gateway.executor().schedule(forwarder::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
@@ -351,7 +352,7 @@
     }
 
     private void onDeadline() {
-        boolean mayHaveRun = (call != null && call.isRunning()) || answerEnded;
+        boolean mayHaveRun = mayHaveRun();
         if (call != null) {
             call.cancel(AttemptOutcome.ofTimeout(headers != null));
         }
@@ -361,6 +362,18 @@
                         : Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, "not sent in time"));
     }
 
+    private boolean mayHaveRun() {
+        return (call != null && call.isRunning()) || answerEnded;
+    }
+
+    private void onStop() {
+        boolean mayHaveRun = mayHaveRun();
+        if (call != null) {
+            call.cancel(AttemptOutcome.NEUTRAL);
+        }
+        fail(mayHaveRun ? StopReport.unknownOutcome() : StopReport.refusal());
+    }
+
     private String lateDetail() {
         if (storing) {
             return "the turn was not stored in time";
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -128,6 +128,11 @@
                 .toList();
     }
 
+    /** Ends the requests in progress that their handler has described. Call on the event loop. */
+    public void endPending() {
+        pending().forEach(request -> request.end().run());
+    }
+
     private static Optional<HttpConnection> handler(Channel connection) {
         return Optional.ofNullable(connection.pipeline().get(HttpConnection.class));
     }
--- a/server/src/main/java/org/quetzalshunt/server/http/PendingExchange.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/PendingExchange.java
@@ -7,5 +7,6 @@
  *
  * @param requestId id of the request
  * @param step what the handler is doing; one of a few fixed names
+ * @param end ends the request at once, with a response if that has not begun
  */
-public record PendingExchange(String requestId, Supplier<String> step) {}
+public record PendingExchange(String requestId, Supplier<String> step, Runnable end) {}
