Answer the requests in progress when an entry stops, and end their connections

Callers saw: an entry that stops answered requests in progress with Connection: keep-alive and then closed the connection, or cut them without an answer when its stop timeout had passed; unread ends of responses were discarded with the process.

Change: the response announces the end of its connection. 700 ms before the stop timeout, each request in progress is answered with 504 (4002; a re-send with the same idempotency key gets the actual result). The entry ends once its connections are closed, at the latest at the timeout. The log has the ids of requests that were ended.

The last frames of a sidecar were tried too (3 to 12 events of 600 KB to an entry that reads nothing for 600 ms, on the code before): none was lost, so nothing was changed there. Costs: up to 100 ms at the end of a stop.

--- a/app/src/main/java/org/quetzalshunt/app/deployment/Deployment.java
+++ b/app/src/main/java/org/quetzalshunt/app/deployment/Deployment.java
@@ -18,6 +18,7 @@
 import org.quetzalshunt.server.entry.EntrySettings;
 import org.quetzalshunt.server.sidecar.SidecarProcess;
 import org.quetzalshunt.server.sidecar.SidecarSettings;
+import org.quetzalshunt.standin.control.Fault;
 import org.quetzalshunt.standin.engine.EngineStandin;
 import org.quetzalshunt.standin.platform.PlatformStandin;
 import org.quetzalshunt.standin.service.ServiceStandin;
@@ -38,7 +39,6 @@
     private static final byte[] LINK_SECRET = "loopback-demo-secret".getBytes(java.nio.charset.StandardCharsets.UTF_8);
     private static final int SHARD_COUNT = 12;
     private static final long COMMIT_INTERVAL_MILLIS = 25;
-    private static final long STOP_TIMEOUT_MILLIS = 20_000;
 
     private final DeploymentPlan plan;
     private final EventLoopGroup standinGroup = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
@@ -93,7 +93,7 @@
                 SHARD_COUNT,
                 COMMIT_INTERVAL_MILLIS,
                 keys.operatorTeams(),
-                STOP_TIMEOUT_MILLIS);
+                plan.stopMillis());
         EntryProcess entry = EntryProcess.start(settings);
         entries.put(name, entry);
         registerVm(name, "entry", entry.linkPort(), dataCentre, "");
@@ -192,6 +192,11 @@
         return entries.remove(name).stop();
     }
 
+    /** Activates a fault of a plain service. */
+    public void setServiceFault(String name, Fault fault) {
+        services.get(name).set(fault);
+    }
+
     /** Kills an engine to simulate a crash. Its sidecar keeps running. */
     public void killEngine(String name) {
         engines.remove(name).close();
--- a/app/src/main/java/org/quetzalshunt/app/deployment/DeploymentPlan.java
+++ b/app/src/main/java/org/quetzalshunt/app/deployment/DeploymentPlan.java
@@ -17,6 +17,7 @@
  * @param service settings of each plain service's stand-in
  * @param requestsPerSecond request rate limit of each client account
  * @param burst burst size of each client account's rate limit
+ * @param stopMillis maximum duration of the planned stop of an entry
  */
 public record DeploymentPlan(
         int entries,
@@ -27,7 +28,8 @@
         EngineSettings engine,
         ServiceSettings service,
         double requestsPerSecond,
-        double burst) {
+        double burst,
+        long stopMillis) {
 
     /** Three entries, four engines and two plain services in two data centres. */
     public static DeploymentPlan demo() {
@@ -40,25 +42,53 @@
                 EngineSettings.defaults(),
                 ServiceSettings.defaults(),
                 200,
-                400);
+                400,
+                20_000);
     }
 
     /** Returns a copy with other numbers of VMs. */
     public DeploymentPlan withVms(int entryCount, int engineCount, int plainCount) {
         return new DeploymentPlan(
-                entryCount, engineCount, plainCount, dataCentres, platform, engine, service, requestsPerSecond, burst);
+                entryCount,
+                engineCount,
+                plainCount,
+                dataCentres,
+                platform,
+                engine,
+                service,
+                requestsPerSecond,
+                burst,
+                stopMillis);
     }
 
     /** Returns a copy with other settings of the engines' stand-ins. */
     public DeploymentPlan withEngine(EngineSettings value) {
         return new DeploymentPlan(
-                entries, engines, plainServices, dataCentres, platform, value, service, requestsPerSecond, burst);
+                entries,
+                engines,
+                plainServices,
+                dataCentres,
+                platform,
+                value,
+                service,
+                requestsPerSecond,
+                burst,
+                stopMillis);
     }
 
     /** Returns a copy with other settings of the platform's stand-in. */
     public DeploymentPlan withPlatform(PlatformSettings value) {
         return new DeploymentPlan(
-                entries, engines, plainServices, dataCentres, value, engine, service, requestsPerSecond, burst);
+                entries,
+                engines,
+                plainServices,
+                dataCentres,
+                value,
+                engine,
+                service,
+                requestsPerSecond,
+                burst,
+                stopMillis);
     }
 
     /** Returns a copy with another rate limit and burst size of each account. */
@@ -72,6 +102,22 @@
                 engine,
                 service,
                 newRequestsPerSecond,
-                newBurst);
+                newBurst,
+                stopMillis);
+    }
+
+    /** Returns a copy with another maximum duration of the planned stop of an entry. */
+    public DeploymentPlan withStopMillis(long value) {
+        return new DeploymentPlan(
+                entries,
+                engines,
+                plainServices,
+                dataCentres,
+                platform,
+                engine,
+                service,
+                requestsPerSecond,
+                burst,
+                value);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/entry/CallerApi.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/CallerApi.java
@@ -13,10 +13,12 @@
 import org.quetzalshunt.core.configuration.VersionedDocument;
 import org.quetzalshunt.core.document.ServiceDocument;
 import org.quetzalshunt.core.document.ServiceLimits;
+import org.quetzalshunt.core.result.Execution;
 import org.quetzalshunt.core.result.Outcome;
 import org.quetzalshunt.core.result.Refusal;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.server.http.HttpExchange;
+import org.quetzalshunt.server.http.PendingExchange;
 import org.quetzalshunt.wire.json.Json;
 
 /**
@@ -28,6 +30,11 @@
     private static final Pattern IDEMPOTENCY_KEY = Pattern.compile("[\\x21-\\x7e]{1,255}");
     private static final Pattern TURN = Pattern.compile("[1-9][0-9]{0,8}");
 
+    private static final Refusal STOPPED_UNFINISHED = Refusal.withExecution(
+            ResultCode.OUTCOME_UNKNOWN,
+            Execution.UNKNOWN,
+            "this VM stops; send the request again with the same idempotency key");
+
     private final EntryClock clock;
     private final ConfigurationStream configurationStream;
     private final RateLimiter rateLimiter;
@@ -75,6 +82,10 @@
     /** Handles one request of a caller. */
     void handle(HttpExchange exchange) {
         String requestId = requestIds.next();
+        exchange.setPending(new PendingExchange(
+                requestId,
+                () -> "in-progress",
+                () -> CallerResponses.sendError(exchange, STOPPED_UNFINISHED, requestId)));
         boolean mayWait = !stopping.getAsBoolean()
                 && configurationStream.isReady()
                 && configurationStream.status() == ConfigurationStatus.CATCHING_UP;
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
@@ -16,10 +16,13 @@
 import org.quetzalshunt.core.vm.Vm;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.core.vm.VmRole;
+import org.quetzalshunt.server.http.CallerMemory;
+import org.quetzalshunt.server.http.ConnectionReuse;
 import org.quetzalshunt.server.http.HttpClient;
 import org.quetzalshunt.server.http.HttpExchange;
 import org.quetzalshunt.server.http.HttpLimits;
 import org.quetzalshunt.server.http.HttpServer;
+import org.quetzalshunt.server.http.PendingExchange;
 import org.quetzalshunt.server.log.LogClient;
 import org.quetzalshunt.server.transport.LinkConnector;
 import org.quetzalshunt.server.transport.LinkIdentity;
@@ -32,6 +35,9 @@
 public final class EntryProcess {
     private static final long SLOW_TICK_INTERVAL_MILLIS = 100;
 
+    /** Part of the stop timeout that is reserved for sending the last responses. */
+    private static final long LAST_RESPONSES_MILLIS = 700;
+
     private final EntrySettings settings;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EntryClock clock = new EntryClock();
@@ -59,6 +65,7 @@
     private Ticker ticker;
     private long lastSlowTickMillis;
     private boolean stopping;
+    private boolean endingRequests;
     private long stopDeadlineMillis;
 
     private EntryProcess(EntrySettings settings) {
@@ -83,7 +90,13 @@
         LinkSettings linkSettings = LinkSettings.of(identity, settings.secret());
         LinkEventAdapter linkListener = new LinkEventAdapter(this::onLink);
         InetSocketAddress httpAddress = new InetSocketAddress(settings.host(), settings.httpPort());
-        httpServer = HttpServer.start(group, httpAddress, HttpLimits.defaults(), this::onRequest);
+        httpServer = HttpServer.start(
+                group,
+                httpAddress,
+                HttpLimits.defaults(),
+                this::onRequest,
+                CallerMemory.unlimited(),
+                () -> stopping ? ConnectionReuse.ENDED : ConnectionReuse.ALLOWED);
         linkServer = LinkServer.start(
                 group, new InetSocketAddress(settings.host(), settings.linkPort()), linkSettings, linkListener);
         connector = LinkConnector.create(group, linkSettings, linkListener);
@@ -293,8 +306,27 @@
                 && callerApi.waitingRequests() == 0
                 && (rateLimiter.limits().isHandoverComplete()
                         || membership.liveEntries().size() <= 1);
-        if (idle || clock.now() > stopDeadlineMillis) {
-            Logger.info("stopped, all requests and handovers finished: {}", idle);
+        if (idle || endingRequests || clock.now() > stopDeadlineMillis - LAST_RESPONSES_MILLIS) {
+            endRequests(idle);
+        }
+    }
+
+    /** Ends the requests in progress, and ends the process once the responses are sent. */
+    private void endRequests(boolean idle) {
+        if (!endingRequests) {
+            endingRequests = true;
+            httpServer.stopAccepting();
+            Logger.info(
+                    "all requests and handovers finished: {}, requests to end: {}",
+                    idle,
+                    httpServer.pending().stream()
+                            .map(PendingExchange::requestId)
+                            .toList());
+            httpServer.endPending();
+        }
+        httpServer.closeIdle();
+        if (httpServer.connections() == 0 || clock.now() > stopDeadlineMillis) {
+            Logger.info("stopped, {} connections open", httpServer.connections());
             kill();
             stopped.complete(null);
         }
