Count the crash of an endpoint once, whatever was running there

Cause: each request that was running got a crash id of its own. Three ids quarantine a request; one crash with three equal requests, or one crash that two gateways saw, was enough.

Evidence: one crash of app-1 with four equal requests wrote four lines endpoint-crashed with one fingerprint, and the next request was refused. The line now has the endpoint, the start of its process, and each request with the digests of its own body (fingerprint) and of what was sent (for a turn: its chain and input), so that equal inputs and equal prompts can be told apart.

Change: a crash is one of a process of an endpoint (its id and start time), so that its id is the same at all gateways. A new start may be registered late: a request that was sent after a crash was known proves that the process ran again. The fingerprint stays method, path, account and body, by which such a request comes again (PROTOCOL, Servers).

Tests that fail before: QuarantineTest.oneCrashOfAServerWithEqualRequestsQuarantinesNone ("expected: 200, but was: 503"). GatewayTest.requestThatCrashesServersIsNotRunAFourthTime passes unchanged. Costs: fewer store calls and connections: one probe and one append for all requests of a crash, where each had one of each.

--- a/core/src/main/java/org/quetzalshunt/core/quarantine/CrashTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/quarantine/CrashTable.java
@@ -35,7 +35,7 @@
     /**
      * Records a crash that this VM detected or another VM reported.
      *
-     * @param crash id of the crash; a crash that is reported more than once is counted once
+     * @param crash id of the crash, as {@link EndpointCrashes} names it; a crash is counted once
      */
     public void recordCrash(long nowMillis, String fingerprint, String crash) {
         CrashEntry entry = entries.computeIfAbsent(fingerprint, ignored -> new CrashEntry());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
@@ -1,14 +1,20 @@
 package org.quetzalshunt.server.gateway;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.util.concurrent.EventExecutor;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HexFormat;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.quetzalshunt.core.program.Digests;
 import org.quetzalshunt.core.quarantine.CrashTable;
+import org.quetzalshunt.core.quarantine.EndpointCrashes;
 import org.quetzalshunt.core.routing.Registration;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapName;
@@ -37,28 +43,27 @@
     /** Bytes of the SHA-256 digest in a fingerprint; two given requests collide with a probability of 2^-64. */
     private static final int DIGEST_BYTES = 8;
 
+    /** Requests of a crash in its log line; their number is always stated. */
+    private static final int MAXIMUM_LOGGED_REQUESTS = 20;
+
+    /** A request that an endpoint may have been running when its connection broke. */
+    private record Suspect(String requestId, String fingerprint, String sentDigest, long sentMillis) {}
+
     private final EventExecutor executor;
     private final HttpClient http;
     private final StoreClient store;
     private final NodeClock clock;
     private final DecisionLog log;
-    private final String incarnationId;
     private final CrashTable table = CrashTable.create();
-    private long crashes;
-
-    CrashReporter(
-            EventExecutor executor,
-            HttpClient http,
-            StoreClient store,
-            NodeClock clock,
-            DecisionLog log,
-            GatewaySettings settings) {
+    private final EndpointCrashes crashes = EndpointCrashes.create();
+    private final Map<Registration, List<Suspect>> suspects = new HashMap<>();
+
+    CrashReporter(EventExecutor executor, HttpClient http, StoreClient store, NodeClock clock, DecisionLog log) {
         this.executor = executor;
         this.http = http;
         this.store = store;
         this.clock = clock;
         this.log = log;
-        this.incarnationId = settings.incarnationId();
     }
 
     /** Whether the request must not run because endpoints crashed while running it. */
@@ -75,32 +80,63 @@
 
     /**
      * Probes an endpoint whose connection broke while it may have been running the request, and reports a crash if it
-     * is down.
+     * is down. Requests whose connections break until then share the probe and the report.
+     *
+     * @param sent body as sent to the endpoint
      */
-    void onConnectionBroken(AdmittedRequest admitted, Registration endpoint) {
-        InetSocketAddress address = EndpointCall.address(endpoint.address());
-        executor.schedule(
-                () -> http.probe(address, PROBE_TIMEOUT_MILLIS, reachable -> {
-                    if (!reachable) {
-                        reportCrash(admitted, endpoint);
-                    }
-                }),
-                PROBE_DELAY_MILLIS,
-                TimeUnit.MILLISECONDS);
+    void onConnectionBroken(AdmittedRequest admitted, Registration endpoint, long sentMillis, byte[] sent) {
+        Suspect suspect = new Suspect(admitted.request().id(), fingerprint(admitted), digest(sent), sentMillis);
+        List<Suspect> running = suspects.get(endpoint);
+        if (running != null) {
+            running.add(suspect);
+            return;
+        }
+        suspects.put(endpoint, new ArrayList<>(List.of(suspect)));
+        executor.schedule(() -> probe(endpoint), PROBE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void reportCrash(AdmittedRequest admitted, Registration endpoint) {
-        String fingerprint = fingerprint(admitted);
-        String crash = incarnationId + "-" + crashes++;
-        log.write(log.event("endpoint-crashed")
-                .put("request", admitted.request().id())
-                .put("fingerprint", fingerprint)
-                .put("endpoint", endpoint.id()));
-        table.recordCrash(clock.now(), fingerprint, crash);
+    private void probe(Registration endpoint) {
+        http.probe(EndpointCall.address(endpoint.address()), PROBE_TIMEOUT_MILLIS, reachable -> {
+            List<Suspect> running = suspects.remove(endpoint);
+            if (!reachable) {
+                reportCrash(endpoint, running);
+            }
+        });
+    }
+
+    private void reportCrash(Registration endpoint, List<Suspect> running) {
+        long now = clock.now();
+        Map<String, MapEntry> reports = new LinkedHashMap<>();
+        for (Suspect suspect : running) {
+            String crash = crashes.identify(now, endpoint.id(), endpoint.startedMillis(), suspect.sentMillis());
+            table.recordCrash(now, suspect.fingerprint(), crash);
+            reports.computeIfAbsent(key(suspect.fingerprint(), crash), this::report);
+        }
+        store.append(SHARD, List.copyOf(reports.values()), OptionalLong.empty(), answer -> {});
+        logCrash(endpoint, running, reports.size());
+    }
+
+    private void logCrash(Registration endpoint, List<Suspect> running, int reports) {
+        ObjectNode line = log.event("endpoint-crashed")
+                .put("endpoint", endpoint.id())
+                .put("startedMillis", endpoint.startedMillis())
+                .put("requests", running.size())
+                .put("reports", reports);
+        ArrayNode entries = line.putArray("running");
+        running.stream().limit(MAXIMUM_LOGGED_REQUESTS).forEach(suspect -> entries.addObject()
+                .put("request", suspect.requestId())
+                .put("fingerprint", suspect.fingerprint())
+                .put("sentDigest", suspect.sentDigest()));
+        log.write(line);
+    }
+
+    private static String key(String fingerprint, String crash) {
+        return KEY_PREFIX + fingerprint + SEPARATOR + crash;
+    }
+
+    private MapEntry report(String key) {
         String expires = Long.toString(clock.wallMillis() + CrashTable.RETENTION_MILLIS);
-        MapEntry entry =
-                MapEntry.of(KEY_PREFIX + fingerprint + SEPARATOR + crash, expires.getBytes(StandardCharsets.US_ASCII));
-        store.append(SHARD, List.of(entry), OptionalLong.empty(), answer -> {});
+        return MapEntry.of(key, expires.getBytes(StandardCharsets.US_ASCII));
     }
 
     /** Adds a crash that some VM reported; expired reports are ignored. */
@@ -112,7 +148,9 @@
             return;
         }
         String fingerprint = entry.key().substring(KEY_PREFIX.length(), separator);
-        table.recordCrash(clock.now(), fingerprint, entry.key().substring(separator + 1));
+        String crash = entry.key().substring(separator + 1);
+        crashes.onReport(clock.now(), crash);
+        table.recordCrash(clock.now(), fingerprint, crash);
     }
 
     private static long expiryMillis(byte[] value) {
@@ -130,9 +168,12 @@
     private static String fingerprint(AdmittedRequest admitted) {
         String description =
                 admitted.exchange().method() + ' ' + admitted.exchange().uri() + ' ' + admitted.accountName();
-        byte[] digest = Digests.sha256(
+        return digest(
                 description.getBytes(StandardCharsets.UTF_8),
                 admitted.exchange().body());
-        return HexFormat.of().formatHex(digest, 0, DIGEST_BYTES);
+    }
+
+    private static String digest(byte[]... parts) {
+        return HexFormat.of().formatHex(Digests.sha256(parts), 0, DIGEST_BYTES);
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -409,7 +409,7 @@
                 return;
             }
             done = true;
-            gateway.crashes().onConnectionBroken(admitted, endpoint);
+            gateway.crashes().onConnectionBroken(admitted, endpoint, sentMillis, body);
             listener.onBroken(reason);
         }
     }
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -140,7 +140,8 @@
         }
     }
 
-    private void crash() {
+    /** Closes all connections without a response, and restarts after a short delay with the same id and address. */
+    public void crash() {
         server.close();
         Thread restarter = new Thread(this::restart, id + " restarts");
         restarter.setDaemon(true);
