Remove the crash reports of an answered request at all gateways

Callers saw: a request that one gateway ran and answered was refused at the others, and at gateways that started later, since crashes from before the answer still counted there.

Cause: an answer removed the entry at the gateway that saw it; the reports stayed in the store for good.

Change: the gateway that sees the answer of a request with reports removes them from the store with one append, and the others read the removals with the reports.

The log line crash-reports-removed counts them.

--- a/core/src/main/java/org/quetzalshunt/core/quarantine/CrashTable.java
+++ b/core/src/main/java/org/quetzalshunt/core/quarantine/CrashTable.java
@@ -43,9 +43,26 @@
         entry.expiresMillis = nowMillis + RETENTION_MILLIS;
     }
 
-    /** Removes the entry of a request that an endpoint answered without crashing. */
-    public void recordAnswer(String fingerprint) {
-        entries.remove(fingerprint);
+    /** Removes a crash whose report another VM has removed. */
+    public void removeCrash(String fingerprint, String crash) {
+        CrashEntry entry = entries.get(fingerprint);
+        if (entry == null) {
+            return;
+        }
+        entry.crashIds.remove(crash);
+        if (entry.crashIds.isEmpty()) {
+            entries.remove(fingerprint);
+        }
+    }
+
+    /**
+     * Removes the entry of a request that an endpoint answered without crashing.
+     *
+     * @return the crashes of the entry, which other VMs have to remove too
+     */
+    public Set<String> recordAnswer(String fingerprint) {
+        CrashEntry entry = entries.remove(fingerprint);
+        return entry == null ? Set.of() : entry.crashIds;
     }
 
     /** Whether the request is quarantined and must not run. Its quarantine then lasts on from now. */
--- a/core/src/test/java/org/quetzalshunt/core/quarantine/CrashTableTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/quarantine/CrashTableTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 final class CrashTableTest {
@@ -38,6 +39,22 @@
         assertThat(table.isQuarantined(1, "f")).isFalse();
     }
 
+    /** Guards against a request that stays quarantined at one VM after an endpoint answered it at another. */
+    @Test
+    void answerAtAnotherVmRemovesItsCrashes() {
+        CrashTable other = CrashTable.create();
+        for (String crash : List.of("a-1", "a-2", "b-1")) {
+            table.recordCrash(0, "f", crash);
+            other.recordCrash(0, "f", crash);
+        }
+        other.recordCrash(0, "f", "b-2");
+        table.recordAnswer("f").forEach(crash -> other.removeCrash("f", crash));
+        assertThat(other.isQuarantined(1, "f")).isFalse();
+        assertThat(other.isEmpty()).isFalse();
+        other.removeCrash("f", "b-2");
+        assertThat(other.isEmpty()).isTrue();
+    }
+
     /** Guards against a request that crashes further endpoints because it kept coming until its entry had expired. */
     @Test
     void quarantineLastsWhileTheRequestKeepsComing() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
@@ -71,11 +71,23 @@
         return !table.isEmpty() && table.isQuarantined(clock.now(), fingerprint(admitted));
     }
 
-    /** Removes the crash reports of a request that an endpoint answered completely. */
+    /** Removes the crash reports of a request that an endpoint answered completely, here and at the other VMs. */
     void onAnswered(AdmittedRequest admitted) {
-        if (!table.isEmpty()) {
-            table.recordAnswer(fingerprint(admitted));
+        if (table.isEmpty()) {
+            return;
+        }
+        String fingerprint = fingerprint(admitted);
+        List<MapEntry> removals = table.recordAnswer(fingerprint).stream()
+                .map(crash -> MapEntry.removal(key(fingerprint, crash)))
+                .toList();
+        if (removals.isEmpty()) {
+            return;
         }
+        store.append(SHARD, removals, OptionalLong.empty(), answer -> {});
+        log.write(log.event("crash-reports-removed")
+                .put("request", admitted.request().id())
+                .put("fingerprint", fingerprint)
+                .put("reports", removals.size()));
     }
 
     /**
@@ -139,18 +151,22 @@
         return MapEntry.of(key, expires.getBytes(StandardCharsets.US_ASCII));
     }
 
-    /** Adds a crash that some VM reported; expired reports are ignored. */
+    /** Adds a crash that some VM reported, or removes one that was followed by an answer; expired reports are ignored. */
     void onCrashReport(MapEntry entry) {
         int separator = entry.key().lastIndexOf(SEPARATOR);
-        if (entry.value().isEmpty()
-                || separator <= KEY_PREFIX.length()
-                || expiryMillis(entry.value().get()) < clock.wallMillis()) {
+        if (separator <= KEY_PREFIX.length()) {
             return;
         }
         String fingerprint = entry.key().substring(KEY_PREFIX.length(), separator);
         String crash = entry.key().substring(separator + 1);
-        crashes.onReport(clock.now(), crash);
-        table.recordCrash(clock.now(), fingerprint, crash);
+        if (entry.value().isEmpty()) {
+            table.removeCrash(fingerprint, crash);
+            return;
+        }
+        if (expiryMillis(entry.value().get()) >= clock.wallMillis()) {
+            crashes.onReport(clock.now(), crash);
+            table.recordCrash(clock.now(), fingerprint, crash);
+        }
     }
 
     private static long expiryMillis(byte[] value) {
