Run a quarantined request once more, at one gateway, to find out whether it crashes

Callers saw: a request that was running in three crashes with another cause, such as servers that crash under load, was refused for as long as it kept coming: each refusal extends the quarantine, and only an answer ends it.

Cause: the extension is needed, since a quarantine that lapses while the request keeps coming crashes servers again, but nothing could show that the request is harmless. And the extension was known to the process alone: a gateway that started after the reports had expired would run the request.

Change: 5 s after the last crash, a gateway that gets the request claims a trial in the store; all gateways read the claims in the same order, and the first claim has it. The request that caused the claim waits for it, like one that waits for the store. An answer ends the quarantine at all gateways; a crash in the trial is the last one. A trial without a result may be repeated once. Reports are renewed when half of their time is over and the request still comes.

GatewayTest.requestThatCrashesServersIsNotRunAFourthTime passes unchanged. Costs: for a quarantined request, one append of some 60 octets for each gateway that claims, and one append a minute at most at each gateway while it keeps coming; one more crash of a server for a request that does crash them. Nothing for other requests.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -164,7 +164,12 @@
             ResultReporter.refuse(gateway, admitted, StopReport.refusal(), Optional.empty());
             return;
         }
-        if (gateway.crashes().isQuarantined(admitted)) {
+        CrashReporter.Admission afterCrashes = gateway.crashes().admit(admitted);
+        if (afterCrashes == CrashReporter.Admission.AWAIT_TRIAL
+                && awaitRecovery(received, () -> !gateway.crashes().isTrialPending(admitted))) {
+            return;
+        }
+        if (afterCrashes != CrashReporter.Admission.RUN) {
             Refusal refusal =
                     Refusal.notRun(ResultCode.CRASHES_ENDPOINTS, "it was running at three endpoints that crashed");
             ResultReporter.refuse(gateway, admitted, refusal, Optional.empty());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
@@ -11,7 +11,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.quetzalshunt.core.program.Digests;
 import org.quetzalshunt.core.quarantine.CrashTable;
 import org.quetzalshunt.core.quarantine.EndpointCrashes;
@@ -32,6 +35,12 @@
     private static final MapShard SHARD = MapShard.only(MapName.FLEET);
     private static final char SEPARATOR = '/';
 
+    /** Names a claim of a trial in place of a crash; sorts after all crashes. */
+    private static final String TRIAL_PREFIX = "~trial-";
+
+    /** Time in which a claim is read again, unless the store is away; then it may be repeated. */
+    private static final long CLAIM_TIMEOUT_MILLIS = 3_000;
+
     /**
      * Delay before an endpoint is probed. A crashed endpoint is down for seconds, while one whose response was lost
      * accepts a connection at any time.
@@ -57,18 +66,91 @@
     private final CrashTable table = CrashTable.create();
     private final EndpointCrashes crashes = EndpointCrashes.create();
     private final Map<Registration, List<Suspect>> suspects = new HashMap<>();
+    private final Map<String, Long> claimedMillis = new HashMap<>();
+    private final String incarnationId;
 
-    CrashReporter(EventExecutor executor, HttpClient http, StoreClient store, NodeClock clock, DecisionLog log) {
+    CrashReporter(
+            EventExecutor executor,
+            HttpClient http,
+            StoreClient store,
+            NodeClock clock,
+            DecisionLog log,
+            GatewaySettings settings) {
         this.executor = executor;
         this.http = http;
         this.store = store;
         this.clock = clock;
         this.log = log;
+        this.incarnationId = settings.incarnationId();
+    }
+
+    /** Whether a request may run, as far as crashes of endpoints are concerned. */
+    enum Admission {
+        /** It may run. */
+        RUN,
+        /** It must not run, because endpoints crashed while running it. */
+        REFUSE,
+        /** This VM has claimed a trial run; the result of the claim will be read with the reports. */
+        AWAIT_TRIAL
+    }
+
+    /** Decides whether a request may run; a quarantined one only as a trial. */
+    Admission admit(AdmittedRequest admitted) {
+        if (table.isEmpty()) {
+            return Admission.RUN;
+        }
+        String fingerprint = fingerprint(admitted);
+        long now = clock.now();
+        if (!table.isQuarantined(now, fingerprint)) {
+            return Admission.RUN;
+        }
+        renewReports(now, fingerprint);
+        if (table.takeTrial(fingerprint)) {
+            log.write(log.event("quarantine-trial")
+                    .put("request", admitted.request().id())
+                    .put("fingerprint", fingerprint));
+            return Admission.RUN;
+        }
+        table.dueTrial(now, fingerprint).ifPresent(number -> claimTrial(now, fingerprint, number));
+        return isTrialPending(now, fingerprint) ? Admission.AWAIT_TRIAL : Admission.REFUSE;
+    }
+
+    /** Whether the result of a claim for this request is still to be read. */
+    boolean isTrialPending(AdmittedRequest admitted) {
+        return isTrialPending(clock.now(), fingerprint(admitted));
+    }
+
+    private boolean isTrialPending(long nowMillis, String fingerprint) {
+        return claimedMillis.getOrDefault(fingerprint, Long.MIN_VALUE) > nowMillis - CLAIM_TIMEOUT_MILLIS;
+    }
+
+    private void renewReports(long nowMillis, String fingerprint) {
+        List<MapEntry> reports = table.takeReportsToRenew(nowMillis, fingerprint).stream()
+                .map(crash -> report(key(fingerprint, crash)))
+                .toList();
+        if (!reports.isEmpty()) {
+            store.append(SHARD, reports, OptionalLong.empty(), answer -> {});
+        }
     }
 
-    /** Whether the request must not run because endpoints crashed while running it. */
-    boolean isQuarantined(AdmittedRequest admitted) {
-        return !table.isEmpty() && table.isQuarantined(clock.now(), fingerprint(admitted));
+    private void claimTrial(long nowMillis, String fingerprint, int number) {
+        if (isTrialPending(nowMillis, fingerprint)) {
+            return;
+        }
+        claimedMillis.put(fingerprint, nowMillis);
+        MapEntry claim =
+                MapEntry.of(key(fingerprint, TRIAL_PREFIX + number), incarnationId.getBytes(StandardCharsets.UTF_8));
+        store.append(SHARD, List.of(claim), OptionalLong.empty(), answer -> {});
+    }
+
+    private void onTrial(String fingerprint, String number, byte[] claimant) {
+        boolean own = incarnationId.equals(new String(claimant, StandardCharsets.UTF_8));
+        if (number.matches("[0-9]{1,3}")) {
+            table.recordTrial(clock.now(), fingerprint, Integer.parseInt(number), own);
+        }
+        if (own) {
+            claimedMillis.remove(fingerprint);
+        }
     }
 
     /** Removes the crash reports of a request that an endpoint answered completely, here and at the other VMs. */
@@ -77,17 +159,20 @@
             return;
         }
         String fingerprint = fingerprint(admitted);
-        List<MapEntry> removals = table.recordAnswer(fingerprint).stream()
-                .map(crash -> MapEntry.removal(key(fingerprint, crash)))
-                .toList();
-        if (removals.isEmpty()) {
+        Set<String> crashesBefore = table.recordAnswer(fingerprint);
+        if (crashesBefore.isEmpty()) {
             return;
         }
+        List<MapEntry> removals = Stream.concat(
+                        crashesBefore.stream(),
+                        IntStream.rangeClosed(1, CrashTable.MAXIMUM_TRIALS).mapToObj(number -> TRIAL_PREFIX + number))
+                .map(report -> MapEntry.removal(key(fingerprint, report)))
+                .toList();
         store.append(SHARD, removals, OptionalLong.empty(), answer -> {});
         log.write(log.event("crash-reports-removed")
                 .put("request", admitted.request().id())
                 .put("fingerprint", fingerprint)
-                .put("reports", removals.size()));
+                .put("reports", crashesBefore.size()));
     }
 
     /**
@@ -163,6 +248,13 @@
             table.removeCrash(fingerprint, crash);
             return;
         }
+        if (crash.startsWith(TRIAL_PREFIX)) {
+            onTrial(
+                    fingerprint,
+                    crash.substring(TRIAL_PREFIX.length()),
+                    entry.value().get());
+            return;
+        }
         if (expiryMillis(entry.value().get()) >= clock.wallMillis()) {
             crashes.onReport(clock.now(), crash);
             table.recordCrash(clock.now(), fingerprint, crash);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -126,7 +126,7 @@
                 () -> store.isUnavailable() ? PeerConnections.STORE_UNAVAILABLE : configuration.ageMillis(),
                 shares,
                 bytes -> RoutingReports.countPeerBytes(gateway, bytes));
-        CrashReporter crashes = new CrashReporter(group.next(), http, store, clock, log);
+        CrashReporter crashes = new CrashReporter(group.next(), http, store, clock, log, settings);
         TurnHistory history =
                 new TurnHistory(group.next(), store, clock, log, metrics, () -> gateway.isolatedFromStore());
         BudgetManager budgets = new BudgetManager(
