Detect a cut after the head in the HTTP client, for sidecars and the store too

Callers could see: a sidecar reported the response of a plain service that stopped right after a head without a length as whole, so that the entry answered 200 with an empty body.

Change: the check moves from the gateway's call to the client that gateways, entries and sidecars share. It doesn't apply to responses to HEAD and to 204, which have no body.

Tests: SidecarFaultTest.responseThatIsCutInItsHeadIsNoResponse, 1 of 3 framings failed before ("expected: OUTCOME_UNKNOWN UNKNOWN, but was: OK RAN"); CutResponseTest passes as before. CutStoreTest cuts the store's answers after each byte: none was ever read as "no record" or skipped a record, before and after. Costs: nothing.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -1,9 +1,6 @@
 package org.quetzalshunt.server.gateway;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -347,7 +344,6 @@
     /** Handles the response to the current attempt. */
     private final class ResponseHandler implements HttpResponseListener {
         private ResponseKind head;
-        private boolean mayBeCut;
 
         @Override
         public void onRequestUnread() {
@@ -363,7 +359,6 @@
         public void onHead(int status, HttpHeaders headers) {
             headersTimeout.cancel(false);
             head = gateway.dialect().responseKind(status, headers);
-            mayBeCut = head == ResponseKind.SUCCESS && endsWithConnection(status, headers);
             if (isForwarded()) {
                 listener.onHead(head, status, headers);
                 return;
@@ -376,14 +371,6 @@
             }
         }
 
-        /** Whether the response has a body that ends with the connection, so that a cut after the head looks whole. */
-        private boolean endsWithConnection(int status, HttpHeaders headers) {
-            return !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-                    && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
-                    && status != HttpResponseStatus.NO_CONTENT.code()
-                    && !admitted.exchange().method().equals(HttpMethod.HEAD.name());
-        }
-
         private boolean isForwarded() {
             return head == ResponseKind.SUCCESS || head == ResponseKind.FAILURE;
         }
@@ -395,7 +382,6 @@
         @Override
         public void onChunk(byte[] data) {
             RoutingReports.onAnswer(gateway, endpoint, data.length);
-            mayBeCut = mayBeCut && data.length == 0;
             if (isForwarded()) {
                 listener.onData(data);
                 flow.onRead(data.length);
@@ -409,10 +395,6 @@
                 send();
                 return;
             }
-            if (mayBeCut) {
-                onFailure("the response has neither a length nor a body", true);
-                return;
-            }
             endAttempt(head == ResponseKind.SUCCESS ? AttemptOutcome.ANSWERED : AttemptOutcome.ERRORED);
             done = true;
             gateway.crashes().onAnswered(admitted);
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -24,6 +25,7 @@
     private final Release release;
     private Channel channel;
     private ScheduledFuture<?> timeout;
+    private boolean withoutBody;
     private boolean sent;
     private boolean done;
 
@@ -65,6 +67,7 @@
             return;
         }
         channel = connection;
+        withoutBody = request.method().equals(HttpMethod.HEAD);
         channel.pipeline().get(HttpCallHandler.class).attach(this);
         timeout = channel.eventLoop().schedule(() -> onTimeout(), timeoutMillis, TimeUnit.MILLISECONDS);
         ChannelFuture writing = channel.writeAndFlush(request);
@@ -93,6 +96,11 @@
         }
     }
 
+    /** Whether a response has no body, whatever its head states. */
+    boolean isWithoutBody() {
+        return withoutBody;
+    }
+
     Optional<String> requestId() {
         return requestId;
     }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -33,6 +34,8 @@
     private long keepAliveMillis = IdleConnection.UNSTATED;
     /** Whether the response being read is interim or belongs to another request. */
     private boolean skippingResponse;
+    /** Whether the response states no end and has no body so far: a cut after its head would look like its end. */
+    private boolean mayBeCut;
     /**
      * Whether a response to another request was received, after which responses can no longer be matched to requests.
      */
@@ -103,9 +106,18 @@
         limit.onProgress();
         keepAlive = HttpUtil.isKeepAlive(response);
         keepAliveMillis = keepAliveMillis(response.headers());
+        mayBeCut = !call.isWithoutBody() && endsWithConnection(response);
         call.head(response.status().code(), response.headers());
     }
 
+    /** Whether the body of a success ends with the connection. */
+    private static boolean endsWithConnection(HttpResponse response) {
+        return response.status().codeClass() == HttpStatusClass.SUCCESS
+                && response.status().code() != HttpResponseStatus.NO_CONTENT.code()
+                && !HttpUtil.isContentLengthSet(response)
+                && !HttpUtil.isTransferEncodingChunked(response);
+    }
+
     private void onInterim() {
         skippingResponse = true;
         interimResponses++;
@@ -117,6 +129,7 @@
     private void onChunk(HttpContent content) {
         if (content.content().isReadable()) {
             limit.onProgress();
+            mayBeCut = false;
         }
         if (!call.chunk(ByteBufUtil.getBytes(content.content()))) {
             detach().fail("response exceeds the size limit", true);
@@ -128,6 +141,9 @@
             skippingResponse = false;
             return;
         }
+        if (call != null && mayBeCut) {
+            detach().fail("response has neither a length nor a body", true);
+        }
         if (call != null) {
             detach().end(keepAlive && !outOfSync, keepAliveMillis);
         }
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
@@ -141,6 +141,24 @@
         }
     }
 
+    /** Guards against a response of a plain service that is cut in its head and reported as whole and empty. */
+    @ParameterizedTest
+    @ValueSource(strings = {"content-length: 4\r\n\r\n", "transfer-encoding: chunked\r\n\r\n", "\r\n"})
+    void responseThatIsCutInItsHeadIsNoResponse(String endOfHead) throws IOException {
+        byte[] head = ("HTTP/1.1 200 OK\r\nserver: a\r\n" + endOfHead).getBytes(StandardCharsets.US_ASCII);
+        try (CutService service = CutService.start(head)) {
+            SidecarTimes times = SidecarTimes.defaults();
+            FakeEntry entry = fixture.connect(fixture.startSidecar(ServiceKind.PLAIN, times, service.address()));
+            for (int bytes = 1; bytes <= head.length; bytes++) {
+                service.setCutAt(bytes);
+                AttemptStart start = attemptStart(false);
+                start.setAttempt(bytes);
+                entry.start(start);
+                assertThat(outcome(entry.awaitEnd(bytes))).isEqualTo("OUTCOME_UNKNOWN UNKNOWN");
+            }
+        }
+    }
+
     // Nothing listens at the address of the endpoint. The attempt must be reported quickly as not run, so that the
     // entry can try another endpoint.
     @ParameterizedTest
