Move the planned stop of a gateway into a class of its own

GatewayProcess had grown to 336 lines, a third of them about stopping. No change of behaviour: PlannedStopTest and GatewayTest.plannedStopAnswersNewRequestsAndThenEnds pass as before.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -28,23 +28,10 @@
 
     private static final HttpLimits PROBE_LIMITS = new HttpLimits(8 * 1024, 64 * 1024, 15_000, 100);
 
-    /**
-     * Time until the balancer has removed a VM that is not ready: it probes once a second and removes a VM after two
-     * failed probes.
-     */
-    private static final long BALANCER_REMOVAL_MILLIS = 2_600;
-
-    /** Part of the stop timeout that is reserved for sending the last responses. */
-    private static final long LAST_RESPONSES_MILLIS = 700;
-
     private static final long CHECK_INTERVAL_MILLIS = 100;
 
-    /** Part of the stop timeout that is reserved for the end of the process. */
-    private static final long EXIT_MILLIS = 200;
-
     private final GatewaySettings settings;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final DecisionLog log;
     private HttpServer callers;
     private HttpServer probes;
@@ -52,18 +39,12 @@
     private FleetFollower fleet;
     private AdmissionPipeline pipeline;
     private final PlannedStop stop;
-    private boolean completing;
-    private boolean leftFleet;
+    private StopSequence stopSequence;
 
     private GatewayProcess(GatewaySettings settings) {
         this.settings = settings;
         this.log = DecisionLog.start(settings.vm(), System.out);
-        this.stop = PlannedStop.create(BALANCER_REMOVAL_MILLIS, serveMillis(settings));
-    }
-
-    /** Duration of a planned stop up to the end of the requests that are still in progress then. */
-    private static long serveMillis(GatewaySettings settings) {
-        return Math.max(0, settings.stopMillis() - LAST_RESPONSES_MILLIS);
+        this.stop = StopSequence.plan(settings.stopMillis());
     }
 
     /**
@@ -204,6 +185,7 @@
                 gateway.memory().callers(),
                 this::connectionReuse);
         probes = HttpServer.start(group, settings.probeAddress(), PROBE_LIMITS, this::probe);
+        stopSequence = StopSequence.create(group.next(), gateway, callers, settings.stopMillis(), fleet::stop);
     }
 
     /** Closed connections move their callers to other VMs, since the balancer opens new ones only to ready VMs. */
@@ -273,64 +255,8 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
-    /**
-     * Graceful shutdown: reports "not ready" at once, serves new requests until the balancer has removed this VM,
-     * closes idle connections, and ends when the last request has its response. Requests that are in progress shortly
-     * before the stop timeout get a response that says whether they may have run.
-     */
+    /** Graceful shutdown; see {@link StopSequence}. Further calls have no effect. */
     public CompletableFuture<Void> stop() {
-        group.next().execute(() -> {
-            if (stop.hasBegun()) {
-                return;
-            }
-            stop.begin(gateway.clock().now());
-            gateway.starts().stop(gateway);
-            StopReport.write(log, "stop", callers);
-            long serveMillis = serveMillis(settings);
-            group.next()
-                    .schedule(
-                            this::stopAccepting, Math.min(BALANCER_REMOVAL_MILLIS, serveMillis), TimeUnit.MILLISECONDS);
-            group.next().schedule(this::endRequests, serveMillis, TimeUnit.MILLISECONDS);
-            long completeMillis = Math.max(0, settings.stopMillis() - EXIT_MILLIS);
-            group.next().schedule(this::complete, completeMillis, TimeUnit.MILLISECONDS);
-        });
-        return stopped;
-    }
-
-    private void stopAccepting() {
-        callers.stopAccepting();
-        callers.closeIdle();
-        if (callers.connections() == 0) {
-            complete();
-            return;
-        }
-        group.next().schedule(this::stopAccepting, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    /** Ends the requests in progress; their connections close once the responses are sent. */
-    private void endRequests() {
-        if (!completing) {
-            StopReport.write(log, "stop-ends-requests", callers);
-            callers.endPending();
-            leaveFleet();
-        }
-    }
-
-    private void complete() {
-        if (completing) {
-            return;
-        }
-        completing = true;
-        StopReport.write(log, "stopped", callers);
-        leaveFleet();
-        group.next().schedule(() -> stopped.complete(null), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void leaveFleet() {
-        if (!leftFleet) {
-            leftFleet = true;
-            gateway.quotas().stop();
-            fleet.stop();
-        }
+        return stopSequence.begin();
     }
 }
