--- a/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/CrashReporter.java
@@ -28,8 +28,21 @@
  * Detects endpoint crashes and reports the requests that were running there to the other VMs through the store. A
  * broken connection alone does not indicate a crash, since responses also get lost: a new connection to the endpoint
  * must fail as well.
+ *
+ * <p>The reports of a fingerprint are records with its crashes, which are equal at all VMs, and with the claims of trials
+ * of a quarantined request; {@link CrashTable} has the rules. A VM that sees the answer to a request removes its records.
  */
 final class CrashReporter {
+    /** Whether a request may run, as far as crashes of endpoints are concerned. */
+    enum Admission {
+        /** It may run. */
+        RUN,
+        /** It must not run, because endpoints crashed while running it. */
+        REFUSE,
+        /** This VM has claimed a trial run; the result of the claim will be read with the reports. */
+        AWAIT_TRIAL
+    }
+
     static final String KEY_PREFIX = "crash/";
 
     private static final MapShard SHARD = MapShard.only(MapName.FLEET);
@@ -84,16 +97,6 @@
         this.incarnationId = settings.incarnationId();
     }
 
-    /** Whether a request may run, as far as crashes of endpoints are concerned. */
-    enum Admission {
-        /** It may run. */
-        RUN,
-        /** It must not run, because endpoints crashed while running it. */
-        REFUSE,
-        /** This VM has claimed a trial run; the result of the claim will be read with the reports. */
-        AWAIT_TRIAL
-    }
-
     /** Decides whether a request may run; a quarantined one only as a trial. */
     Admission admit(AdmittedRequest admitted) {
         if (table.isEmpty()) {
