--- a/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/AdmissionPipeline.java
@@ -18,9 +18,9 @@
 
 /**
  * Decides whether a fully received request may run. The checks run in this order: age of the configuration, route, API
- * key, size of the body, quarantine, availability of the store, token budget, free memory, free slot, account share, rate
- * quota. During a planned stop, requests that may outlast it are refused. Where API keys are required, a configuration that may be out of date never causes a rejection for an unknown route
- * or key.
+ * key, size of the body, end of a planned stop, quarantine, availability of the store, token budget, free memory, free
+ * slot, account share, rate quota. Where API keys are required, a configuration that may be out of date never causes a
+ * rejection for an unknown route or key.
  */
 final class AdmissionPipeline {
     /** Caller timeout assumed when the request states none. */
