Log each attempt of a request with its connection, status and stamp, and unmatched responses

The line of a request had the local ports of attempts that were repeated, and nothing about the response. So a copy of an earlier response, a response joined from two, one without an id, and a mix-up on the caller's connection looked the same.

`attempts` (in place of `localPorts`) has for each attempt the endpoint, the connection and the number of the request on it, status and stamp as received, and the outcome. No logic is changed.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
@@ -25,6 +25,9 @@
     /** Whether the headers of a response identify it as the response to this request. */
     ResponseMatch responseMatch(String requestId, HttpHeaders answerHeaders);
 
+    /** What a response states about itself, for the log. */
+    ResponseIdentity responseIdentity(HttpHeaders answerHeaders);
+
     /** Kind of an endpoint's response, by its status and headers. */
     ResponseKind responseKind(int status, HttpHeaders answerHeaders);
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -2,9 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -80,9 +78,6 @@
      */
     private static final double HEADERS_TIMEOUT_TARGETS = 2;
 
-    /** A request that waits for a full service is sent many times; its log line has the ports of the first ones. */
-    private static final int MAXIMUM_LOGGED_PORTS = 8;
-
     private final Gateway gateway;
     private final AdmittedRequest admitted;
     private final byte[] body;
@@ -91,7 +86,7 @@
     private final RequestMemory memory;
     private final Set<String> excluded = new HashSet<>();
     private final SlowdownWatch watch;
-    private final List<Integer> localPorts = new ArrayList<>();
+    private final AttemptRecords records = new AttemptRecords();
     private Registration endpoint;
     private Selection selection;
     private HttpCall call;
@@ -173,9 +168,9 @@
         return attemptCount;
     }
 
-    /** Local ports of the connections of the first attempts that have ended, in their order. */
-    List<Integer> localPorts() {
-        return localPorts;
+    /** The attempts for the log line of the request. */
+    AttemptRecords records() {
+        return records;
     }
 
     private void send() {
@@ -309,9 +304,7 @@
     }
 
     private void endAttempt(AttemptOutcome outcome) {
-        if (call != null && localPorts.size() < MAXIMUM_LOGGED_PORTS) {
-            call.localPort().ifPresent(localPorts::add);
-        }
+        records.onEnd(endpoint.id(), Optional.ofNullable(call).flatMap(HttpCall::connectionUse), outcome);
         call = null;
         memory.ended(endpoint.id());
         headersTimeout.cancel(false);
@@ -358,6 +351,7 @@
         @Override
         public void onHead(int status, HttpHeaders headers) {
             headersTimeout.cancel(false);
+            records.onHead(status, gateway.dialect().responseIdentity(headers));
             head = gateway.dialect().responseKind(status, headers);
             if (isForwarded()) {
                 listener.onHead(head, status, headers);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayDump.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.quetzalshunt.core.route.TrafficConfiguration;
+import org.quetzalshunt.server.http.IpPort;
 import org.quetzalshunt.wire.json.Json;
 
 /** Formats the state of a gateway as JSON for operators, without API keys and request content. */
@@ -28,6 +29,11 @@
         gateway.starts().addTo(dump, gateway.clock().now());
         gateway.shares().addToDump(dump);
         gateway.memory().addTo(dump.putObject("memory"));
+        ObjectNode unmatched = dump.putObject("unmatchedResponses");
+        gateway.http()
+                .unmatched()
+                .countByServer()
+                .forEach((server, count) -> unmatched.put(IpPort.format(server), count));
         ObjectNode processor = dump.putObject("processorMillis");
         ProcessorTime.millis().forEach((kind, millis) -> processor.put(kind.label(), millis));
         ArrayNode endpoints = dump.putArray("endpoints");
--- a/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/GatewayProcess.java
@@ -66,6 +66,7 @@
     private void assemble(Dialect dialect, Function<HttpClient, SharedMap> storeFactory) {
         NodeClock clock = new NodeClock(this::onClockJump);
         HttpClient http = HttpClient.create(group);
+        http.unmatched().onResponse(new UnmatchedReports(log, clock, dialect)::onResponse);
         StoreClient store = new StoreClient(storeFactory.apply(http), clock);
         EndpointTable endpoints =
                 EndpointTable.create(settings.dataCentre(), settings.incarnation(), settings.policy());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ResultReporter.java
@@ -1,6 +1,5 @@
 package org.quetzalshunt.server.gateway;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
@@ -82,10 +81,7 @@
         admitted.request().previousTurn().ifPresent(turn -> line.put("previousTurn", turn));
         call.ifPresent(endpointCall -> {
             line.put("sends", endpointCall.attemptCount());
-            if (endpointCall.attemptCount() > 1) {
-                ArrayNode ports = line.putArray("localPorts");
-                endpointCall.localPorts().forEach(ports::add);
-            }
+            endpointCall.records().addTo(line);
             if (endpointCall.flow().wasBlocked()) {
                 line.put("heldBackMillis", endpointCall.flow().pausedMillis());
             }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
@@ -5,9 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.net.InetSocketAddress;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -24,6 +22,7 @@
     private final ResponseMatcher matcher;
     private final Release release;
     private Channel channel;
+    private ConnectionUse connectionUse;
     private ScheduledFuture<?> timeout;
     private boolean withoutBody;
     private boolean sent;
@@ -53,11 +52,9 @@
         }
     }
 
-    /** Local port of the connection; empty if there is none yet. */
-    public OptionalInt localPort() {
-        return channel != null && channel.localAddress() instanceof InetSocketAddress address
-                ? OptionalInt.of(address.getPort())
-                : OptionalInt.empty();
+    /** The connection; empty if there is none yet. */
+    public Optional<ConnectionUse> connectionUse() {
+        return Optional.ofNullable(connectionUse);
     }
 
     void start(Channel connection, FullHttpRequest request, long timeoutMillis) {
@@ -68,7 +65,9 @@
         }
         channel = connection;
         withoutBody = request.method().equals(HttpMethod.HEAD);
-        channel.pipeline().get(HttpCallHandler.class).attach(this);
+        HttpCallHandler handler = channel.pipeline().get(HttpCallHandler.class);
+        handler.attach(this);
+        connectionUse = handler.connectionUse(channel);
         timeout = channel.eventLoop().schedule(() -> onTimeout(), timeoutMillis, TimeUnit.MILLISECONDS);
         ChannelFuture writing = channel.writeAndFlush(request);
         if (!writing.isDone()) {
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -1,6 +1,7 @@
 package org.quetzalshunt.server.http;
 
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -24,11 +26,12 @@
     /** Interim responses to one request. They are short, so that many fit into the limit on bytes. */
     private static final int MAXIMUM_INTERIM_RESPONSES = 32;
 
+    private final InetSocketAddress server;
     private final UnmatchedResponses unmatched;
     private final ProgressLimit limit;
     private HttpCall call;
     private Optional<String> lastRequestId = Optional.empty();
-    private boolean reused;
+    private int requests;
     private int interimResponses;
     private boolean keepAlive;
     private long keepAliveMillis = IdleConnection.UNSTATED;
@@ -41,13 +44,14 @@
      */
     private boolean outOfSync;
 
-    HttpCallHandler(UnmatchedResponses unmatched, ProgressLimit limit) {
+    HttpCallHandler(InetSocketAddress server, UnmatchedResponses unmatched, ProgressLimit limit) {
+        this.server = server;
         this.unmatched = unmatched;
         this.limit = limit;
     }
 
     void attach(HttpCall newCall) {
-        reused = lastRequestId.isPresent();
+        requests++;
         interimResponses = 0;
         lastRequestId = newCall.requestId().or(() -> Optional.of(""));
         call = newCall;
@@ -69,7 +73,7 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            onHead(response);
+            onHead(context, response);
         }
         if (message instanceof HttpContent content && !skippingResponse && call != null) {
             onChunk(content);
@@ -80,26 +84,26 @@
     }
 
     private void onUnexpected(ChannelHandlerContext context, HttpObject message) {
-        if (message instanceof HttpResponse) {
-            unmatched.record(UnmatchedResponses.Kind.UNEXPECTED);
+        if (message instanceof HttpResponse response) {
+            recordUnmatched(context, UnmatchedResponses.Kind.UNEXPECTED, response);
         }
         context.close();
     }
 
-    private void onHead(HttpResponse response) {
+    private void onHead(ChannelHandlerContext context, HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             onInterim();
             return;
         }
         ResponseMatch match = call.match(response.headers());
-        if (match == ResponseMatch.UNIDENTIFIED && reused) {
-            unmatched.record(UnmatchedResponses.Kind.UNIDENTIFIED);
+        if (match == ResponseMatch.UNIDENTIFIED && requests > 1) {
+            recordUnmatched(context, UnmatchedResponses.Kind.UNIDENTIFIED, response);
             detach().fail("response without a request id on a reused connection", true);
             return;
         }
         skippingResponse = match == ResponseMatch.FOREIGN;
         if (skippingResponse) {
-            unmatched.record(UnmatchedResponses.Kind.FOREIGN);
+            recordUnmatched(context, UnmatchedResponses.Kind.FOREIGN, response);
             outOfSync = true;
             return;
         }
@@ -110,6 +114,22 @@
         call.head(response.status().code(), response.headers());
     }
 
+    private void recordUnmatched(ChannelHandlerContext context, UnmatchedResponses.Kind kind, HttpResponse response) {
+        unmatched.record(new UnmatchedResponse(
+                kind,
+                server,
+                connectionUse(context.channel()),
+                Optional.ofNullable(call).flatMap(HttpCall::requestId),
+                response.status().code(),
+                response.headers()));
+    }
+
+    /** The connection, with the number of its last request. */
+    ConnectionUse connectionUse(Channel channel) {
+        int port = channel.localAddress() instanceof InetSocketAddress address ? address.getPort() : 0;
+        return new ConnectionUse(port, requests);
+    }
+
     /** Whether the body of a success ends with the connection. */
     private static boolean endsWithConnection(HttpResponse response) {
         return response.status().codeClass() == HttpStatusClass.SUCCESS
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
@@ -207,7 +207,7 @@
                         channel.pipeline()
                                 .addLast(limit)
                                 .addLast(new HttpClientCodec())
-                                .addLast(new HttpCallHandler(unmatched, limit));
+                                .addLast(new HttpCallHandler(address, unmatched, limit));
                     }
                 })
                 .connect(address);
--- a/server/src/test/java/org/quetzalshunt/server/gateway/EvacuationDialect.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/EvacuationDialect.java
@@ -26,6 +26,11 @@
         return ResponseMatch.FOREIGN;
     }
 
+    @Override
+    public ResponseIdentity responseIdentity(HttpHeaders answerHeaders) {
+        return new ResponseIdentity(Optional.empty(), Optional.empty());
+    }
+
     @Override
     public ResponseKind responseKind(int status, HttpHeaders answerHeaders) {
         return ResponseKind.INVALID;
--- a/server/src/test/java/org/quetzalshunt/server/http/HttpCallTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/HttpCallTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -55,7 +56,11 @@
         HttpCall call = HttpCall.create(
                 failures, Optional.of("a"), ResponseMatcher.ANY, (channel, keepAliveMillis) -> channel.close());
         EmbeddedChannel channel = new EmbeddedChannel(
-                new FailingWrites(), new HttpCallHandler(new UnmatchedResponses(), new ProgressLimit()));
+                new FailingWrites(),
+                new HttpCallHandler(
+                        InetSocketAddress.createUnresolved("server", 80),
+                        new UnmatchedResponses(),
+                        new ProgressLimit()));
 
         call.start(channel, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), 1_000);
 
