--- a/server/src/test/java/org/quetzalshunt/server/http/HttpClientTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/HttpClientTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -126,6 +127,73 @@
         assertThat(server.connections()).isEqualTo(2);
     }
 
+    /**
+     * Guards against a copy that outlives the response to another request: it has the id of a later send of its request,
+     * and was taken for the response to that send.
+     */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = {503, 421, 500, 200})
+    void copyThatOutlivesAnotherResponseIsNotTakenForTheResponseToASecondSend(int status) throws Exception {
+        serve((connection, request, out) -> {
+            String id = request == 1 ? "b" : "a";
+            if (request == 2) {
+                respond(out, status, "x-request-id: a\r\n", "first");
+            }
+            boolean first = connection == 0 && request == 0;
+            respond(out, first ? status : 200, "x-request-id: " + id + "\r\n", first ? "first" : "second");
+        });
+        assertThat(send("a")).isEqualTo(status + " first");
+        assertThat(send("b")).isEqualTo("200 second");
+
+        assertThat(send("a")).isEqualTo("200 second");
+    }
+
+    /**
+     * Guards against the beginning of a copy that is joined with the response behind it: the status line of the one was
+     * read with the headers and the body of the other.
+     */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 O",
+                "HTTP/1.1 200 OK\r\nx-stamp: 1",
+                "HTTP/1.1 200 OK\r\nx-stamp: ",
+                "HTTP/1.1 200 OK\r\n"
+            })
+    void beginningOfACopyIsNotJoinedWithTheResponse(String beginning) throws Exception {
+        serve((connection, request, out) -> {
+            if (request == 1) {
+                out.write(beginning.getBytes(StandardCharsets.US_ASCII));
+            }
+            respond(out, request == 0 ? 200 : 500, "x-request-id: " + request + "\r\n", "body");
+        });
+        assertThat(send("0")).isEqualTo("200 body");
+
+        assertThat(send("1")).doesNotContain("200");
+    }
+
+    /** Guards against bytes that are received on an idle connection and read as the beginning of the next response. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nx-stamp: 1", "HTTP/1.1 200 OK\r\nx-stamp: ", "HT"})
+    void bytesOnAnIdleConnectionEndIt(String bytes) throws Exception {
+        serve((connection, request, out) -> {
+            boolean first = connection == 0 && request == 0;
+            respond(out, first ? 200 : 500, "x-request-id: " + (first ? "0" : "1") + "\r\n", "body");
+            if (first) {
+                out.write(bytes.getBytes(StandardCharsets.US_ASCII));
+            }
+        });
+        assertThat(send("0")).isEqualTo("200 body");
+        TimeUnit.MILLISECONDS.sleep(200);
+
+        assertThat(send("1")).isEqualTo("500 body");
+
+        assertThat(server.connections()).isEqualTo(2);
+    }
+
     /** Guards against new connections for every attempt: another response in between shows that the connection is sound. */
     @Test
     void connectionIsUsedAgainAfterAnotherRequest() throws Exception {
