Reject an oversized pipelined request after the response before it

What callers could see: a caller that sends its next request before it has the response to the first, and whose next request is too large, read the 413 of the second request as the response to the first one. The connection stayed open, so the response to the first request was then read as that to a later one. If the first response was a stream, its connection ended after the head instead.

Cause: HttpObjectAggregator writes its rejections (413 for a body over the limit, 417 for an unknown expectation) as soon as it reads the request, while HttpConnection answers requests in order.

Unknown expectations are ignored, which RFC 9110, section 10.1.1 allows.

Evidence: PipelinedRequestsTest, 20 cases.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
@@ -5,13 +5,12 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
@@ -207,21 +206,23 @@
     }
 
     private void refuse(Throwable cause) {
+        HttpExchange exchange = current;
+        exchange.closeAfterAnswer();
+        ErrorBodies.send(exchange, refusal(cause), "");
+    }
+
+    private static Refusal refusal(Throwable cause) {
+        if (cause instanceof TooLongHttpContentException) {
+            return Refusal.notRun(ResultCode.BODY_TOO_LARGE, "see the limits page");
+        }
         ResultCode code = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException
                 ? ResultCode.HEADER_TOO_LARGE
                 : ResultCode.MALFORMED_REQUEST;
-        HttpExchange exchange = current;
-        exchange.closeAfterAnswer();
-        ErrorBodies.send(exchange, Refusal.notRun(code, "the request could not be decoded"), "");
+        return Refusal.notRun(code, "the request could not be decoded");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof TooLongFrameException) {
-            byte[] body = ErrorBodies.json(Refusal.notRun(ResultCode.BODY_TOO_LARGE, "see the limits page"), "");
-            HttpResponses.writeAndClose(context, ResultCode.BODY_TOO_LARGE.status(), Map.of(), body);
-            return;
-        }
         context.close();
     }
 }
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -86,7 +85,7 @@
                                 .addLast(new HttpServerCodec(strict(limits)))
                                 .addLast(new RequestArrivalTimeout(limits.requestTimeoutMillis()))
                                 .addLast(new RequestBodyMeter(connectionMemory, limits.maximumBodyBytes()))
-                                .addLast(new HttpObjectAggregator(limits.maximumBodyBytes()))
+                                .addLast(new RequestAggregator(limits.maximumBodyBytes()))
                                 .addLast(new HttpConnection(limits, handler, connections, connectionMemory, reuse));
                     }
                 })
--- /dev/null
+++ b/server/src/main/java/org/quetzalshunt/server/http/RequestAggregator.java
@@ -0,0 +1,53 @@
+package org.quetzalshunt.server.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+
+/**
+ * Collects whole requests. A request that is too large is passed on as one that could not be decoded, without its body:
+ * a rejection that is written here would precede the response to a request that is in progress, and the caller would
+ * take it for that one.
+ */
+final class RequestAggregator extends HttpObjectAggregator {
+    private final int maximumBodyBytes;
+
+    RequestAggregator(int maximumBodyBytes) {
+        super(maximumBodyBytes);
+        this.maximumBodyBytes = maximumBodyBytes;
+    }
+
+    /** Other expectations than {@code 100-continue} are ignored (RFC 9110, section 10.1.1). */
+    @Override
+    protected Object newContinueResponse(HttpMessage start, int maximumBytes, ChannelPipeline pipeline) {
+        if (HttpUtil.is100ContinueExpected(start) && !isContentLengthInvalid(start, maximumBytes)) {
+            return super.newContinueResponse(start, maximumBytes, pipeline);
+        }
+        start.headers().remove(HttpHeaderNames.EXPECT);
+        return null;
+    }
+
+    @Override
+    protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+        HttpRequest request = (HttpRequest) oversized;
+        DefaultFullHttpRequest rejected = new DefaultFullHttpRequest(
+                request.protocolVersion(),
+                request.method(),
+                request.uri(),
+                Unpooled.EMPTY_BUFFER,
+                request.headers().copy(),
+                DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+        rejected.setDecoderResult(DecoderResult.failure(
+                new TooLongHttpContentException("the body is larger than " + maximumBodyBytes + " bytes")));
+        context.fireChannelRead(rejected);
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/quetzalshunt/server/http/PipelinedRequestsTest.java
@@ -0,0 +1,123 @@
+package org.quetzalshunt.server.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Requests that a caller sends before it has the response to its request before. */
+final class PipelinedRequestsTest {
+    private static final int BUFFER_BYTES = 64 * 1024;
+    private static final int MAXIMUM_BODY_BYTES = 1_000;
+    private static final HttpLimits LIMITS = new HttpLimits(2_048, MAXIMUM_BODY_BYTES, 15_000, 5_000);
+
+    /** How the response to the first request is written. */
+    private enum FirstResponse {
+        WHOLE("content-length: 5\r\nconnection: keep-alive\r\n\r\nfirst"),
+        STREAM("transfer-encoding: chunked\r\nconnection: keep-alive\r\n\r\n5\r\nfirst\r\n0\r\n\r\n");
+
+        private final String bytes;
+
+        FirstResponse(String framed) {
+            this.bytes = "HTTP/1.1 200 OK\r\n" + framed;
+        }
+
+        private void begin(HttpExchange exchange) {
+            if (this == STREAM) {
+                exchange.begin(200, Map.of());
+            }
+        }
+
+        private void end(HttpExchange exchange) {
+            byte[] body = "first".getBytes(StandardCharsets.UTF_8);
+            if (this == WHOLE) {
+                exchange.respond(200, Map.of(), body);
+                return;
+            }
+            exchange.write(body);
+            exchange.end();
+        }
+    }
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final LinkedBlockingQueue<HttpExchange> received = new LinkedBlockingQueue<>();
+    private final HttpServer server =
+            HttpServer.start(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), LIMITS, received::add);
+
+    @AfterEach
+    void close() {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private HttpExchange next() throws Exception {
+        HttpExchange exchange = received.poll(5, TimeUnit.SECONDS);
+        assertThat(exchange).isNotNull();
+        return exchange;
+    }
+
+    private void run(HttpExchange exchange, Consumer<HttpExchange> action) throws Exception {
+        group.next().submit(() -> action.accept(exchange)).sync();
+    }
+
+    private static String request(String method, String headers) {
+        return method + " /x HTTP/1.1\r\nhost: a\r\n" + headers + "\r\n";
+    }
+
+    static Stream<Arguments> rejectedRequests() {
+        String large = "y".repeat(MAXIMUM_BODY_BYTES + 1);
+        String chunk = Integer.toHexString(large.length()) + "\r\n" + large + "\r\n0\r\n\r\n";
+        return Stream.of(
+                        Arguments.of(413, request("POST", "content-length: 5000\r\n")),
+                        Arguments.of(413, request("POST", "content-length: " + large.length() + "\r\n") + large),
+                        Arguments.of(413, request("POST", "content-length: 5000\r\nexpect: 100-continue\r\n")),
+                        Arguments.of(413, request("POST", "content-length: 5000\r\nconnection: close\r\n")),
+                        Arguments.of(413, request("POST", "transfer-encoding: chunked\r\n") + chunk),
+                        Arguments.of(431, request("GET", "a: " + "y".repeat(3_000) + "\r\n")),
+                        Arguments.of(400, request("GET", "no colon\r\n")),
+                        Arguments.of(400, request("POST", "content-length: 1\r\ncontent-length: 2\r\n")),
+                        Arguments.of(
+                                400, request("POST", "content-length: 3\r\ntransfer-encoding: chunked\r\n") + "0\r\n"),
+                        Arguments.of(400, request("POST", "transfer-encoding: chunked\r\n") + "zz\r\n"))
+                .flatMap(each -> Stream.of(FirstResponse.values())
+                        .map(first -> Arguments.of(first, each.get()[0], each.get()[1])));
+    }
+
+    /**
+     * Guards against a rejection that is written as soon as its request is received: the caller takes it for the
+     * response to its request before, and the response to that one for the response to the next. In a stream, it ended
+     * the connection.
+     */
+    @ParameterizedTest
+    @MethodSource("rejectedRequests")
+    void rejectionFollowsTheResponseToTheRequestBefore(FirstResponse first, int status, String rejected)
+            throws Exception {
+        try (KeptConnection connection = KeptConnection.open(server.port(), BUFFER_BYTES)) {
+            connection.send(request("GET", ""));
+            HttpExchange exchange = next();
+            run(exchange, first::begin);
+            connection.send(rejected);
+            Thread.sleep(100);
+            run(exchange, first::end);
+
+            String responses = connection.readAll();
+            assertThat(responses).startsWith(first.bytes + "HTTP/1.1 " + status + " ");
+            assertThat(responses.substring(first.bytes.length())).contains("connection: close\r\n");
+            assertThat(responses.split("HTTP/1\\.1 ", -1)).hasLength(3);
+            assertThat(received).isEmpty();
+        }
+    }
+}
