Send 100 Continue after the response to the request before

What callers could see: a caller whose next request asks for 100 Continue while its request before has no response yet got the interim response in front of that response, or, if that response was a stream, lost the rest of the stream: the interim response cannot be encoded inside it, and the connection was closed after the head. A success was never mixed.

Cause: HttpObjectAggregator writes 100 Continue as soon as it reads the head of a request.

Change: the aggregator leaves it to HttpConnection, which sends it when no request before is in progress, and not if the whole body has arrived.

Evidence: PipelinedRequestsTest, 4 new cases. Before: 3 failed (interim response first, stream cut after its head, interim response for a body that was received), 1 passed. After: 24 of 24 pass.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
@@ -1,11 +1,15 @@
 package org.quetzalshunt.server.http;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -37,6 +41,8 @@
     private GracefulClose close;
     private HttpExchange current;
     private long pipelinedBytes;
+    /** Whether a caller holds the body of its next request back until it is told to send it. */
+    private boolean continueAwaited;
 
     HttpConnection(
             HttpLimits limits,
@@ -91,6 +97,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        continueAwaited = false;
         if (current != null || !pipelined.isEmpty() || memory.isBlocked()) {
             enqueue(context, request);
             return;
@@ -98,6 +105,21 @@
         run(context, request);
     }
 
+    /** Tells the caller to send the body of its next request, after the responses to its requests before. */
+    void onContinueAwaited() {
+        continueAwaited = true;
+        sendContinueIfIdle();
+    }
+
+    private void sendContinueIfIdle() {
+        if (!continueAwaited || !isIdle() || close.hasBegun()) {
+            return;
+        }
+        continueAwaited = false;
+        context.writeAndFlush(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+
     private boolean isIdle() {
         return current == null && pipelined.isEmpty();
     }
@@ -179,6 +201,7 @@
         if (close.hasBegun()) {
             return;
         }
+        sendContinueIfIdle();
         if (context.channel().isActive() && memory.isBlocked()) {
             // Continued when the caller has read the previous responses.
             return;
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -80,13 +80,15 @@
                             connection.config().setSendBufferSize(LIMITED_SEND_BUFFER_BYTES);
                         }
                         ConnectionMemory connectionMemory = new ConnectionMemory(memory);
+                        HttpConnection requests =
+                                new HttpConnection(limits, handler, connections, connectionMemory, reuse);
                         connection
                                 .pipeline()
                                 .addLast(new HttpServerCodec(strict(limits)))
                                 .addLast(new RequestArrivalTimeout(limits.requestTimeoutMillis()))
                                 .addLast(new RequestBodyMeter(connectionMemory, limits.maximumBodyBytes()))
-                                .addLast(new RequestAggregator(limits.maximumBodyBytes()))
-                                .addLast(new HttpConnection(limits, handler, connections, connectionMemory, reuse));
+                                .addLast(new RequestAggregator(limits.maximumBodyBytes(), requests))
+                                .addLast(requests);
                     }
                 })
                 .bind(address)
--- a/server/src/main/java/org/quetzalshunt/server/http/RequestAggregator.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/RequestAggregator.java
@@ -14,25 +14,28 @@
 import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
- * Collects whole requests. A request that is too large is passed on as one that could not be decoded, without its body:
- * a rejection that is written here would precede the response to a request that is in progress, and the caller would
- * take it for that one.
+ * Collects whole requests. A request that is too large is passed on as one that could not be decoded, without its body,
+ * and interim responses are left to the connection: what is written here would precede the response to a request that is
+ * in progress, and the caller would take a rejection for that response.
  */
 final class RequestAggregator extends HttpObjectAggregator {
     private final int maximumBodyBytes;
+    private final HttpConnection connection;
 
-    RequestAggregator(int maximumBodyBytes) {
+    RequestAggregator(int maximumBodyBytes, HttpConnection connection) {
         super(maximumBodyBytes);
         this.maximumBodyBytes = maximumBodyBytes;
+        this.connection = connection;
     }
 
     /** Other expectations than {@code 100-continue} are ignored (RFC 9110, section 10.1.1). */
     @Override
     protected Object newContinueResponse(HttpMessage start, int maximumBytes, ChannelPipeline pipeline) {
-        if (HttpUtil.is100ContinueExpected(start) && !isContentLengthInvalid(start, maximumBytes)) {
-            return super.newContinueResponse(start, maximumBytes, pipeline);
-        }
+        boolean awaited = HttpUtil.is100ContinueExpected(start) && !isContentLengthInvalid(start, maximumBytes);
         start.headers().remove(HttpHeaderNames.EXPECT);
+        if (awaited) {
+            connection.onContinueAwaited();
+        }
         return null;
     }
 
--- a/server/src/test/java/org/quetzalshunt/server/http/PipelinedRequestsTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/PipelinedRequestsTest.java
@@ -14,14 +14,17 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Requests that a caller sends before it has the response to its request before. */
 final class PipelinedRequestsTest {
     private static final int BUFFER_BYTES = 64 * 1024;
     private static final int MAXIMUM_BODY_BYTES = 1_000;
+    private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
     private static final HttpLimits LIMITS = new HttpLimits(2_048, MAXIMUM_BODY_BYTES, 15_000, 5_000);
 
     /** How the response to the first request is written. */
@@ -120,4 +123,54 @@
             assertThat(received).isEmpty();
         }
     }
+
+    /**
+     * Guards against an interim response that is written into the response to the request before. In a stream, it ended
+     * the connection.
+     */
+    @ParameterizedTest
+    @EnumSource(FirstResponse.class)
+    void continueFollowsTheResponseToTheRequestBefore(FirstResponse first) throws Exception {
+        try (KeptConnection connection = KeptConnection.open(server.port(), BUFFER_BYTES)) {
+            connection.send(request("GET", ""));
+            HttpExchange exchange = next();
+            run(exchange, first::begin);
+            connection.send(request("POST", "content-length: 4\r\nexpect: 100-continue\r\n"));
+            Thread.sleep(100);
+            run(exchange, first::end);
+
+            assertThat(connection.readUntil("100 Continue\r\n\r\n")).isEqualTo(first.bytes + CONTINUE);
+            connection.send("body");
+            HttpExchange second = next();
+            assertThat(second.body()).isEqualTo("body".getBytes(StandardCharsets.UTF_8));
+            run(second, FirstResponse.WHOLE::end);
+            assertThat(connection.readUntil("first")).isEqualTo(FirstResponse.WHOLE.bytes);
+        }
+    }
+
+    /** Guards against a body that is expected for ever: its caller sends it only when it is told to. */
+    @Test
+    void continueIsSentAtOnceWithoutARequestBefore() throws Exception {
+        try (KeptConnection connection = KeptConnection.open(server.port(), BUFFER_BYTES)) {
+            connection.send(request("POST", "content-length: 4\r\nexpect: 100-continue\r\n"));
+
+            assertThat(connection.readUntil("100 Continue\r\n\r\n")).isEqualTo(CONTINUE);
+        }
+    }
+
+    /** Guards against an interim response to a caller that has sent its body without waiting for it. */
+    @Test
+    void noContinueIsSentForABodyThatWasReceived() throws Exception {
+        try (KeptConnection connection = KeptConnection.open(server.port(), BUFFER_BYTES)) {
+            connection.send(request("GET", ""));
+            HttpExchange exchange = next();
+            connection.send(request("POST", "content-length: 4\r\nexpect: 100-continue\r\n") + "body");
+            Thread.sleep(100);
+            run(exchange, FirstResponse.WHOLE::end);
+            run(next(), FirstResponse.WHOLE::end);
+
+            assertThat(connection.readUntil("firstHTTP") + connection.readUntil("first"))
+                    .isEqualTo(FirstResponse.WHOLE.bytes + FirstResponse.WHOLE.bytes);
+        }
+    }
 }
