Keep the response of a request beside a next one that arrives slowly

What callers could see: the connection ended without the response to a request that had arrived whole and was running, or inside a stream, because the next request on it did not arrive within its time limit.

Cause: RequestArrivalTimeout closed the connection without regard to a request in progress or to a response that its caller had not read.

Change: the limit starts again while a response is owed. The connection is closed at the end of the first limit at which none is.

Evidence: PipelinedRequestsTest, 2 new cases.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpConnection.java
@@ -188,6 +188,11 @@
         }
     }
 
+    /** Whether closing the connection now would lose a response or a part of it. */
+    boolean owesResponse() {
+        return !isIdle() || hasUnwrittenBytes();
+    }
+
     private boolean hasUnwrittenBytes() {
         ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
         return buffer != null && !buffer.isEmpty();
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -85,7 +85,7 @@
                         connection
                                 .pipeline()
                                 .addLast(new HttpServerCodec(strict(limits)))
-                                .addLast(new RequestArrivalTimeout(limits.requestTimeoutMillis()))
+                                .addLast(new RequestArrivalTimeout(limits.requestTimeoutMillis(), requests))
                                 .addLast(new RequestBodyMeter(connectionMemory, limits.maximumBodyBytes()))
                                 .addLast(new RequestAggregator(limits.maximumBodyBytes(), requests))
                                 .addLast(requests);
--- a/server/src/main/java/org/quetzalshunt/server/http/RequestArrivalTimeout.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/RequestArrivalTimeout.java
@@ -15,10 +15,12 @@
  */
 final class RequestArrivalTimeout extends ChannelInboundHandlerAdapter {
     private final long limitMillis;
+    private final HttpConnection connection;
     private ScheduledFuture<?> timeout;
 
-    RequestArrivalTimeout(long limitMillis) {
+    RequestArrivalTimeout(long limitMillis, HttpConnection connection) {
         this.limitMillis = limitMillis;
+        this.connection = connection;
     }
 
     @Override
@@ -48,9 +50,12 @@
         timeout = context.executor().schedule(() -> onTimeout(context), limitMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Closes the connection unless this VM does not read from it: then the caller may have sent everything. */
+    /**
+     * Closes the connection unless this VM does not read from it: then the caller may have sent everything. Nor is it
+     * closed while the caller waits for the response to a request before, which would be lost.
+     */
     private void onTimeout(ChannelHandlerContext context) {
-        if (context.channel().config().isAutoRead()) {
+        if (context.channel().config().isAutoRead() && !connection.owesResponse()) {
             context.close();
             return;
         }
--- a/server/src/test/java/org/quetzalshunt/server/http/PipelinedRequestsTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/PipelinedRequestsTest.java
@@ -24,6 +24,7 @@
 final class PipelinedRequestsTest {
     private static final int BUFFER_BYTES = 64 * 1024;
     private static final int MAXIMUM_BODY_BYTES = 1_000;
+    private static final int HASTY_MILLIS = 200;
     private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
     private static final HttpLimits LIMITS = new HttpLimits(2_048, MAXIMUM_BODY_BYTES, 15_000, 5_000);
 
@@ -59,10 +60,17 @@
     private final LinkedBlockingQueue<HttpExchange> received = new LinkedBlockingQueue<>();
     private final HttpServer server =
             HttpServer.start(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), LIMITS, received::add);
+    /** Server that gives requests little time to arrive. */
+    private final HttpServer hasty = HttpServer.start(
+            group,
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            new HttpLimits(2_048, MAXIMUM_BODY_BYTES, HASTY_MILLIS, 5_000),
+            received::add);
 
     @AfterEach
     void close() {
         server.close();
+        hasty.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
@@ -173,4 +181,23 @@
                     .isEqualTo(FirstResponse.WHOLE.bytes + FirstResponse.WHOLE.bytes);
         }
     }
+
+    /**
+     * Guards against a request whose response is lost because its caller sends the next request slowly: the time limit
+     * of the next one closed the connection while the first was in progress.
+     */
+    @ParameterizedTest
+    @EnumSource(FirstResponse.class)
+    void slowRequestIsCutOffAfterTheResponseToTheRequestBefore(FirstResponse first) throws Exception {
+        try (KeptConnection connection = KeptConnection.open(hasty.port(), BUFFER_BYTES)) {
+            connection.send(request("GET", ""));
+            HttpExchange exchange = next();
+            run(exchange, first::begin);
+            connection.send(request("POST", "content-length: 4\r\n") + "b");
+            Thread.sleep(3 * HASTY_MILLIS);
+            run(exchange, first::end);
+
+            assertThat(connection.readAll()).isEqualTo(first.bytes);
+        }
+    }
 }
