--- a/server/src/test/java/org/quetzalshunt/server/http/PipelinedRequestsTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/PipelinedRequestsTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -200,4 +201,89 @@
             assertThat(connection.readAll()).isEqualTo(first.bytes);
         }
     }
+
+    /** Guards against output of an exchange that is written after its end, into the response to the next request. */
+    @ParameterizedTest
+    @EnumSource(FirstResponse.class)
+    void outputAfterTheEndOfAnExchangeIsDropped(FirstResponse first) throws Exception {
+        try (KeptConnection connection = KeptConnection.open(server.port(), BUFFER_BYTES)) {
+            connection.send(request("GET", "") + request("GET", ""));
+            HttpExchange late = next();
+            run(late, first::begin);
+            run(late, first::end);
+            HttpExchange second = next();
+            run(late, PipelinedRequestsTest::writeEverything);
+            run(second, first::begin);
+            run(late, PipelinedRequestsTest::writeEverything);
+            run(second, first::end);
+            run(late, PipelinedRequestsTest::writeEverything);
+            connection.send(request("GET", "connection: close\r\n"));
+            run(next(), exchange -> exchange.respond(204, Map.of(), new byte[0]));
+
+            assertThat(connection.readAll())
+                    .isEqualTo(first.bytes + first.bytes + "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
+        }
+    }
+
+    /** What a handler may still do for a request that was ended by a stop, a deadline or its caller. */
+    private static void writeEverything(HttpExchange exchange) {
+        byte[] body = "late".getBytes(StandardCharsets.UTF_8);
+        exchange.begin(200, Map.of());
+        exchange.write(body);
+        exchange.respond(503, Map.of(), body);
+        exchange.end();
+        exchange.abort();
+    }
+
+    /**
+     * Guards against a body that is sent for a response that has none, which the caller reads as the beginning of the
+     * response to its next request.
+     */
+    @ParameterizedTest
+    @CsvSource({"HEAD, 200", "HEAD, 503", "GET, 204", "GET, 304", "POST, 204"})
+    void responseWithoutABodyIsFollowedByTheNextOne(String method, int status) throws Exception {
+        for (FirstResponse next : FirstResponse.values()) {
+            try (KeptConnection connection = KeptConnection.open(server.port(), BUFFER_BYTES)) {
+                connection.send(request(method, "") + request(method, "") + request("GET", "connection: close\r\n"));
+                byte[] body = "body".getBytes(StandardCharsets.UTF_8);
+                run(next(), exchange -> exchange.respond(status, Map.of(), body));
+                run(next(), exchange -> {
+                    exchange.begin(status, Map.of());
+                    exchange.write(body);
+                    exchange.end();
+                });
+                HttpExchange last = next();
+                run(last, next::begin);
+                run(last, next::end);
+
+                String responses = connection.readAll();
+                assertThat(responses).doesNotContain("body");
+                assertThat(responses)
+                        .matches("(?s)(HTTP/1.1 " + status + " [^\r]*\r\n([^\r]+\r\n)*\r\n){2}"
+                                + "HTTP/1.1 200 OK\r\n([^\r]+\r\n)*\r\n(5\r\n)?first(\r\n0\r\n\r\n)?");
+            }
+        }
+    }
+
+    /** Guards against responses in another order than that of their requests, and against a request without one. */
+    @Test
+    void responsesAreInTheOrderOfTheRequests() throws Exception {
+        try (KeptConnection connection = KeptConnection.open(server.port(), BUFFER_BYTES)) {
+            StringBuilder requests = new StringBuilder();
+            StringBuilder expected = new StringBuilder();
+            for (int number = 0; number < 17; number++) {
+                String body = "body " + number;
+                requests.append(request("POST", "content-length: " + body.length() + "\r\n"))
+                        .append(body);
+                expected.append("HTTP/1.1 200 OK\r\ncontent-length: " + body.length()
+                        + "\r\nconnection: keep-alive\r\n\r\n" + body);
+            }
+            connection.send(requests.toString());
+            for (int number = 0; number < 17; number++) {
+                run(next(), exchange -> exchange.respond(200, Map.of(), exchange.body()));
+            }
+
+            assertThat(connection.readUntil("body 16")).isEqualTo(expected.toString());
+        }
+    }
 }
