Send a request without an id on a connection of its own

What could be seen: a record that the log refused counted as stored; a cache entry counted as freed that the engine keeps; a rollout that stands still for a minute; a VM that has left back in the list. Each time, a faulty peer had repeated its response, and the copy came just before the next response.

Cause: calls to the log, the VM list, the weight store, and a sidecar's status calls, orders and cancels have no id that the peer echoes. On a kept connection, order alone tied a response to a request. Bytes on an idle connection or behind a response end it; a copy that crosses the next request was taken for its response.

Change: the short form of HttpClient.send, which these calls use, opens a connection for each request and closes it after the response, so that nothing can be received there that belongs to another request. None of these protocols has an id to check instead.

New connections per call: 1 for each append and read of the log (appends are at most 200 a second over all entries, see CommitInterval; reads are long polls of a second and catch-ups), 1 a second for the VM list, 1 to 4 a second for an engine's load, 1 for each order, state query and weight fetch. A cancel opened one unless another was idle. Runs had their own connection before. Nothing is added in a gateway of the platform, which has none of these calls.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
@@ -41,11 +41,8 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
     private static final int MAXIMUM_IDLE_PER_ADDRESS = 64;
 
-    /**
-     * Value of {@link CallTimeouts#maximumIdleMillis} without a limit: only a keep-alive time that the server states
-     * restricts the reuse of a connection.
-     */
-    private static final long NO_IDLE_LIMIT = Long.MAX_VALUE;
+    /** Value of {@link CallTimeouts#maximumIdleMillis} for a connection that carries one request only. */
+    private static final long NEW_CONNECTION = 0;
 
     /**
      * TCP keep-alive settings. An idle connection whose peer has lost power or is unreachable is detected after three
@@ -77,8 +74,9 @@
     }
 
     /**
-     * Sends a request with the default connect timeout and no limit on the idle time of the connection. Any response
-     * on the connection is accepted as the response to the request.
+     * Sends a request whose response carries no id, with the default connect timeout. It has a connection of its own,
+     * which is closed after the response: on one that carried another request, a repeated response to that request could
+     * not be told from the response to this one.
      */
     public HttpCall send(
             InetSocketAddress address,
@@ -91,7 +89,7 @@
         HttpHeaders all = new DefaultHttpHeaders();
         headers.forEach(all::set);
         all.set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-        CallTimeouts times = new CallTimeouts(CONNECT_TIMEOUT_MILLIS, timeoutMillis, NO_IDLE_LIMIT);
+        CallTimeouts times = new CallTimeouts(CONNECT_TIMEOUT_MILLIS, timeoutMillis, NEW_CONNECTION);
         OutboundRequest request = new OutboundRequest(address, method, uri, all, body, Optional.empty());
         return send(request, times, ResponseMatcher.ANY, listener);
     }
@@ -113,12 +111,12 @@
                 DefaultHttpHeadersFactory.trailersFactory().newHeaders());
         request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, outbound.body().length);
         InetSocketAddress address = outbound.address();
-        HttpCall call = HttpCall.create(
-                listener,
-                outbound.id(),
-                matcher,
-                (channel, keepAliveMillis) -> release(address, channel, keepAliveMillis));
-        Channel pooled = takeIdle(address, times.maximumIdleMillis(), outbound.id());
+        boolean isPooled = times.maximumIdleMillis() != NEW_CONNECTION;
+        HttpCall.Release release = isPooled
+                ? (channel, keepAliveMillis) -> release(address, channel, keepAliveMillis)
+                : (channel, keepAliveMillis) -> channel.close();
+        HttpCall call = HttpCall.create(listener, outbound.id(), matcher, release);
+        Channel pooled = isPooled ? takeIdle(address, times.maximumIdleMillis(), outbound.id()) : null;
         if (pooled != null) {
             call.start(pooled, request, times.responseMillis());
             return call;
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/AttemptExecutor.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/AttemptExecutor.java
@@ -36,8 +36,7 @@
     private final EventLoopGroup group;
     private final InetSocketAddress endpoint;
     private final boolean isEngine;
-    private final HttpClient cancels;
-    private final HttpClient runs;
+    private final HttpClient client;
     private final Consumer<EndpointEvent> events;
     private final Long2ObjectHashMap<HttpCall> calls = new Long2ObjectHashMap<>();
 
@@ -45,8 +44,7 @@
         this.group = group;
         this.endpoint = settings.endpoint();
         this.isEngine = settings.kind() == ServiceKind.ENGINE;
-        this.cancels = HttpClient.create(group);
-        this.runs = HttpClient.create(group);
+        this.client = HttpClient.create(group);
         this.events = events;
     }
 
@@ -81,12 +79,10 @@
         return calls.size();
     }
 
-    /** Cancels all calls and closes the pooled connections. */
+    /** Cancels all calls. */
     void close() {
         calls.values().forEach(HttpCall::cancel);
         calls.clear();
-        cancels.close();
-        runs.close();
     }
 
     /**
@@ -122,9 +118,8 @@
             byte[] body,
             long timeoutMillis,
             HttpResponseListener listener) {
-        runs.close();
         try {
-            return Optional.of(runs.send(endpoint, method, path, headers, body, timeoutMillis, listener));
+            return Optional.of(client.send(endpoint, method, path, headers, body, timeoutMillis, listener));
         } catch (IllegalArgumentException malformed) {
             return Optional.empty();
         }
@@ -146,7 +141,7 @@
 
     private void sendCancel(long attempt) {
         String path = REQUESTS_PATH + attempt;
-        cancels.send(
+        client.send(
                 endpoint,
                 "DELETE",
                 path,
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/EngineClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/EngineClient.java
@@ -54,10 +54,6 @@
                         answer.filter(BufferedResponse::isSuccess).isPresent()));
     }
 
-    void close() {
-        client.close();
-    }
-
     private void send(String method, String path, Consumer<Optional<BufferedResponse>> receiver) {
         client.send(endpoint, method, path, Map.of(), NO_BODY, timeoutMillis, BufferedResponse.collect(receiver));
     }
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/ModelRolloutExecutor.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/ModelRolloutExecutor.java
@@ -71,10 +71,6 @@
         return rollout.status();
     }
 
-    void close() {
-        client.close();
-    }
-
     private void perform(RolloutOutput output) {
         if (output instanceof RolloutOutput.FetchWeights fetch) {
             fetchWeights(fetch.model());
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/Sidecar.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/Sidecar.java
@@ -119,8 +119,6 @@
     void close() {
         links.list().forEach(PeerLink::close);
         attempts.close();
-        engine.close();
-        modelRollout.close();
     }
 
     void setDesiredModels(long version, List<String> models, boolean engineChecksFencing) {
--- a/server/src/test/java/org/quetzalshunt/server/log/LogClientTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/log/LogClientTest.java
@@ -11,15 +11,18 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalshunt.core.log.LogFold;
 import org.quetzalshunt.core.log.StreamSession;
@@ -29,8 +32,13 @@
 import org.quetzalshunt.server.http.HttpExchange;
 import org.quetzalshunt.server.http.HttpLimits;
 import org.quetzalshunt.server.http.HttpServer;
+import org.quetzalshunt.server.http.RepeatingHttpServer;
+import org.quetzalshunt.server.http.RepeatingHttpServer.Copy;
 
 final class LogClientTest {
+    /** Longer than the time after which a server repeats a response. */
+    private static final long PAUSE_MILLIS = 60;
+
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<byte[]> records = new ArrayList<>();
     private final BlockingQueue<String> folded = new LinkedBlockingQueue<>();
@@ -177,6 +185,48 @@
         throw new AssertionError("the condition was not met within 5 s");
     }
 
+    /**
+     * Guards against a copy of the response to one append that is taken for the response to the next one, of the same
+     * stream or of another one: a record that the log refused would count as stored, or its outcome as unknown.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "SAME_SEGMENT, shard-0",
+        "SAME_SEGMENT, shard-1",
+        "SHORTLY_AFTER, shard-0",
+        "SHORTLY_AFTER, shard-1",
+        "BEFORE_THE_NEXT_RESPONSE, shard-0",
+        "BEFORE_THE_NEXT_RESPONSE, shard-1"
+    })
+    void copyOfAnAppendsResponseIsNotTheResponseToTheNextAppend(Copy copy, String refusedStream) throws Exception {
+        AtomicInteger stored = new AtomicInteger();
+        try (RepeatingHttpServer log = RepeatingHttpServer.start(copy, request -> {
+            if (request.startsWith("GET")) {
+                int next = request.contains("shard-0") ? stored.get() : 0;
+                return "200 {\"first\":0,\"next\":" + next + ",\"records\":[]}";
+            }
+            return stored.compareAndSet(0, 1) ? "200 {\"offset\":0}" : "429 {}";
+        })) {
+            LogClient client =
+                    LogClient.create(HttpClient.create(group), List.of(log.address()), System::currentTimeMillis);
+            Map<String, StreamSession> sessions =
+                    Map.of("shard-0", attach(client, "shard-0"), "shard-1", attach(client, "shard-1"));
+            for (StreamSession session : sessions.values()) {
+                group.execute(() -> session.requestReadToEnd(System.currentTimeMillis()));
+                awaitTrue(session::isCaughtUp);
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+            }
+            assertThat(submit(sessions.get("shard-0"), "stored")).isEqualTo(Submission.folded(0));
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+
+            byte[] record = "refused".getBytes(StandardCharsets.UTF_8);
+            group.execute(
+                    () -> sessions.get(refusedStream).submit(System.currentTimeMillis(), record, submissions::add));
+
+            assertThat(submissions.poll(500, TimeUnit.MILLISECONDS)).isNull();
+        }
+    }
+
     @Test
     void nextAddressIsUsedAfterAFailure() throws InterruptedException {
         InetSocketAddress unreachable = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
