Store turns and budgets of long ids under the digest of the id

What callers saw: 404 for a turn that continues one with an id of over 255 bytes, once its gateway has restarted; a program with a long id gets its whole budget again.

Cause: the store states the length of a key in one byte, and the client of the store wrote the low 8 bits of a longer one. The record was acknowledged under another key.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BudgetManager.java
@@ -20,6 +20,7 @@
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapShard;
 import org.quetzalshunt.core.store.RangeAnswer;
+import org.quetzalshunt.core.store.RecordNames;
 import org.quetzalshunt.wire.record.StoredRecords;
 
 /**
@@ -313,7 +314,7 @@
     private static List<MapEntry> entries(String program, List<AllotmentRecords.Allotment> allotments) {
         return allotments.stream()
                 .map(each -> MapEntry.of(
-                        program + SEPARATOR + each.holder(),
+                        RecordNames.of(program) + SEPARATOR + each.holder(),
                         StoredRecords.encode(new StoredRecords.Allotment(each.tokens(), each.expiresMillis()))))
                 .toList();
     }
@@ -371,7 +372,7 @@
 
     private void readAllotments(
             MapShard key, Shard shard, String program, ProgramState state, Consumer<Boolean> listener) {
-        String prefix = program + SEPARATOR;
+        String prefix = RecordNames.of(program) + SEPARATOR;
         store.range(key, prefix, answer -> {
             if (!(answer instanceof RangeAnswer.Page page)) {
                 listener.accept(false);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/ChainCopies.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ChainCopies.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.quetzalshunt.core.store.AppendLimits;
 import org.quetzalshunt.core.store.MapEntry;
+import org.quetzalshunt.core.store.RecordNames;
 import org.quetzalshunt.core.turn.TurnRecord;
 import org.quetzalshunt.wire.record.StoredRecords;
 
@@ -27,11 +28,11 @@
 
     /** Key of a record of copies of the ancestors of a turn. */
     static String key(String turn, int number) {
-        return turn + SEPARATOR + number;
+        return RecordNames.of(turn) + SEPARATOR + number;
     }
 
     private static boolean isCopyOf(String turn, String key) {
-        return key.length() > turn.length() && key.startsWith(turn) && key.charAt(turn.length()) == SEPARATOR;
+        return key.startsWith(RecordNames.of(turn) + SEPARATOR);
     }
 
     /**
@@ -47,7 +48,7 @@
             records.add(MapEntry.of(key(turn.id(), records.size()), StoredRecords.encodeChainCopy(position, group)));
             position += group.size();
         }
-        records.add(MapEntry.of(turn.id(), StoredRecords.encode(turn)));
+        records.add(MapEntry.of(RecordNames.of(turn.id()), StoredRecords.encode(turn)));
         return divide(records, limits.appendBytes() - REMOVALS_BYTES);
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnReader.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnReader.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.RangeAnswer;
+import org.quetzalshunt.core.store.RecordNames;
 import org.quetzalshunt.core.turn.TurnRecord;
 import org.quetzalshunt.wire.record.StoredRecords;
 
@@ -49,12 +50,12 @@
      * @param retryUntilMillis time until which failed reads are retried
      */
     void read(String id, long retryUntilMillis, Consumer<Lookup> listener) {
-        new Read(id, retryUntilMillis, listener).readPage(keyBefore(id));
+        new Read(id, retryUntilMillis, listener).readPage(keyBefore(RecordNames.of(id)));
     }
 
-    /** A key that sorts shortly before the id, so that the first page of a range read after it contains the id. */
-    private static String keyBefore(String id) {
-        return id.substring(0, id.length() - 1);
+    /** A key that sorts shortly before the given one, so that the first page of a range read after it contains it. */
+    private static String keyBefore(String key) {
+        return key.substring(0, key.length() - 1);
     }
 
     /** The read of one turn, which has further pages only if the copies beside the turn exceed the first one. */
@@ -96,8 +97,9 @@
         }
 
         private Optional<TurnRecord> findTurn(List<MapEntry> entries) {
+            String key = RecordNames.of(id);
             return entries.stream()
-                    .filter(entry -> entry.key().equals(id))
+                    .filter(entry -> entry.key().equals(key))
                     .findFirst()
                     .flatMap(MapEntry::value)
                     .flatMap(bytes -> StoredRecords.turn(id, bytes));
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnWriter.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnWriter.java
@@ -16,6 +16,7 @@
 import org.quetzalshunt.core.store.AppendAnswer;
 import org.quetzalshunt.core.store.MapEntry;
 import org.quetzalshunt.core.store.MapShard;
+import org.quetzalshunt.core.store.RecordNames;
 import org.quetzalshunt.core.turn.TurnRecord;
 
 /**
@@ -96,7 +97,7 @@
     }
 
     private static void addRemovals(StoredTurn expired, List<MapEntry> entries) {
-        entries.add(MapEntry.removal(expired.id()));
+        entries.add(MapEntry.removal(RecordNames.of(expired.id())));
         for (int number = 0; number < expired.copyRecords(); number++) {
             entries.add(MapEntry.removal(ChainCopies.key(expired.id(), number)));
         }
