Grant turns without tokens without a division by their number

Cause: the number of turns to cover in advance is the remaining budget divided by the maximum of a turn. The exception ended the task of one of 120 queues of budgets, and no further task of the queue was run.

Change: a turn without tokens needs no advance, and its allotment stays as it is.

--- a/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
+++ b/core/src/main/java/org/quetzalshunt/core/budget/ProgramAllotment.java
@@ -151,6 +151,9 @@
     }
 
     private long turnsToCover(long budget, long maximumTokens) {
+        if (maximumTokens == 0) {
+            return 1;
+        }
         if (transferable) {
             return Math.max(1, remaining(budget) / (REMAINING_BUDGET_DIVISOR * maximumTokens));
         }
--- a/core/src/test/java/org/quetzalshunt/core/budget/ProgramAllotmentTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/budget/ProgramAllotmentTest.java
@@ -19,6 +19,16 @@
     private static final long EXPIRES_MILLIS = 60_000;
     private static final boolean TRANSFERABLE = true;
 
+    /** Guards against a turn without tokens that ends the task of its queue by a division by zero. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void turnWithoutTokensNeedsNoFurtherAllotment(boolean transferable) {
+        ProgramAllotment allotment = ProgramAllotment.unknown(transferable);
+        allotment.read(0, MAXIMUM_TOKENS, EXPIRES_MILLIS);
+
+        assertThat(allotment.nextAllotment(1_000, 0)).isEqualTo(OptionalLong.of(MAXIMUM_TOKENS));
+    }
+
     /**
      * Nine turns of a program arrive at nine different VMs, and its budget covers the maximum of all of them. When
      * every VM kept a spare allotment, the program was refused after four turns.
