--- a/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpServer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** An HTTP/1.1 server on an event loop supplied by its owner. */
@@ -66,6 +68,32 @@
             HttpHandler handler,
             CallerMemory memory,
             Supplier<ConnectionReuse> reuse) {
+        return start(group, address, limits, handler, memory, reuse, pipeline -> {});
+    }
+
+    /**
+     * Binds and starts to serve, with callers that may send further requests on their connections.
+     *
+     * @param extension adds handlers to the pipeline of each connection, such as faults of a stand-in
+     */
+    public static HttpServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            HttpLimits limits,
+            HttpHandler handler,
+            Consumer<ChannelPipeline> extension) {
+        CallerMemory memory = CallerMemory.unlimited();
+        return start(group, address, limits, handler, memory, () -> ConnectionReuse.ALLOWED, extension);
+    }
+
+    private static HttpServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            HttpLimits limits,
+            HttpHandler handler,
+            CallerMemory memory,
+            Supplier<ConnectionReuse> reuse,
+            Consumer<ChannelPipeline> extension) {
         Set<Channel> connections = new HashSet<>();
         Channel channel = new ServerBootstrap()
                 .group(group)
@@ -89,6 +117,7 @@
                                 .addLast(new RequestBodyMeter(connectionMemory, limits.maximumBodyBytes()))
                                 .addLast(new RequestAggregator(limits.maximumBodyBytes(), requests))
                                 .addLast(requests);
+                        extension.accept(connection.pipeline());
                     }
                 })
                 .bind(address)
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerFault.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerFault.java
@@ -16,6 +16,18 @@
     WRONG_ID,
     /** Responds without the response stamp. */
     UNSIGNED,
+    /**
+     * Sends a share of its responses once more, some time later on the same connection. Refuses and fails a share of the
+     * requests, so that responses to one request differ.
+     */
+    REPEAT,
+    /** Like {@link #REPEAT}, but sends only the beginning of a response once more, cut in its head. */
+    REPEAT_BEGINNING,
     /** Starts to execute the request, crashes, and restarts after a short delay with the same id and address. */
-    CRASH
+    CRASH;
+
+    /** Whether responses are repeated. */
+    public boolean repeats() {
+        return this == REPEAT || this == REPEAT_BEGINNING;
+    }
 }
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/ServerStandin.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.quetzalshunt.server.http.HttpExchange;
 import org.quetzalshunt.server.http.HttpLimits;
@@ -31,27 +32,49 @@
      * A request that was executed.
      *
      * @param atMillis start of the execution, in Unix milliseconds
+     * @param stamp response stamp of this execution alone
+     * @param status status of the response to it
      */
-    public record ExecutedRequest(String id, String path, Map<String, String> headers, String body, long atMillis) {}
+    public record ExecutedRequest(
+            String id,
+            String path,
+            Map<String, String> headers,
+            String body,
+            long atMillis,
+            String stamp,
+            int status) {}
 
     private static final int EVENTS_PER_STREAM = 3;
     private static final int SLOTS = 8;
     private static final long RESTART_DELAY_MILLIS = 900;
+    private static final double REFUSED_WHILE_REPEATING = 0.3;
+    private static final double FAILED_WHILE_REPEATING = 0.2;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<ExecutedRequest> runs = new ArrayList<>();
     private final String id;
     private final int port;
+    private final Random random;
     private volatile HttpServer server;
     private volatile ServerFault fault = ServerFault.NONE;
 
     private ServerStandin(String id) {
         this.id = id;
-        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        server = HttpServer.start(group, address, HttpLimits.defaults(), this::handle);
+        random = new Random(id.hashCode());
+        server = listen(0);
         port = server.port();
     }
 
+    private HttpServer listen(int listenPort) {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), listenPort);
+        return HttpServer.start(
+                group,
+                address,
+                HttpLimits.defaults(),
+                this::handle,
+                pipeline -> ResponseRepeater.addTo(pipeline, () -> fault, random));
+    }
+
     /** Starts a server on a free port of the loopback address. */
     public static ServerStandin start(String id) {
         return new ServerStandin(id);
@@ -115,21 +138,29 @@
             exchange.respond(421, Map.of("x-request-id", requestId, "x-instance-id", id), new byte[0]);
             return;
         }
-        if (fault == ServerFault.FULL) {
+        if (fault == ServerFault.FULL || (fault.repeats() && random.nextDouble() < REFUSED_WHILE_REPEATING)) {
             exchange.respond(503, Map.of("x-request-id", requestId, "x-not-executed", "1"), new byte[0]);
             return;
         }
         Map<String, String> headers = new HashMap<>();
         exchange.headers().forEach(header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
-        runs.add(new ExecutedRequest(requestId, exchange.path(), headers, body, System.currentTimeMillis()));
-        answer(exchange, fault == ServerFault.WRONG_ID ? "another" : requestId);
+        String stamp = "stamp-" + id + "-" + runs.size();
+        boolean failed = fault.repeats() && random.nextDouble() < FAILED_WHILE_REPEATING;
+        int status = failed ? 500 : 200;
+        runs.add(new ExecutedRequest(
+                requestId, exchange.path(), headers, body, System.currentTimeMillis(), stamp, status));
+        answer(exchange, fault == ServerFault.WRONG_ID ? "another" : requestId, stamp, failed);
     }
 
-    private void answer(HttpExchange exchange, String requestId) {
+    private void answer(HttpExchange exchange, String requestId, String stamp, boolean failed) {
         Map<String, String> head = new HashMap<>(Map.of("x-request-id", requestId));
         if (fault != ServerFault.UNSIGNED) {
-            head.put("x-response-stamp", "stamp-" + id);
+            head.put("x-response-stamp", stamp);
+        }
+        if (failed) {
+            exchange.respond(500, head, new byte[0]);
+            return;
         }
         switch (fault) {
             case SILENT -> {}
@@ -155,8 +186,7 @@
             Thread.currentThread().interrupt();
             return;
         }
-        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-        server = HttpServer.start(group, address, HttpLimits.defaults(), this::handle);
+        server = listen(port);
     }
 
     private void respondCompletely(HttpExchange exchange, Map<String, String> head) {
