--- a/server/src/test/java/org/quetzalshunt/server/http/BodyFramingTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/BodyFramingTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Bodies of responses on kept connections beside the bytes of another response or of none. */
@@ -31,10 +32,13 @@
     }
 
     private String send(ScriptedServer server, String id) {
+        return send(server, id, new byte[0]);
+    }
+
+    private String send(ScriptedServer server, String id, byte[] body) {
         CompletableFuture<String> result = new CompletableFuture<>();
         HttpHeaders headers = new DefaultHttpHeaders().set("host", "server").set("x-request-id", id);
-        OutboundRequest request =
-                new OutboundRequest(server.address(), "GET", "/", headers, new byte[0], Optional.of(id));
+        OutboundRequest request = new OutboundRequest(server.address(), "POST", "/", headers, body, Optional.of(id));
         BufferedResponseListener.Receiver receiver = new BufferedResponseListener.Receiver() {
             @Override
             public void onAnswer(int status, byte[] body) {
@@ -103,4 +107,24 @@
     void responseWithABrokenBodyFails(String framed) throws Exception {
         assertThat(sendTwo(framed)).isEqualTo(FAILED + ", 200 next");
     }
+
+    /**
+     * Guards against a request that a server reads as the rest of a body, and against a copy behind a response that was
+     * sent before the body was read: its connection is used again only if the whole body was sent and nothing follows.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, false, 1", "0, true, 2", "8000000, false, 2", "8000000, true, 2"})
+    void earlyResponseEndsItsConnection(int bodyBytes, boolean copied, int connections) throws Exception {
+        try (ScriptedServer server = new ScriptedServer((connection, request, out) -> {
+            boolean first = connection == 0 && request == 0;
+            write(
+                    out,
+                    first ? "a" : "b",
+                    "content-length: 5\r\n\r\n" + (first ? "early" : "next.") + (copied ? COPY : ""));
+        })) {
+            assertThat(send(server, "a", new byte[bodyBytes])).isEqualTo("200 early");
+            assertThat(send(server, "b")).isEqualTo("200 next.");
+            assertThat(server.connections()).isEqualTo(connections);
+        }
+    }
 }
