--- a/server/src/test/java/org/quetzalshunt/server/gateway/TokenExchangeTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/TokenExchangeTest.java
@@ -65,6 +65,18 @@
         assertThat(sent).hasSize(3);
     }
 
+    /** Guards against a repeated grant that is taken for the answer to a later request: two requests, one token. */
+    @Test
+    void repeatedAnswerIsNotTheAnswerToALaterRequest() {
+        TokenAnswer granted = new TokenAnswer(0, 0);
+        assertThat(answer(granted)).isEqualTo(TokenOffer.taken(0));
+
+        exchange.request(sent::add, "account", ProgramRequest.NONE, 0, offers::add);
+        exchange.onAnswer(sent::add, granted);
+
+        assertThat(offers).containsExactly(TokenOffer.taken(0));
+    }
+
     /** Guards against new fields in messages while the mechanism is off, and to requests of a former release. */
     @Test
     void withoutProgramsMessagesHaveNoNewFields() {
