Limit the depth and the sizes that a Thrift value states

What could be seen: a record of the shared map, or a message of a peer, that another writer left with deep nesting raised a StackOverflowError in whatever read it, and a record of 7 bytes that states a long list allocated 80 MB, which ends the process of a small VM. Callers of such a VM would lose their requests.

Cause: the limit of nesting that MessageCodec sets holds for fields that are known. Fields of other numbers are skipped by TProtocolUtil, which has a limit of its own, none by default. The limit of elements was that of the largest message (12 Mi), and the generated readers allocate a list of the stated size first.

Change: the depth of skipping is limited to the same 32, and a container cannot have more elements than its message has bytes, since each takes at least one.

Evidence: OddStoredRecordsTest on the code before: StackOverflowError with 100,000 levels, 80,029,376 bytes allocated for a list of ten million structs; both pass now. 20,000 records of random bytes are decoded or refused before and after.

--- a/wire/src/main/java/org/quetzalshunt/wire/message/MessageCodec.java
+++ b/wire/src/main/java/org/quetzalshunt/wire/message/MessageCodec.java
@@ -5,6 +5,7 @@
 import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocolUtil;
 import org.apache.thrift.transport.TMemoryBuffer;
 import org.apache.thrift.transport.TMemoryInputTransport;
 import org.quetzalshunt.wire.generated.Message;
@@ -18,6 +19,11 @@
     private static final int MAXIMUM_DEPTH = 32;
     private static final TConfiguration CONFIGURATION = new TConfiguration(MAXIMUM_BYTES, MAXIMUM_BYTES, MAXIMUM_DEPTH);
 
+    static {
+        // Fields of unknown numbers are skipped by a recursion of their own, without a limit unless one is set here.
+        TProtocolUtil.setMaxSkipDepth(MAXIMUM_DEPTH);
+    }
+
     private MessageCodec() {}
 
     /** Encodes a Thrift value. */
@@ -37,7 +43,11 @@
     public static boolean decode(byte[] bytes, TBase<?, ?> target) {
         try {
             TMemoryInputTransport transport = new TMemoryInputTransport(CONFIGURATION, bytes);
-            target.read(new TCompactProtocol(transport, MAXIMUM_BYTES, MAXIMUM_BYTES));
+            // Each element takes at least a byte. Generated readers allocate the stated size of a list beforehand,
+            // which
+            // would be up to MAXIMUM_BYTES elements for a message of a few bytes.
+            long maximumElements = Math.min(MAXIMUM_BYTES, bytes.length);
+            target.read(new TCompactProtocol(transport, maximumElements, maximumElements));
             return true;
         } catch (TException | RuntimeException malformed) {
             // Generated readers throw unchecked exceptions, such as NegativeArraySizeException, for invalid lengths.
