Refuse allotments and quota shares out of range

What could be seen: a negative or overflowing allotment of tokens that another writer left lowers the sum of the allotments, so that a program gets more than its budget; parts of a share that are negative or more than all change what other VMs take.

Cause: the numbers of the records were used as decoded. Change: an allotment has 0 to 2^53 tokens, a share 0 to all parts; other records are no record.

Evidence: 5 of the 9 cases of OddStoredRecordsTest for these records failed on the code before. The effect on budgets and quotas was judged from the code, not run.

--- a/wire/src/main/java/org/quetzalshunt/wire/record/StoredRecords.java
+++ b/wire/src/main/java/org/quetzalshunt/wire/record/StoredRecords.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.quetzalshunt.core.quota.LeaseTerm;
+import org.quetzalshunt.core.quota.QuotaLeases;
 import org.quetzalshunt.core.quota.QuotaShare;
 import org.quetzalshunt.core.quota.VmHeartbeat;
 import org.quetzalshunt.core.turn.TurnRecord;
@@ -27,6 +28,9 @@
      */
     public record Allotment(long tokens, long expiresMillis) {}
 
+    /** Far above any budget; sums over all VMs stay in range. */
+    private static final long MAXIMUM_TOKENS = 1L << 53;
+
     private StoredRecords() {}
 
     /** Encodes a turn without its id, which is the key of the record. */
@@ -101,10 +105,10 @@
         return MessageCodec.encode(new StoredAllotment(allotment.tokens(), allotment.expiresMillis()));
     }
 
-    /** Decodes an allotment. */
+    /** Decodes an allotment; empty for a number of tokens that no gateway allots. */
     public static Optional<Allotment> allotment(byte[] bytes) {
         StoredAllotment stored = new StoredAllotment();
-        if (!MessageCodec.decode(bytes, stored)) {
+        if (!MessageCodec.decode(bytes, stored) || stored.getTokens() < 0 || stored.getTokens() > MAXIMUM_TOKENS) {
             return Optional.empty();
         }
         return Optional.of(new Allotment(stored.getTokens(), stored.getExpiresMillis()));
@@ -141,10 +145,11 @@
                 new StoredQuotaShare(term.incarnation(), term.epoch(), share.sequence(), share.parts()));
     }
 
-    /** Decodes a quota share. */
+    /** Decodes a quota share; empty for a number of parts that no share has. */
     public static Optional<QuotaShare> quotaShare(byte[] bytes) {
         StoredQuotaShare stored = new StoredQuotaShare();
-        if (!MessageCodec.decode(bytes, stored)) {
+        boolean decoded = MessageCodec.decode(bytes, stored);
+        if (!decoded || stored.getParts() < 0 || stored.getParts() > QuotaLeases.ALL_PARTS) {
             return Optional.empty();
         }
         LeaseTerm term = new LeaseTerm(stored.getIncarnation(), stored.getEpoch());
--- a/wire/src/test/java/org/quetzalshunt/wire/record/OddStoredRecordsTest.java
+++ b/wire/src/test/java/org/quetzalshunt/wire/record/OddStoredRecordsTest.java
@@ -9,7 +9,10 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.quetzalshunt.core.quota.LeaseTerm;
+import org.quetzalshunt.core.quota.QuotaShare;
 import org.quetzalshunt.core.turn.TurnRecord;
 import org.quetzalshunt.wire.message.MessageCodec;
 
@@ -67,6 +70,22 @@
         decodeAll(nested);
     }
 
+    /** Guards against a budget that grows by a negative or overflowing allotment of another VM. */
+    @ParameterizedTest
+    @CsvSource({"0, true", "9007199254740992, true", "-1, false", "9223372036854775807, false"})
+    void allotmentOutOfRangeIsRefused(long tokens, boolean valid) {
+        byte[] record = StoredRecords.encode(new StoredRecords.Allotment(tokens, 1));
+        assertThat(StoredRecords.allotment(record).isPresent()).isEqualTo(valid);
+    }
+
+    /** Guards against a quota that is exceeded, or never granted, since the parts of all shares do not add up. */
+    @ParameterizedTest
+    @CsvSource({"0, true", "1, true", "-1, false", "2147483647, false", "-2147483648, false"})
+    void quotaShareOutOfRangeIsRefused(int parts, boolean valid) {
+        byte[] record = StoredRecords.encode(new QuotaShare(new LeaseTerm(1, 1), 1, parts));
+        assertThat(StoredRecords.quotaShare(record).isPresent()).isEqualTo(valid);
+    }
+
     private static void decodeAll(byte[] record) {
         StoredRecords.turn("t", record);
         StoredRecords.chainCopy(HOLDER, record);
