Ignore crash reports with a number that no endpoint reaches

What could be seen: a report of a crash with the number 999999 filled a list with a million times, which are forgotten only when this VM detects a crash itself; a few such records end the process of a small VM.

Cause: the list of known crashes is filled up to the number that the key of the report states, which was up to six digits. Change: up to three. An endpoint that takes seconds to start has fewer crashes than 1,000 within the ten minutes for which they are known.

Evidence: EndpointCrashesTest.reportWithAnOddNumberIsIgnored on the code before: 1,000,000 known crashes from one report, 1,001 from one with 1000; now 1.

--- a/core/src/main/java/org/quetzalshunt/core/quarantine/EndpointCrashes.java
+++ b/core/src/main/java/org/quetzalshunt/core/quarantine/EndpointCrashes.java
@@ -49,7 +49,10 @@
         return registration + SEPARATOR + earlier;
     }
 
-    /** Records the id of a crash that another VM detected; ids of other forms are ignored. */
+    /**
+     * Records the id of a crash that another VM detected; ids of other forms, or with a number that no endpoint reaches
+     * within the retention time, are ignored.
+     */
     public void onReport(long nowMillis, String crash) {
         int separator = crash.lastIndexOf(SEPARATOR);
         Optional<Integer> earlier = separator < 0 ? Optional.empty() : number(crash.substring(separator + 1));
@@ -63,12 +66,17 @@
         }
     }
 
+    /** Number of crashes that are known. */
+    int size() {
+        return knownMillis.values().stream().mapToInt(List::size).sum();
+    }
+
     private void removeOld(long nowMillis) {
         knownMillis.values().removeIf(known -> known.get(known.size() - 1) < nowMillis - RETENTION_MILLIS);
     }
 
     private static Optional<Integer> number(String text) {
-        return text.matches("[0-9]{1,6}") ? Optional.of(Integer.valueOf(text)) : Optional.empty();
+        return text.matches("[0-9]{1,3}") ? Optional.of(Integer.valueOf(text)) : Optional.empty();
     }
 
     private static String digest(String endpointId) {
--- a/core/src/test/java/org/quetzalshunt/core/quarantine/EndpointCrashesTest.java
+++ b/core/src/test/java/org/quetzalshunt/core/quarantine/EndpointCrashesTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Which detections of a crash are the same crash. */
 final class EndpointCrashesTest {
@@ -52,4 +53,14 @@
         crashes.onReport(1_000, id);
         assertThat(crashes.identify(1_000, "app-1", 7, 900)).isEqualTo(first);
     }
+
+    /** Guards against a process that runs out of memory by a report that names a crash with a huge number. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x.7.999999", "x.7.1000", "x.7.-1", "x.7.99999999999999999999", "x", "", ".", "x.7.1e9"})
+    void reportWithAnOddNumberIsIgnored(String crash) {
+        EndpointCrashes reader = EndpointCrashes.create();
+        reader.onReport(1_000, "x.7.0");
+        reader.onReport(1_000, crash);
+        assertThat(reader.size()).isEqualTo(1);
+    }
 }
