Make addresses from octets, so that none is looked up as a name

What could be seen: while an entry of a server or a heartbeat names an address such as 999.0.0.1:80, each read of it could hold the event loop, and with it all requests, for as long as a name lookup takes.

Cause: octets up to 999 were let through, and InetSocketAddress takes a text that is not an address for a name. Change: octets are 0 to 255, and the address is made from them, which has no lookup.

Evidence: IpPortTest.textThatIsNoAddressIsRefused, 2 of 14 cases failed on the code before. How long a lookup holds the loop was not measured.

--- a/server/src/main/java/org/quetzalshunt/server/http/IpPort.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/IpPort.java
@@ -1,13 +1,18 @@
 package org.quetzalshunt.server.http;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Addresses as text: an IPv4 address, a colon and a port. Names are never resolved. */
 public final class IpPort {
-    private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}):(\\d{1,5})");
+    private static final Pattern ADDRESS =
+            Pattern.compile("([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3}):([0-9]{1,5})");
+    private static final int OCTETS = 4;
+    private static final int LARGEST_OCTET = 255;
     private static final int LARGEST_PORT = 65_535;
 
     private IpPort() {}
@@ -23,10 +28,27 @@
         if (!matcher.matches()) {
             return Optional.empty();
         }
-        int port = Integer.parseInt(matcher.group(2));
+        byte[] octets = new byte[OCTETS];
+        for (int index = 0; index < OCTETS; index++) {
+            int octet = Integer.parseInt(matcher.group(index + 1));
+            if (octet > LARGEST_OCTET) {
+                return Optional.empty();
+            }
+            octets[index] = (byte) octet;
+        }
+        int port = Integer.parseInt(matcher.group(OCTETS + 1));
         if (port < 1 || port > LARGEST_PORT) {
             return Optional.empty();
         }
-        return Optional.of(new InetSocketAddress(matcher.group(1), port));
+        return Optional.of(new InetSocketAddress(address(octets), port));
+    }
+
+    /** Made from octets, since the constructor from text takes one that is not an address for a name and looks it up. */
+    private static InetAddress address(byte[] octets) {
+        try {
+            return InetAddress.getByAddress(octets);
+        } catch (UnknownHostException impossible) {
+            throw new IllegalStateException(impossible);
+        }
     }
 }
