Continue behind pages that hold only records of others

What callers saw: with 600 keys of other tools among the operators' records, a gateway was not ready in 15 s (the configuration lay behind the first page), or it did not learn of an evacuation that lay behind the second, and went on sending requests there.

Cause: the next page begins after the last record of the page before, and records of others had been dropped from it already, so that a page of them alone looked like the end. Change: a page names the key after which the next one begins, of all its records. The store that the tests run against returns pages of 500, as the real one.

Evidence: OddConfigurationTest on the code before: 503 was not reached in 15 s; it passes now.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
@@ -110,8 +110,8 @@
                 return;
             }
             read.add(page);
-            if (page.more() && !page.entries().isEmpty()) {
-                readAll(series, page.entries().get(page.entries().size() - 1).key(), read);
+            if (page.continuation().isPresent()) {
+                readAll(series, page.continuation().get(), read);
                 return;
             }
             evacuations.replaceAll(read.evacuated);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
@@ -140,8 +140,8 @@
             }
             page.entries().forEach(this::apply);
             long end = firstEnd < 0 ? page.end() : firstEnd;
-            if (page.more() && !page.entries().isEmpty()) {
-                readAll(round, page.entries().get(page.entries().size() - 1).key(), end);
+            if (page.continuation().isPresent()) {
+                readAll(round, page.continuation().get(), end);
                 return;
             }
             peers.onSnapshot(clock.now());
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
@@ -108,8 +108,8 @@
             }
             // Pages are not a snapshot: later changes are read from the end offset of the first page.
             next = next < 0 ? page.end() : next;
-            if (page.more() && !page.entries().isEmpty()) {
-                readAll(page.entries().get(page.entries().size() - 1).key(), listed);
+            if (page.continuation().isPresent()) {
+                readAll(page.continuation().get(), listed);
                 return;
             }
             endpoints.ids().stream().filter(id -> !listed.contains(id)).forEach(this::remove);
--- a/server/src/main/java/org/quetzalshunt/server/gateway/TurnReader.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/TurnReader.java
@@ -89,8 +89,8 @@
             List<MapEntry> entries = page.entries();
             record = record.isPresent() ? record : findTurn(entries);
             record.ifPresent(turn -> copies.addAll(ChainCopies.decode(turn, entries)));
-            if (page.more() && !entries.isEmpty() && lacksCopies()) {
-                readPage(entries.get(entries.size() - 1).key());
+            if (page.continuation().isPresent() && lacksCopies()) {
+                readPage(page.continuation().get());
                 return;
             }
             listener.accept(new Lookup.Read(record, copies));
--- a/server/src/test/java/org/quetzalshunt/server/gateway/LossyMap.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/LossyMap.java
@@ -39,7 +39,7 @@
         later(LATENCY_MILLIS, () -> {
             List<MapEntry> entries =
                     List.copyOf(entriesByKey.tailMap(after, false).values());
-            RangeAnswer page = new RangeAnswer.Page(entries, false, end);
+            RangeAnswer page = RangeAnswer.Page.of(entries, false, end);
             later(LATENCY_MILLIS, () -> listener.accept(page));
         });
     }
--- a/server/src/test/java/org/quetzalshunt/server/gateway/MemoryMap.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/MemoryMap.java
@@ -72,7 +72,7 @@
             }
             page.add(MapEntry.of(entry.getKey(), entry.getValue()));
         }
-        listener.accept(new RangeAnswer.Page(page, more, shard(shard).end));
+        listener.accept(RangeAnswer.Page.of(page, more, shard(shard).end));
     }
 
     @Override
--- a/server/src/test/java/org/quetzalshunt/server/gateway/OperatorMap.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/OperatorMap.java
@@ -48,7 +48,7 @@
             List<MapEntry> remaining =
                     List.copyOf(entriesByKey.tailMap(after, false).values());
             List<MapEntry> page = remaining.subList(0, Math.min(PAGE_SIZE, remaining.size()));
-            listener.accept(new RangeAnswer.Page(page, remaining.size() > PAGE_SIZE, history.size()));
+            listener.accept(RangeAnswer.Page.of(page, remaining.size() > PAGE_SIZE, history.size()));
         });
     }
 
--- a/server/src/test/java/org/quetzalshunt/server/gateway/SilentMap.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/SilentMap.java
@@ -29,7 +29,7 @@
         answer(
                 0,
                 limitMillis,
-                () -> listener.accept(new RangeAnswer.Page(List.of(), false, 0)),
+                () -> listener.accept(RangeAnswer.Page.of(List.of(), false, 0)),
                 () -> listener.accept(new RangeAnswer.Unavailable("no answer")));
     }
 
--- a/standin/src/main/java/org/quetzalshunt/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/quetzalshunt/standin/fleet/StoreStandin.java
@@ -28,6 +28,7 @@
 public final class StoreStandin implements AutoCloseable {
     private static final int MAXIMUM_WAIT_MILLIS = 30_000;
     private static final long POLL_INTERVAL_MILLIS = 5;
+    private static final int MAXIMUM_ITEMS = 500;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Map<String, StoreShard> shards = new HashMap<>();
@@ -174,12 +175,15 @@
     }
 
     private static void newest(HttpExchange exchange, StoreShard shard) {
-        ObjectNode answer = endOffsetNode(shard).put("has_more", false);
+        var remaining = shard.newestAfter(exchange.query("after").orElse(""));
+        ObjectNode answer = endOffsetNode(shard).put("has_more", remaining.size() > MAXIMUM_ITEMS);
         ArrayNode items = answer.putArray("items");
-        shard.newestAfter(exchange.query("after").orElse("")).forEach((key, newest) -> items.addObject()
-                .put("key", key)
-                .put("value", Base64.getEncoder().encodeToString(newest.value()))
-                .put("offset", newest.offset()));
+        remaining.entrySet().stream().limit(MAXIMUM_ITEMS).forEach(entry -> items.addObject()
+                .put("key", entry.getKey())
+                .put(
+                        "value",
+                        Base64.getEncoder().encodeToString(entry.getValue().value()))
+                .put("offset", entry.getValue().offset()));
         exchange.respondJson(200, answer.toString());
     }
 
