Keep following the store behind a record that cannot be applied

What callers could see: a gateway that never reads the servers or the operators' records again, so that it sends requests to servers that have left, or refuses all keys after five seconds.

Cause: each follower schedules its next read behind the application of the records that it read. An exception or a StackOverflowError there ended the series, with a stack trace as the only sign (none at all for an error).

Change: RecordIntake applies records one by one, and an exception is the refusal of its record. Decoders say why a record cannot be used (Decoded).

Evidence: OddFollowedRecordsTest with the catch taken out: no record behind the first fault was applied, for registrations and for the operators' records; with it, all are, and two faults gave two lines. The fleet's records take the same path and have no such test.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/ConfigurationFollower.java
@@ -40,6 +40,7 @@
     private final Evacuations evacuations;
     private final Consumer<TrafficConfiguration> onChange;
     private final Backoff backoff;
+    private final RecordIntake intake;
     private TrafficConfiguration current;
     private long confirmedMillis = Long.MIN_VALUE / 2;
     private long next = -1;
@@ -65,6 +66,7 @@
         this.evacuations = evacuations;
         this.onChange = onChange;
         this.backoff = new Backoff(System.nanoTime());
+        this.intake = new RecordIntake(log, "configuration");
     }
 
     /** The current configuration; empty before the first one is read. */
@@ -191,13 +193,26 @@
     }
 
     private void apply(List<MapEntry> entries) {
-        for (MapEntry entry : entries) {
-            dialect.evacuatedDataCentre(entry.key())
-                    .ifPresentOrElse(
-                            dataCentre ->
-                                    evacuations.update(dataCentre, entry.value().isPresent()),
-                            () -> entry.value().flatMap(dialect::configuration).ifPresent(this::adopt));
-        }
+        entries.forEach(entry -> intake.apply(entry, this::apply));
+    }
+
+    private void apply(MapEntry entry) {
+        dialect.evacuatedDataCentre(entry.key())
+                .ifPresentOrElse(
+                        dataCentre ->
+                                evacuations.update(dataCentre, entry.value().isPresent()),
+                        () -> entry.value().ifPresent(value -> applyConfiguration(entry.key(), value)));
+    }
+
+    private void applyConfiguration(String key, byte[] value) {
+        Decoded<TrafficConfiguration> decoded = dialect.configuration(value);
+        decoded.value()
+                .ifPresentOrElse(
+                        configuration -> {
+                            intake.accept(key);
+                            adopt(configuration);
+                        },
+                        () -> intake.refuse(key, decoded.reason()));
     }
 
     private void adopt(TrafficConfiguration configuration) {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/Dialect.java
@@ -37,14 +37,14 @@
     /** Headers of an error response. */
     HttpHeaders refusalHeaders(Refusal refusal, String requestId);
 
-    /** Decodes a configuration; empty if the bytes are not a valid one. */
-    Optional<TrafficConfiguration> configuration(byte[] bytes);
+    /** Decodes a configuration; refused if the bytes are not a valid one. */
+    Decoded<TrafficConfiguration> configuration(byte[] bytes);
 
     /**
      * The data centre that an operator's record evacuates, by the key of the record; empty for other kinds of records.
      */
     Optional<String> evacuatedDataCentre(String key);
 
-    /** Decodes a registration; empty if it describes no usable endpoint. */
-    Optional<Registration> registration(String id, byte[] bytes);
+    /** Decodes a registration; refused if it describes no usable endpoint. */
+    Decoded<Registration> registration(String id, byte[] bytes);
 }
--- a/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/FleetFollower.java
@@ -54,6 +54,7 @@
     private final PeerTable peers;
     private final VmLease lease;
     private final BooleanSupplier settled;
+    private final RecordIntake intake;
     private Listener listener;
     private boolean secretSeen;
     private boolean heartbeatPending;
@@ -86,6 +87,7 @@
         this.peers = peers;
         this.lease = lease;
         this.settled = settled;
+        this.intake = new RecordIntake(log, "fleet");
     }
 
     void start(Listener fleetListener) {
@@ -138,7 +140,7 @@
                 scheduleNextRound(round);
                 return;
             }
-            page.entries().forEach(this::apply);
+            page.entries().forEach(entry -> intake.apply(entry, this::apply));
             long end = firstEnd < 0 ? page.end() : firstEnd;
             if (page.continuation().isPresent()) {
                 readAll(round, page.continuation().get(), end);
@@ -158,7 +160,7 @@
                 return;
             }
             if (answer instanceof ChangesAnswer.Changes changes) {
-                changes.entries().forEach(this::apply);
+                changes.entries().forEach(entry -> intake.apply(entry, this::apply));
                 next = changes.next();
                 if (next < changes.end()) {
                     readChanges(round);
@@ -195,7 +197,20 @@
             String vm = entry.key().substring(HEARTBEAT_PREFIX.length());
             entry.value()
                     .flatMap(StoredRecords::heartbeat)
-                    .ifPresent(heartbeat -> peers.onHeartbeat(clock.now(), vm, heartbeat));
+                    .ifPresentOrElse(
+                            heartbeat -> {
+                                intake.accept(entry.key());
+                                peers.onHeartbeat(clock.now(), vm, heartbeat);
+                            },
+                            () -> refuseUnlessRemoved(entry));
+        }
+    }
+
+    private void refuseUnlessRemoved(MapEntry entry) {
+        if (entry.value().isPresent()) {
+            intake.refuse(entry.key(), "not a heartbeat");
+        } else {
+            intake.accept(entry.key());
         }
     }
 
--- a/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/RegistrationFollower.java
@@ -51,6 +51,7 @@
     private final DecisionLog log;
     private final DependencyMonitor dependency;
     private final EndpointTable endpoints;
+    private final RecordIntake intake;
     private long next = -1;
     private long readMillis;
     private long deferRemovalsUntilMillis = Long.MIN_VALUE / 2;
@@ -70,6 +71,7 @@
         this.log = log;
         this.dependency = new DependencyMonitor(log, "registrations");
         this.endpoints = endpoints;
+        this.intake = new RecordIntake(log, "registrations");
     }
 
     /** Whether all registrations were read at least once. */
@@ -104,7 +106,7 @@
             onRead();
             for (MapEntry entry : page.entries()) {
                 listed.add(entry.key());
-                apply(entry);
+                intake.apply(entry, this::apply);
             }
             // Pages are not a snapshot: later changes are read from the end offset of the first page.
             next = next < 0 ? page.end() : next;
@@ -113,6 +115,7 @@
                 return;
             }
             endpoints.ids().stream().filter(id -> !listed.contains(id)).forEach(this::remove);
+            intake.retain(listed);
             everRead = true;
             scheduleNextRead(INTERVAL_MILLIS);
         });
@@ -122,7 +125,7 @@
         store.changes(SHARD, next, 0, answer -> {
             if (answer instanceof ChangesAnswer.Changes changes) {
                 onRead();
-                latest(changes.entries()).forEach(this::apply);
+                latest(changes.entries()).forEach(entry -> intake.apply(entry, this::apply));
                 next = changes.next();
                 scheduleNextRead(changes.next() < changes.end() ? 0 : INTERVAL_MILLIS);
                 return;
@@ -159,17 +162,21 @@
 
     private void apply(MapEntry entry) {
         if (entry.value().isEmpty()) {
+            intake.accept(entry.key());
             remove(entry.key());
             return;
         }
-        Optional<Registration> registration =
+        Decoded<Registration> decoded =
                 dialect.registration(entry.key(), entry.value().get());
-        if (registration.isEmpty()) {
+        if (decoded.value().isEmpty()) {
+            intake.refuse(entry.key(), decoded.reason());
             remove(entry.key());
             return;
         }
-        logIfChanged(registration.get());
-        endpoints.register(clock.now(), registration.get());
+        intake.accept(entry.key());
+        Registration registration = decoded.value().get();
+        logIfChanged(registration);
+        endpoints.register(clock.now(), registration);
     }
 
     private void logIfChanged(Registration registration) {
--- a/server/src/test/java/org/quetzalshunt/server/gateway/EvacuationDialect.java
+++ b/server/src/test/java/org/quetzalshunt/server/gateway/EvacuationDialect.java
@@ -10,7 +10,7 @@
 import org.quetzalshunt.server.http.ResponseMatch;
 
 /** Dialect that decodes only evacuations, for tests of components that pass other bytes on unread. */
-final class EvacuationDialect implements Dialect {
+class EvacuationDialect implements Dialect {
     @Override
     public Optional<CallerRequest> decodeRequest(HttpExchange exchange) {
         return Optional.empty();
@@ -47,8 +47,8 @@
     }
 
     @Override
-    public Optional<TrafficConfiguration> configuration(byte[] bytes) {
-        return Optional.empty();
+    public Decoded<TrafficConfiguration> configuration(byte[] bytes) {
+        return Decoded.refused("not decoded");
     }
 
     /** Each key is the name of a data centre. */
@@ -58,7 +58,7 @@
     }
 
     @Override
-    public Optional<Registration> registration(String id, byte[] bytes) {
-        return Optional.empty();
+    public Decoded<Registration> registration(String id, byte[] bytes) {
+        return Decoded.refused("not decoded");
     }
 }
