Take an echoed id that looks like a status line for an id

What callers could see: with the id "HTTP/1.1 200", a request failed at each endpoint that it was sent to, and each was marked as failed.

Cause: the check for heads that are joined from two responses looked into the value of the header that echoes the caller's id.

Change: a header value that is exactly the id of the request is left out of the check; the id of a joined head never is.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -116,7 +116,7 @@
     }
 
     private void onHead(ChannelHandlerContext context, HttpResponse response) {
-        if (JoinedHeads.isJoined(response)) {
+        if (JoinedHeads.isJoined(response, call.requestId())) {
             recordUnmatched(context, UnmatchedResponses.Kind.BYTES, Optional.empty());
             detach().fail("response joined with the beginning of another one", true);
             return;
--- a/server/src/main/java/org/quetzalshunt/server/http/JoinedHeads.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/JoinedHeads.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /**
@@ -14,13 +15,17 @@
 
     private JoinedHeads() {}
 
-    /** Whether a status line is part of the reason phrase or of a header value. */
-    static boolean isJoined(HttpResponse response) {
+    /**
+     * Whether a status line is part of the reason phrase or of a header value.
+     *
+     * @param id id of the request, which a caller chooses and the server echoes; empty if it has none
+     */
+    static boolean isJoined(HttpResponse response, Optional<String> id) {
         if (hasStatusLine(response.status().reasonPhrase())) {
             return true;
         }
         for (Map.Entry<String, String> header : response.headers()) {
-            if (hasStatusLine(header.getValue())) {
+            if (hasStatusLine(header.getValue()) && !id.equals(Optional.of(header.getValue()))) {
                 return true;
             }
         }
--- a/server/src/test/java/org/quetzalshunt/server/http/HttpClientTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/HttpClientTest.java
@@ -263,4 +263,15 @@
         assertThat(unmatched(UnmatchedResponses.Kind.UNIDENTIFIED)).isEqualTo(1);
         assertThat(server.connections()).isEqualTo(2);
     }
+
+    /**
+     * Guards against a caller that has endpoints marked as failed by an id that looks like a status line: the response to
+     * its request was taken for one that is joined from two.
+     */
+    @Test
+    void idThatLooksLikeAStatusLineIsNoJoinedHead() throws Exception {
+        serve((connection, request, out) -> respond(out, 200, "x-request-id: HTTP/1.1 200\r\n", "body"));
+
+        assertThat(send("HTTP/1.1 200")).isEqualTo("200 body");
+    }
 }
