Replace a connection that has carried the ids of all waiting requests

What could be seen: requests that wait for a full server are sent to it every 25 ms. As a connection never carries an id twice, each round left one more idle connection that none of them could use, up to 64 per gateway and server; services accept 96 to 300 from all gateways together and reset the rest. With 64 idle, each send opened a connection that was closed after its response.

Change: if no idle connection may carry the id, the new one takes the place of the one that was idle longest.

HttpClientTest.sendsToAFullServerKeepNoConnectionsThatTheyCannotUse had 136 connections instead of 100 before; it passes.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpClient.java
@@ -246,6 +246,10 @@
                 return connection.channel();
             }
         }
+        if (!connections.isEmpty()) {
+            // The new connection replaces one: requests that wait for a full server would fill the pool otherwise.
+            connections.removeFirst().channel().close();
+        }
         return null;
     }
 
--- a/server/src/test/java/org/quetzalshunt/server/http/HttpClientTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/HttpClientTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -274,4 +275,29 @@
 
         assertThat(send("HTTP/1.1 200")).isEqualTo("200 body");
     }
+
+    /**
+     * Guards against idle connections that have carried the ids of all waiting requests: sends to a full server filled the
+     * pool with them, beyond the connections that a server accepts, and then each send opened a connection.
+     */
+    @Test
+    void sendsToAFullServerKeepNoConnectionsThatTheyCannotUse() throws Exception {
+        AtomicInteger sent = new AtomicInteger();
+        serve((connection, request, out) -> {
+            String id = sent.getAndIncrement() % 2 == 0 ? "a" : "b";
+            respond(out, 503, "x-request-id: " + id + "\r\n", "full");
+        });
+
+        for (int round = 0; round < 100; round++) {
+            assertThat(send("a")).isEqualTo("503 full");
+            assertThat(send("b")).isEqualTo("503 full");
+        }
+
+        assertThat(server.connections()).isEqualTo(100);
+        assertThat(group.next()
+                        .submit(client::openConnections)
+                        .syncUninterruptibly()
+                        .getNow())
+                .isEqualTo(1);
+    }
 }
