--- a/server/src/main/java/org/quetzalshunt/server/http/UnmatchedResponses.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/UnmatchedResponses.java
@@ -16,7 +16,10 @@
         UNIDENTIFIED,
         /** It was received on an idle connection. */
         UNEXPECTED,
-        /** Bytes that are not a whole head were received on an idle connection or directly behind a response. */
+        /**
+         * Bytes that are no whole head were received on an idle connection, directly behind a response, or joined with
+         * the head of one.
+         */
         BYTES
     }
 
