--- a/server/src/test/java/org/quetzalshunt/server/entry/VmListPollerTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/entry/VmListPollerTest.java
@@ -33,7 +33,9 @@
     void copyOfAnEarlierListIsNotThePresentOne(Copy copy) throws Exception {
         AtomicInteger reads = new AtomicInteger();
         try (RepeatingHttpServer platform = RepeatingHttpServer.start(
-                copy, request -> "200 {\"vms\":[{\"name\":\"vm-" + reads.incrementAndGet() + "\"}]}")) {
+                copy,
+                request -> "200 {\"vms\":[{\"name\":\"vm-" + reads.incrementAndGet()
+                        + "\",\"host\":\"10.0.0.1\",\"port\":7000}]}")) {
             VmListPoller poller =
                     new VmListPoller(HttpClient.create(group), platform.address(), new EntryClock(), lists::add);
 
