Read the newest report of a sidecar from one list

SidecarFaultTest.engineCrashIsReportedForTheRequestThatRan failed once, on the code of: ArrayIndexOutOfBounds, index 5 of length 5.

Cause: the test read the list of reports twice, once for its size and once for its element. Reports are received meanwhile, so that the second list can be longer than the first. The product is not involved.

Both places that read in this way take the last element of one list now; what they ask of it is unchanged.

--- a/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEntry.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEntry.java
@@ -111,6 +111,12 @@
         return list(Message::isSetEndpointReport, Message::getEndpointReport).toList();
     }
 
+    /** The newest report; reports are received while a test reads them. */
+    EndpointReport lastReport() {
+        List<EndpointReport> received = reports();
+        return received.get(received.size() - 1);
+    }
+
     void close() {
         group.shutdownGracefully(0, WAIT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
@@ -78,7 +78,7 @@
         FakeEntry.await(() -> entry.reports().stream().anyMatch(report -> report.isHealthy()));
         entry.start(attemptStart(true));
         assertThat(outcome(entry.awaitEnd(ATTEMPT))).isEqualTo("ENDPOINT_FAILED RAN");
-        FakeEntry.await(() -> !entry.reports().get(entry.reports().size() - 1).isHealthy());
+        FakeEntry.await(() -> !entry.lastReport().isHealthy());
     }
 
     // An endpoint accepts connections and answers nothing, as when it hangs or its network cable is pulled. The entry
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarProcessTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarProcessTest.java
@@ -82,7 +82,7 @@
         assertThat(outcome(entry.awaitEnd(ATTEMPT))).isEqualTo("CANCELLED RAN");
         int before = entry.reports().size();
         FakeEntry.await(() -> entry.reports().size() > before);
-        assertThat(entry.reports().get(entry.reports().size() - 1).getRunning()).isEqualTo(0);
+        assertThat(entry.lastReport().getRunning()).isEqualTo(0);
         assertThat(entry.reports().get(0).getServiceName()).isEqualTo("tutor");
         FakeEntry.await(
                 () -> !fixture.endpoint.requests("DELETE /engine/requests/77").isEmpty());
