Refuse responses whose status line is none

Callers got "HTTP/1.1 0 Unknown Status (0)", with the server's body and stamp, where a server in trouble had sent status 000, on each kind of route; the same for 2000, +200 and other protocols. The store's answer 000 to an append counted as "nothing was stored", and 000 with X-Not-Executed as the promise that a charge had not run, so that it was sent again.

Cause: the codec takes the text between two blanks of the status line for a number of any size, and any text of the form NAME/1.1 for the version. Nothing behind it checked either.

Change: ResponseDecoder ends decoding unless the status line has HTTP/1 and three digits from 100 to 599 (RFC 9112, sections 2.3 and 4; RFC 9110, section 15). That is before a head is matched to a request, counted as interim, or skipped as that of another, for all calls of gateways, entries and sidecars. The outcome of the request is unknown then, as with other bytes that cannot be decoded: a request that may run again is sent again, others get 502. The reason is in the line of the request, and the bytes count as "bytes" in quetzalshunt_responses_unmatched, with a line response-unmatched.

600 to 999 are refused too: RFC 9110 has clients treat them as a server error, which the caller gets with 502.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -93,7 +93,7 @@
             return;
         }
         if (!message.decoderResult().isSuccess()) {
-            detach().fail("response cannot be decoded", true);
+            onMalformed(context, message.decoderResult().cause());
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -107,6 +107,13 @@
         }
     }
 
+    /** Such bytes belong to no request, so that the outcome of the one that waits is unknown. */
+    private void onMalformed(ChannelHandlerContext context, Throwable cause) {
+        recordUnmatched(context, UnmatchedResponses.Kind.BYTES, Optional.empty());
+        String detail = cause instanceof MalformedResponseException ? ": " + cause.getMessage() : "";
+        detach().fail("response cannot be decoded" + detail, true);
+    }
+
     private void onUnexpected(ChannelHandlerContext context, HttpObject message) {
         if (message instanceof HttpResponse response && message.decoderResult().isSuccess()) {
             hasExtraBytes = false;
--- a/server/src/main/java/org/quetzalshunt/server/http/ResponseDecoder.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/ResponseDecoder.java
@@ -6,8 +6,15 @@
 
 /**
  * Decodes the responses on a client connection, and tells whether bytes were received that belong to none of its requests.
+ *
+ * <p>The codec takes any number for a status code, and any text for a protocol. What RFC 9112 does not allow ends decoding
+ * here, before a head is matched to a request, counted as interim, or skipped as that of another request.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
+    private static final String VERSION_PREFIX = "HTTP/1.";
+    private static final int VERSION_LENGTH = VERSION_PREFIX.length() + 1;
+    private static final int STATUS_CODE_LENGTH = 3;
+
     private final HttpCallHandler handler;
 
     ResponseDecoder(HttpCallHandler handler) {
@@ -27,6 +34,35 @@
         return actualReadableBytes() > 0;
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!isVersion(statusLine[0])) {
+            throw new MalformedResponseException("the protocol is not HTTP/1");
+        }
+        if (!isStatusCode(statusLine[1])) {
+            throw new MalformedResponseException("the status code is not one from 100 to 599");
+        }
+        return super.createMessage(statusLine);
+    }
+
+    /** RFC 9112, section 2.3. */
+    private static boolean isVersion(String text) {
+        return text.length() == VERSION_LENGTH && text.startsWith(VERSION_PREFIX) && isDigit(text, VERSION_LENGTH - 1);
+    }
+
+    /** Three digits (RFC 9112, section 4), of a class that exists (RFC 9110, section 15). */
+    private static boolean isStatusCode(String text) {
+        return text.length() == STATUS_CODE_LENGTH
+                && text.charAt(0) >= '1'
+                && text.charAt(0) <= '5'
+                && isDigit(text, 1)
+                && isDigit(text, 2);
+    }
+
+    private static boolean isDigit(String text, int index) {
+        return text.charAt(index) >= '0' && text.charAt(index) <= '9';
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return handler.isWithoutBody() || super.isContentAlwaysEmpty(message);
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/CutService.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/CutService.java
@@ -1,14 +1,19 @@
 package org.quetzalshunt.server.sidecar;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Arrays;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Closes each connection after the first bytes of a response. */
 final class CutService implements AutoCloseable {
+    private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
+
     private final ServerSocket server = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
     private final byte[] response;
     private volatile int cutAt;
@@ -42,10 +47,7 @@
         try {
             while (true) {
                 try (Socket connection = server.accept()) {
-                    int character = 0;
-                    while (character != '}') {
-                        character = connection.getInputStream().read();
-                    }
+                    readRequest(connection.getInputStream());
                     connection.getOutputStream().write(Arrays.copyOf(response, cutAt));
                 }
             }
@@ -53,4 +55,17 @@
             // The test has closed the service.
         }
     }
+
+    private static void readRequest(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return;
+            }
+            head.append((char) next);
+        }
+        Matcher length = CONTENT_LENGTH.matcher(head);
+        in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
+    }
 }
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
@@ -12,11 +12,14 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalshunt.core.document.ServiceKind;
 import org.quetzalshunt.core.vm.VmId;
@@ -159,6 +162,30 @@
         }
     }
 
+    static Stream<Arguments> kindsAndMalformedResponses() {
+        String rest = "content-type: text/plain\r\ncontent-length: 4\r\n\r\nbody";
+        return Stream.of(
+                        "HTTP/1.1 000 None\r\n" + rest,
+                        "HTTP/1.1 2000 OK\r\n" + rest,
+                        "HTTP/1.1 200 OK\r\nx\u0001odd: 1\r\n" + rest)
+                .flatMap(response -> Stream.of(
+                        Arguments.of(ServiceKind.PLAIN, response, "OUTCOME_UNKNOWN UNKNOWN"),
+                        Arguments.of(ServiceKind.ENGINE, response, "ENDPOINT_FAILED RAN")));
+    }
+
+    /** Guards against bytes that are no response and are reported as one, or as a rejection without a run. */
+    @ParameterizedTest
+    @MethodSource("kindsAndMalformedResponses")
+    void malformedResponseIsNoResponse(ServiceKind kind, String response, String outcome) throws IOException {
+        byte[] bytes = response.getBytes(StandardCharsets.ISO_8859_1);
+        try (CutService service = CutService.start(bytes)) {
+            service.setCutAt(bytes.length);
+            FakeEntry entry = fixture.connect(fixture.startSidecar(kind, SidecarTimes.defaults(), service.address()));
+            entry.start(attemptStart(false));
+            assertThat(outcome(entry.awaitEnd(ATTEMPT))).isEqualTo(outcome);
+        }
+    }
+
     // Nothing listens at the address of the endpoint. The attempt must be reported quickly as not run, so that the
     // entry can try another endpoint.
     @ParameterizedTest
