Refuse responses with a blank in the name of a field

Callers got a field that the server had not sent ("x odd: 1" arrived as "x: 1"), or a body with another end: where the name was that of a field that frames the body, the field was missing, or cut from a longer name ("content-length odd: 4" ended the body after 4 bytes). 503 with X-Not-Executed from such a head was believed, so that a charge was sent again until its deadline. The same in heads of interim responses and in trailers, and in answers of the store.

Cause: in a response, the codec ends a name at a blank or tab and skips the rest up to the colon.

Change: the codec's hook for names refuses one that a blank ends (RFC 9112, section 5.1; RFC 9110, section 5.6.2). It sees the bytes of each line of a head and of a trailer section. A blank between name and colon is refused as well: the RFC lets a proxy remove it before it forwards the response, which is not done, since such a head may be that of a faulty server.

Each token character in a name, blanks around a value, empty values and proper trailers arrive as before.

--- a/server/src/main/java/org/quetzalshunt/server/http/ResponseDecoder.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/ResponseDecoder.java
@@ -3,12 +3,14 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 
 /**
  * Decodes the responses on a client connection, and tells whether bytes were received that belong to none of its requests.
  *
- * <p>The codec takes any number for a status code, and any text for a protocol. What RFC 9112 does not allow ends decoding
- * here, before a head is matched to a request, counted as interim, or skipped as that of another request.
+ * <p>The codec takes any number for a status code, any text for a protocol, and the part of a field name before a blank for
+ * the name. What RFC 9112 does not allow ends decoding here, before a head is matched to a request, counted as interim, or
+ * skipped as that of another request, and before a trailer section ends a response.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final String VERSION_PREFIX = "HTTP/1.";
@@ -63,6 +65,15 @@
         return text.charAt(index) >= '0' && text.charAt(index) <= '9';
     }
 
+    /** The name of a field of a head or a trailer section. Its characters are checked by the headers that it is added to. */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != ':') {
+            throw new MalformedResponseException("a field name has a blank");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return handler.isWithoutBody() || super.isContentAlwaysEmpty(message);
--- a/server/src/test/java/org/quetzalshunt/server/http/MalformedResponseTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/MalformedResponseTest.java
@@ -10,13 +10,16 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -34,6 +37,7 @@
     private static final long PART_PAUSE_MILLIS = 5;
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String REST = "x-stamp: s\r\ncontent-length: 4\r\n\r\nbody";
+    private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpClient client = HttpClient.create(group);
@@ -78,8 +82,63 @@
         assertMalformed(protocol + " 200 OK\r\n" + REST);
     }
 
+    static Stream<String> namesWithBlanks() {
+        return Stream.of(
+                "x odd",
+                "x\todd",
+                "x-odd ",
+                "x-odd\t",
+                " x-odd",
+                "content length",
+                "content-length ",
+                "transfer-encoding ",
+                "x  odd");
+    }
+
+    /** Guards against a field name that is cut at a blank: the caller got a field that the server did not send. */
+    @ParameterizedTest
+    @MethodSource("namesWithBlanks")
+    void nameWithABlankIsNoResponse(String name) throws Exception {
+        assertMalformed(OK + name + ": 2\r\n" + REST);
+    }
+
+    /** Guards against a line without a colon that is read as a field. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x odd", "x\todd", "x-odd", " "})
+    void lineWithoutAColonIsNoResponse(String line) throws Exception {
+        assertMalformed(OK + line + "\r\n" + REST);
+    }
+
+    static Stream<Integer> octetsOutsideTokens() {
+        return IntStream.rangeClosed(0, 255)
+                .filter(octet -> !isTokenCharacter(octet))
+                .filter(octet -> octet != ':' && octet != '\n')
+                .boxed();
+    }
+
+    private static boolean isTokenCharacter(int octet) {
+        return (octet >= 'a' && octet <= 'z')
+                || (octet >= 'A' && octet <= 'Z')
+                || (octet >= '0' && octet <= '9')
+                || TOKEN_PUNCTUATION.indexOf(octet) >= 0;
+    }
+
+    /** Guards against a field name with a control byte, or another that no token has, that is passed on. */
+    @ParameterizedTest
+    @MethodSource("octetsOutsideTokens")
+    void nameThatIsNoTokenIsNoResponse(int octet) throws Exception {
+        assertMalformed(OK + "x" + (char) octet + "odd: 1\r\n" + REST);
+    }
+
+    /** Guards against a field without a name that is passed on. */
+    @Test
+    void emptyNameIsNoResponse() throws Exception {
+        assertMalformed(OK + ": 1\r\n" + REST);
+    }
+
     static Stream<String> malformedHeads() {
-        return Stream.of("HTTP/1.1 000 None\r\n\r\n", "HTTP/1.1 099 None\r\n\r\n");
+        return Stream.of("000 None\r\n", "099 None\r\n", "103 Hints\r\nx odd: 1\r\n", "103 Hints\r\nx\u0001odd: 1\r\n")
+                .map(head -> "HTTP/1.1 " + head + "\r\n");
     }
 
     /** Guards against a malformed interim response, behind which the next one is taken for that to the request. */
@@ -91,11 +150,24 @@
 
     /** Guards against a malformed response with the id of another request, which is skipped as a copy is. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 000 None\r\n", "HTTP/1.1 200 OK\r\nx\u0001odd: 1\r\n"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 None\r\n",
+                "HTTP/1.1 200 OK\r\nx odd: 1\r\n",
+                "HTTP/1.1 200 OK\r\nx\u0001odd: 1\r\n"
+            })
     void malformedResponseIsNotSkipped(String head) throws Exception {
         assertMalformed(head + "x-request-id: other\r\ncontent-length: 0\r\n\r\n" + OK + "x-request-id: a\r\n" + REST);
     }
 
+    /** Guards against a malformed trailer section behind which a body counts as whole. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"x odd: 1", "x-odd : 1", "x\todd: 1", " x: 1", "x\u0001odd: 1", "x\u0000odd: 1", ": 1", "x-odd"})
+    void malformedTrailerIsNoEndOfAResponse(String trailer) throws Exception {
+        assertMalformed(OK + "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer + "\r\n\r\n");
+    }
+
     static Stream<Integer> statuses() {
         return Stream.of(200, 299, 300, 399, 400, 429, 500, 503, 599);
     }
@@ -121,6 +193,20 @@
         assertThat(send(statusLine + "\r\n" + REST)).isEqualTo(answered(200));
     }
 
+    /** Guards against a field that is changed or refused although its name is a token and its value is surrounded by blanks. */
+    @Test
+    void properFieldsAreDelivered() throws Exception {
+        String alphanumeric = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789";
+        String name = TOKEN_PUNCTUATION + alphanumeric;
+
+        Result result = send(OK + name + ":  two words \t\r\nx-bare:v\r\nx-empty:\r\n" + REST);
+
+        assertThat(result)
+                .isEqualTo(answered(
+                        200,
+                        List.of(Map.entry(name, "two words"), Map.entry("x-bare", "v"), Map.entry("x-empty", ""))));
+    }
+
     /** Guards against a proper response that is refused because of what stands around it. */
     @ParameterizedTest
     @ValueSource(
@@ -133,14 +219,34 @@
         assertThat(send(interim + OK + REST)).isEqualTo(answered(200));
     }
 
+    /** Guards against proper trailers that are refused. */
+    @Test
+    void responseWithProperTrailersIsDelivered() throws Exception {
+        Result result =
+                send(OK + "x-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n!x:  1 \r\ny:\r\n\r\n");
+
+        assertThat(((Result.Answered) result).body()).isEqualTo("body");
+    }
+
     private static Result answered(int status) {
-        return new Result.Answered(
-                status, List.of(Map.entry("x-stamp", "s"), Map.entry("content-length", "4")), "body");
+        return answered(status, List.of());
+    }
+
+    private static Result answered(int status, List<Map.Entry<String, String>> first) {
+        List<Map.Entry<String, String>> headers = new ArrayList<>(first);
+        headers.add(Map.entry("x-stamp", "s"));
+        headers.add(Map.entry("content-length", "4"));
+        return new Result.Answered(status, headers, "body");
     }
 
     /** Guards against a faulty server that operators cannot find, since its bytes are not counted. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 000 None\r\n", "HTTP/1.1 200 OK\r\nx\u0001odd: 1\r\n"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 None\r\n",
+                "HTTP/1.1 200 OK\r\nx odd: 1\r\n",
+                "HTTP/1.1 200 OK\r\nx\u0001odd: 1\r\n"
+            })
     void malformedResponseIsCounted(String head) throws Exception {
         assertMalformed(head + REST);
 
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
@@ -164,13 +164,22 @@
 
     static Stream<Arguments> kindsAndMalformedResponses() {
         String rest = "content-type: text/plain\r\ncontent-length: 4\r\n\r\nbody";
+        String chunks = "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
         return Stream.of(
                         "HTTP/1.1 000 None\r\n" + rest,
                         "HTTP/1.1 2000 OK\r\n" + rest,
-                        "HTTP/1.1 200 OK\r\nx\u0001odd: 1\r\n" + rest)
+                        "HTTP/1.1 200 OK\r\nx odd: 1\r\n" + rest,
+                        "HTTP/1.1 200 OK\r\nx\u0001odd: 1\r\n" + rest,
+                        "HTTP/1.1 503 Full\r\nx odd: 1\r\n" + rest,
+                        "HTTP/1.1 400 Bad\r\nx odd: 1\r\n" + rest,
+                        "HTTP/1.1 103 Hints\r\nx odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+                        "HTTP/1.1 200 OK\r\n" + chunks + "x odd: 1\r\n\r\n")
                 .flatMap(response -> Stream.of(
                         Arguments.of(ServiceKind.PLAIN, response, "OUTCOME_UNKNOWN UNKNOWN"),
-                        Arguments.of(ServiceKind.ENGINE, response, "ENDPOINT_FAILED RAN")));
+                        Arguments.of(
+                                ServiceKind.ENGINE,
+                                response,
+                                response.contains(chunks) ? "ANSWER_CUT RAN" : "ENDPOINT_FAILED RAN")));
     }
 
     /** Guards against bytes that are no response and are reported as one, or as a rejection without a run. */
