Refuse heads with a line that begins with a blank

A name with a blank at its start (" x-odd: 1") reached the caller as a part of the value of the field before it: the response stamp became "s x-odd: 1".

Cause: the codec joins such a line with the value before it (obsolete line folding, RFC 9112, section 5.2), and no hook sees it.

Change: before a head is decoded, its lines are searched for one that begins with a blank. The outcome of the request is unknown then. The RFC has a gateway either replace the line with blanks or answer 502; the joined value may be a signature or a length, so the second is done. In a trailer section nothing is delivered, and the first line cannot begin so.

--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -108,7 +108,11 @@
     }
 
     /** Such bytes belong to no request, so that the outcome of the one that waits is unknown. */
-    private void onMalformed(ChannelHandlerContext context, Throwable cause) {
+    void onMalformed(ChannelHandlerContext context, Throwable cause) {
+        if (call == null) {
+            context.close();
+            return;
+        }
         recordUnmatched(context, UnmatchedResponses.Kind.BYTES, Optional.empty());
         String detail = cause instanceof MalformedResponseException ? ": " + cause.getMessage() : "";
         detach().fail("response cannot be decoded" + detail, true);
--- a/server/src/main/java/org/quetzalshunt/server/http/ResponseDecoder.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/ResponseDecoder.java
@@ -1,16 +1,22 @@
 package org.quetzalshunt.server.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
+import java.util.List;
 
 /**
  * Decodes the responses on a client connection, and tells whether bytes were received that belong to none of its requests.
  *
- * <p>The codec takes any number for a status code, any text for a protocol, and the part of a field name before a blank for
- * the name. What RFC 9112 does not allow ends decoding here, before a head is matched to a request, counted as interim, or
- * skipped as that of another request, and before a trailer section ends a response.
+ * <p>The codec reads more than RFC 9112 allows: any number as a status code, any text as a protocol, the part of a field
+ * name before a blank as the name, and a line that begins with a blank as a part of the value before it. Such bytes end
+ * decoding here, before a head is matched to a request, counted as interim, or skipped as that of another request, and
+ * before a trailer section ends a response.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final String VERSION_PREFIX = "HTTP/1.";
@@ -18,6 +24,10 @@
     private static final int STATUS_CODE_LENGTH = 3;
 
     private final HttpCallHandler handler;
+    /** Whether a head, or the rest of one, is read next. */
+    private boolean readingHead = true;
+    /** Whether the status line of that head has been read. */
+    private boolean statusLineRead;
 
     ResponseDecoder(HttpCallHandler handler) {
         this.handler = handler;
@@ -36,6 +46,55 @@
         return actualReadableBytes() > 0;
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        if (readingHead && hasLineWithLeadingBlank(buffer)) {
+            buffer.skipBytes(buffer.readableBytes());
+            handler.onMalformed(context, new MalformedResponseException("a line of the head begins with a blank"));
+            return;
+        }
+        super.decode(context, buffer, out);
+        for (Object message : out) {
+            if (message instanceof HttpResponse) {
+                readingHead = false;
+                statusLineRead = false;
+            }
+            if (message instanceof LastHttpContent) {
+                readingHead = true;
+            }
+        }
+    }
+
+    /** Whether a line behind the status line begins with a blank, in the part of the head that was received. */
+    private boolean hasLineWithLeadingBlank(ByteBuf buffer) {
+        boolean behindStatusLine = statusLineRead;
+        int start = behindStatusLine ? buffer.readerIndex() : skipBlankLines(buffer);
+        while (start < buffer.writerIndex()) {
+            byte first = buffer.getByte(start);
+            if (behindStatusLine && isBlank(first)) {
+                return true;
+            }
+            boolean isEndOfHead = first == HttpConstants.CR || first == HttpConstants.LF;
+            int lineFeed = buffer.indexOf(start, buffer.writerIndex(), HttpConstants.LF);
+            if (isEndOfHead || lineFeed < 0) {
+                return false;
+            }
+            start = lineFeed + 1;
+            behindStatusLine = true;
+        }
+        return false;
+    }
+
+    /** Start of the status line; the codec skips what stands before it in the same way. */
+    private static int skipBlankLines(ByteBuf buffer) {
+        int start = buffer.forEachByte(octet -> octet <= ' ' && octet >= 0);
+        return start < 0 ? buffer.writerIndex() : start;
+    }
+
+    private static boolean isBlank(byte octet) {
+        return octet == HttpConstants.SP || octet == HttpConstants.HT;
+    }
+
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         if (!isVersion(statusLine[0])) {
@@ -44,6 +103,7 @@
         if (!isStatusCode(statusLine[1])) {
             throw new MalformedResponseException("the status code is not one from 100 to 599");
         }
+        statusLineRead = true;
         return super.createMessage(statusLine);
     }
 
--- a/server/src/test/java/org/quetzalshunt/server/http/MalformedResponseTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/MalformedResponseTest.java
@@ -130,6 +130,43 @@
         assertMalformed(OK + "x" + (char) octet + "odd: 1\r\n" + REST);
     }
 
+    /** Guards against a line that begins with a blank and is joined with the field before it, such as a signature. */
+    @ParameterizedTest
+    @ValueSource(strings = {" x-odd: 1", "\tx-odd: 1", " ", " folded"})
+    void lineThatBeginsWithABlankIsNoResponse(String line) throws Exception {
+        assertMalformed(OK + "x-stamp: s\r\n" + line + "\r\ncontent-length: 4\r\n\r\nbody");
+        assertMalformed(OK + "content-length: 4\r\nx-stamp: s\n" + line + "\n\nbody");
+        assertMalformed("HTTP/1.1 103 Hints\r\nx: 1\r\n" + line + "\r\n\r\n" + OK + REST);
+    }
+
+    /** Guards against a malformed line that is not seen because it is received in parts. */
+    @Test
+    void malformedHeadIsSeenAtEachBoundaryOfItsParts() throws Exception {
+        for (String line : List.of(" x-odd: 1", "x odd: 1", "x-odd : 1")) {
+            String response = OK + "x-stamp: s\r\n" + line + "\r\ncontent-length: 4\r\n\r\nbody";
+            for (int part = 1; part < response.indexOf("content"); part++) {
+                assertMalformed(response.substring(0, part), response.substring(part));
+            }
+        }
+    }
+
+    /** Guards against a body, or a value, that is taken for lines of a head. */
+    @ParameterizedTest
+    @ValueSource(strings = {" x: ", "\n x", "a\n\t", "\r\n "})
+    void bodyWithBlanksIsDelivered(String body) throws Exception {
+        String head = OK + "x-blank:  a  b\r\n";
+        String whole = head + "content-length: " + body.length() + "\r\n\r\n" + body;
+        for (int part = 1; part < whole.length(); part++) {
+            assertThat(((Result.Answered) send(whole.substring(0, part), whole.substring(part))).body())
+                    .isEqualTo(body);
+        }
+        String chunked = head + "transfer-encoding: chunked\r\n\r\n" + body.length() + "\r\n" + body + "\r\n0\r\n\r\n";
+        for (int part = 1; part < chunked.length(); part++) {
+            assertThat(((Result.Answered) send(chunked.substring(0, part), chunked.substring(part))).body())
+                    .isEqualTo(body);
+        }
+    }
+
     /** Guards against a field without a name that is passed on. */
     @Test
     void emptyNameIsNoResponse() throws Exception {
