Believe no promise of a response that turns out to be none

A rejection "not run" (503 with X-Not-Executed, 421) whose head was proper and whose chunks or trailers were malformed had its request sent again, on each kind of route, charges and turns until their deadline.

Cause: EndpointCall believes the head of a rejection when the call fails later, which is right for one that is cut. It could not tell a cut from bytes that are no response.

Change: the HTTP client reports bytes that are no response as such (onMalformed), before the failure; the head that was passed on counts for nothing then, and the outcome of the request is unknown.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -382,6 +382,11 @@
             }
         }
 
+        @Override
+        public void onMalformed() {
+            head = ResponseKind.INVALID;
+        }
+
         @Override
         public void onEnd() {
             if (isNotRun()) {
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCall.java
@@ -140,6 +140,14 @@
         listener.onEnd();
     }
 
+    /** Ends the call after bytes that are no response, so that the outcome of the request is unknown. */
+    void failMalformed(String reason) {
+        if (!done) {
+            listener.onMalformed();
+            fail(reason, true);
+        }
+    }
+
     void fail(String reason, boolean requestMayHaveArrived) {
         if (done) {
             return;
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpCallHandler.java
@@ -115,7 +115,7 @@
         }
         recordUnmatched(context, UnmatchedResponses.Kind.BYTES, Optional.empty());
         String detail = cause instanceof MalformedResponseException ? ": " + cause.getMessage() : "";
-        detach().fail("response cannot be decoded" + detail, true);
+        detach().failMalformed("response cannot be decoded" + detail);
     }
 
     private void onUnexpected(ChannelHandlerContext context, HttpObject message) {
--- a/server/src/main/java/org/quetzalshunt/server/http/HttpResponseListener.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/HttpResponseListener.java
@@ -27,6 +27,12 @@
         return false;
     }
 
+    /**
+     * Called before {@link #onFailure} when the bytes received are no response. A head that was passed on before belongs to
+     * none either: what it states does not hold.
+     */
+    default void onMalformed() {}
+
     /** Called when the response is complete. */
     void onEnd();
 
