Refuse heads of peers whose status is none

An entry passed on whatever status a sidecar, or the owner of a shard, named in its message: 0 where the field is absent or where a process of another version had taken a status 000 for an answer, and 1xx, which ends no request.

Cause: values from peers are bounded before use, but this one was not.

Change: a status that is not one of a final response (200 to 599) fails the attempt, or answers the forwarded request, with an unknown outcome (4002); calls that may run again are tried elsewhere.

Names of fields do not pass between processes unchecked: a sidecar sends only names that it knows. Messages between gateways carry no status.

--- a/server/src/main/java/org/quetzalshunt/server/entry/AttemptTracker.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/AttemptTracker.java
@@ -9,6 +9,7 @@
 import org.agrona.collections.Long2ObjectHashMap;
 import org.quetzalshunt.core.program.TokenUsage;
 import org.quetzalshunt.core.result.Execution;
+import org.quetzalshunt.core.result.ResponseStatus;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.server.transport.PeerLink;
 import org.quetzalshunt.wire.generated.AttemptCancel;
@@ -104,10 +105,16 @@
 
     void onHead(AttemptHead head) {
         Attempt attempt = attempts.get(head.getAttempt());
-        if (attempt != null && !attempt.headSeen) {
-            attempt.headSeen = true;
-            attempt.listener.onHead(head.getStatus(), head.getHeaders() == null ? Map.of() : head.getHeaders());
+        if (attempt == null || attempt.headSeen) {
+            return;
+        }
+        if (!ResponseStatus.isFinal(head.getStatus())) {
+            Logger.warn("attempt {}: received {}, which is no status of a response", attempt.id, head.getStatus());
+            fail(attempt, ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN);
+            return;
         }
+        attempt.headSeen = true;
+        attempt.listener.onHead(head.getStatus(), head.getHeaders() == null ? Map.of() : head.getHeaders());
     }
 
     void onChunk(AttemptChunk chunk) {
--- a/server/src/main/java/org/quetzalshunt/server/entry/OwnerRouter.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/OwnerRouter.java
@@ -10,6 +10,7 @@
 import org.agrona.collections.Long2ObjectHashMap;
 import org.quetzalshunt.core.result.Execution;
 import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResponseStatus;
 import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.server.http.ResponseSink;
 import org.quetzalshunt.server.transport.PeerLink;
@@ -152,9 +153,21 @@
 
     void onHead(ForwardHead head) {
         ForwardedRequest state = forwarded.get(head.getExchange());
-        if (state != null) {
-            state.pending.sink.begin(head.getStatus(), head.getHeaders());
+        if (state == null) {
+            return;
+        }
+        if (!ResponseStatus.isFinal(head.getStatus())) {
+            forwarded.remove(head.getExchange());
+            CallerResponses.sendError(
+                    state.pending.sink,
+                    Refusal.withExecution(
+                            ResultCode.OUTCOME_UNKNOWN,
+                            Execution.UNKNOWN,
+                            "the owner of the shard sent " + head.getStatus() + ", which is no status of a response"),
+                    state.pending.request.requestId());
+            return;
         }
+        state.pending.sink.begin(head.getStatus(), head.getHeaders());
     }
 
     void onChunk(ForwardChunk chunk) {
--- a/server/src/test/java/org/quetzalshunt/server/entry/OwnerRouterTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/entry/OwnerRouterTest.java
@@ -5,27 +5,22 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.quetzalshunt.core.vm.VmId;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalshunt.core.result.ResultCode;
 import org.quetzalshunt.core.vm.VmRole;
 import org.quetzalshunt.server.http.ResponseSink;
-import org.quetzalshunt.server.transport.LinkConnector;
-import org.quetzalshunt.server.transport.LinkIdentity;
-import org.quetzalshunt.server.transport.LinkServer;
-import org.quetzalshunt.server.transport.LinkSettings;
 import org.quetzalshunt.server.transport.PeerLink;
 import org.quetzalshunt.wire.generated.ForwardChunk;
 import org.quetzalshunt.wire.generated.ForwardEnd;
@@ -36,7 +31,6 @@
 final class OwnerRouterTest {
     private static final String SELF = "entry-1";
     private static final String OWNER = "entry-2";
-    private static final byte[] SECRET = "a secret of the tests".getBytes(StandardCharsets.UTF_8);
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<LinkEventAdapter.Event> received = new LinkedBlockingQueue<>();
@@ -70,18 +64,26 @@
         assertThat(first.parts).hasSize(3);
     }
 
-    private void connect() {
-        LinkServer owner = LinkServer.start(
-                group,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                settings(OWNER),
-                new LinkEventAdapter(received::add));
-        group.execute(() -> LinkConnector.create(group, settings(SELF), new LinkEventAdapter(this::onEvent))
-                .setAddresses(Set.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), owner.port()))));
+    /** Guards against a status that is none, of an owner with another version, that reaches a caller. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 0, 99, 100, 600})
+    void statusThatIsNoneLeavesTheOutcomeUnknown(int status) throws Exception {
+        connect();
+        RecordingSink sink = route("first");
+        LinkEventAdapter.Event request = nextRequest();
+
+        group.execute(() -> {
+            request.link().send(Message.forwardHead(new ForwardHead(exchange(request), status, Map.of())));
+            request.link().send(Message.forwardEnd(new ForwardEnd(exchange(request), 0, true)));
+        });
+
+        awaitFinished(sink);
+        assertThat(sink.parts.get(0)).isEqualTo(Integer.toString(ResultCode.OUTCOME_UNKNOWN.status()));
+        assertThat(sink.parts).hasSize(3);
     }
 
-    private static LinkSettings settings(String vm) {
-        return LinkSettings.of(new LinkIdentity(VmId.of(vm, 1), VmRole.ENTRY, "here"), SECRET);
+    private void connect() {
+        TestLinks.connect(group, SELF, this::onEvent, OWNER, VmRole.ENTRY, received::add);
     }
 
     private void onEvent(LinkEventAdapter.Event event) {
@@ -136,10 +138,14 @@
     }
 
     private void awaitResponse(RecordingSink sink, String... parts) throws Exception {
+        awaitFinished(sink);
+        assertThat(sink.parts).containsExactlyElementsIn(parts).inOrder();
+    }
+
+    private void awaitFinished(RecordingSink sink) throws Exception {
         for (int check = 0; check < 1_000 && !group.submit(sink::finished).get(); check++) {
             TimeUnit.MILLISECONDS.sleep(5);
         }
-        assertThat(sink.parts).containsExactlyElementsIn(parts).inOrder();
     }
 
     /** Records the parts of a response. */
