Replay no recorded result whose status is none

A call with an idempotency key whose server had answered 000 was recorded with status 0, and each re-send got that status again, also from entries that read the record later.

Cause: a recorded result is sent as it was read from the log or a checkpoint.

Change: a re-send whose record has no status of a final response is told that the outcome is unknown (4002), as for a call without a recorded end. It does not run again.

--- a/core/src/main/java/org/quetzalshunt/core/program/IdempotencyCheck.java
+++ b/core/src/main/java/org/quetzalshunt/core/program/IdempotencyCheck.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import org.quetzalshunt.core.result.Execution;
 import org.quetzalshunt.core.result.Refusal;
+import org.quetzalshunt.core.result.ResponseStatus;
 import org.quetzalshunt.core.result.ResultCode;
 
 /** Decides how to answer a request whose idempotency key was used before. */
@@ -27,6 +28,12 @@
                     Execution.UNKNOWN,
                     "recorded outcome of a request sent before with the same idempotency key"));
         }
+        if (!ResponseStatus.isFinal(result.answer().status())) {
+            return new AdmissionDecision.Refused(Refusal.withExecution(
+                    ResultCode.OUTCOME_UNKNOWN,
+                    Execution.UNKNOWN,
+                    "the recorded status " + result.answer().status() + " is none of a response"));
+        }
         return new AdmissionDecision.Replay(result.requestId(), result.answer());
     }
 
