Limit the bodies that sidecars pass on and entries collect

A plain service that wrote a body without end had all of it passed on by its sidecar and collected by an entry, until the deadline of the call: with the heap of 96 MB that docs/operations/install.md gives both, either process could run out of memory, with the requests of all other callers. The same for the body of an engine's failure, and for the text of a completion.

Cause: the gateway's bound on responses (ResponseBudget) was not used in sidecars and entries. The sidecar bounded what it keeps for a resume, not what it passes on.

Change: a sidecar fails a response, other than a stream of events, over 8 MiB, or over an equal share of a quarter of its heap. An entry does the same with what it holds of each attempt. The connection to the service is closed, and the outcome is that of any other broken response. Larger answers of plain services, which an entry could collect if its heap allowed, fail now, as they do at a gateway.

--- a/server/src/main/java/org/quetzalshunt/server/entry/AttemptListener.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/AttemptListener.java
@@ -11,5 +11,8 @@
 
     void onChunk(byte[] data);
 
+    /** Bytes of the response that are held until its end. */
+    long heldBytes();
+
     void onOutcome(AttemptOutcome outcome);
 }
--- a/server/src/main/java/org/quetzalshunt/server/entry/AttemptTracker.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/AttemptTracker.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.agrona.collections.Long2ObjectHashMap;
+import org.quetzalshunt.core.memory.ResponseBudget;
 import org.quetzalshunt.core.program.TokenUsage;
 import org.quetzalshunt.core.result.Execution;
 import org.quetzalshunt.core.result.ResponseStatus;
@@ -36,11 +37,13 @@
     private final EntryClock clock;
     private final Map<String, PeerLink> links = new HashMap<>();
     private final Long2ObjectHashMap<Attempt> attempts = new Long2ObjectHashMap<>();
+    private final ResponseBudget responses;
     private final long idBase;
     private int counter;
 
-    AttemptTracker(EntryClock clock, long seed) {
+    AttemptTracker(EntryClock clock, ResponseBudget responses, long seed) {
         this.clock = clock;
+        this.responses = responses;
         this.idBase = new SplittableRandom(seed).nextLong() & 0x7fff_ffff_0000_0000L;
     }
 
@@ -53,7 +56,7 @@
         long id = idBase | (counter++ & 0xffff_ffffL);
         message.setAttempt(id);
         long deadline = clock.now() + message.getRemainingMillis() + DEADLINE_GRACE_MILLIS;
-        attempts.put(id, new Attempt(id, endpoint, listener, deadline));
+        attempts.put(id, new Attempt(id, endpoint, listener, responses.open(), deadline));
         link.send(Message.attemptStart(message));
         return Optional.of(id);
     }
@@ -64,6 +67,7 @@
         if (attempt == null) {
             return;
         }
+        attempt.held.set(0);
         PeerLink link = links.get(attempt.endpoint);
         if (link != null) {
             link.send(Message.attemptCancel(new AttemptCancel(id)));
@@ -133,6 +137,10 @@
         }
         attempt.nextSequence++;
         attempt.listener.onChunk(chunk.getData());
+        if (attempts.containsKey(attempt.id) && !attempt.held.set(attempt.listener.heldBytes())) {
+            Logger.warn("attempt {}: the response is too large", attempt.id);
+            fail(attempt, ResultCode.ENDPOINT_FAILED, Execution.UNKNOWN);
+        }
     }
 
     void onEnd(AttemptEnd end) {
@@ -146,6 +154,7 @@
             return;
         }
         attempts.remove(attempt.id);
+        attempt.held.set(0);
         Optional<TokenUsage> usage = Optional.ofNullable(end.getUsage())
                 .map(counted -> new TokenUsage(
                         counted.getPromptTokens(), counted.getCachedTokens(), counted.getCompletionTokens()));
@@ -183,15 +192,17 @@
         private final long id;
         private final String endpoint;
         private final AttemptListener listener;
+        private final ResponseBudget.Account held;
         private final long deadlineMillis;
         private int nextSequence;
         private boolean headSeen;
         private long linkLostMillis;
 
-        Attempt(long id, String endpoint, AttemptListener listener, long deadlineMillis) {
+        Attempt(long id, String endpoint, AttemptListener listener, ResponseBudget.Account held, long deadlineMillis) {
             this.id = id;
             this.endpoint = endpoint;
             this.listener = listener;
+            this.held = held;
             this.deadlineMillis = deadlineMillis;
         }
     }
--- a/server/src/main/java/org/quetzalshunt/server/entry/CallRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/CallRun.java
@@ -242,6 +242,11 @@
             body.writeBytes(data);
         }
 
+        @Override
+        public long heldBytes() {
+            return body.size();
+        }
+
         @Override
         public void onOutcome(AttemptOutcome outcome) {
             long duration = owner.clock().now() - startedMillis;
--- a/server/src/main/java/org/quetzalshunt/server/entry/ChatCompletionAssembler.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ChatCompletionAssembler.java
@@ -28,6 +28,7 @@
     private final Map<Integer, ObjectNode> toolCalls = new TreeMap<>();
     private String finishReason = "stop";
     private long deltas;
+    private long argumentsLength;
 
     ChatCompletionAssembler(String requestId, String model, long nowMillis) {
         this.id = "chatcmpl-" + requestId;
@@ -76,6 +77,11 @@
         return deltas;
     }
 
+    /** Size of the completion so far, in characters. */
+    long size() {
+        return content.length() + argumentsLength;
+    }
+
     private void addToolCall(JsonNode part) {
         ObjectNode call = toolCalls.computeIfAbsent(part.path("index").asInt(0), index -> Json.object());
         if (part.path("id").isTextual()) {
@@ -87,6 +93,7 @@
         if (function.path("name").isTextual()) {
             assembled.set("name", function.get("name"));
         }
+        argumentsLength += function.path("arguments").asText("").length();
         assembled.put(
                 "arguments",
                 assembled.path("arguments").asText("")
--- a/server/src/main/java/org/quetzalshunt/server/entry/ChatRun.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/ChatRun.java
@@ -285,6 +285,11 @@
             owner.workDispatcher().progressed(dispatch.item(), completion.deltas());
         }
 
+        @Override
+        public long heldBytes() {
+            return completion.size();
+        }
+
         @Override
         public void onOutcome(AttemptOutcome outcome) {
             owner.workDispatcher().finished(dispatch.item(), finish(outcome));
--- a/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/quetzalshunt/server/entry/EntryProcess.java
@@ -13,6 +13,7 @@
 import org.quetzalshunt.core.decision.SchedulerSettings;
 import org.quetzalshunt.core.membership.Membership;
 import org.quetzalshunt.core.membership.MembershipSettings;
+import org.quetzalshunt.core.memory.ResponseBudget;
 import org.quetzalshunt.core.vm.Vm;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.core.vm.VmRole;
@@ -111,7 +112,8 @@
         membership = Membership.create(self, selfVm, MembershipSettings.defaults());
         configurationStream = new ConfigurationStream(clock, self.toString(), self.incarnation(), log);
         log.attach(configurationStream.session());
-        attempts = new AttemptTracker(clock, self.incarnation());
+        attempts = new AttemptTracker(
+                clock, ResponseBudget.ofHeap(Runtime.getRuntime().maxMemory()), self.incarnation());
         workDispatcher = new WorkDispatcher(
                 clock, Scheduler.create(SchedulerSettings.of(settings.dataCentre(), 1, self.incarnation())));
         cacheLeaseRenewer = new CacheLeaseRenewer(clock, workDispatcher.scheduler(), attempts);
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/AttemptExecutor.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/AttemptExecutor.java
@@ -12,6 +12,7 @@
 import org.quetzalshunt.core.attempt.EndpointHeaders;
 import org.quetzalshunt.core.attempt.GateOutput;
 import org.quetzalshunt.core.document.ServiceKind;
+import org.quetzalshunt.core.memory.ResponseBudget;
 import org.quetzalshunt.server.http.HttpCall;
 import org.quetzalshunt.server.http.HttpClient;
 import org.quetzalshunt.server.http.HttpResponseListener;
@@ -38,7 +39,9 @@
     private final boolean isEngine;
     private final HttpClient client;
     private final Consumer<EndpointEvent> events;
-    private final Long2ObjectHashMap<HttpCall> calls = new Long2ObjectHashMap<>();
+    private final ResponseBudget responses =
+            ResponseBudget.ofHeap(Runtime.getRuntime().maxMemory());
+    private final Long2ObjectHashMap<OpenCall> calls = new Long2ObjectHashMap<>();
 
     private AttemptExecutor(EventLoopGroup group, SidecarSettings settings, Consumer<EndpointEvent> events) {
         this.group = group;
@@ -65,7 +68,7 @@
     }
 
     void stop(long attempt) {
-        HttpCall call = calls.remove(attempt);
+        OpenCall call = calls.remove(attempt);
         if (call != null) {
             call.cancel();
         }
@@ -81,7 +84,7 @@
 
     /** Cancels all calls. */
     void close() {
-        calls.values().forEach(HttpCall::cancel);
+        calls.values().forEach(OpenCall::cancel);
         calls.clear();
     }
 
@@ -98,15 +101,18 @@
             Map<String, String> headers,
             byte[] body,
             long timeoutMillis) {
-        AttemptResponseListener listener =
-                AttemptResponseListener.of(attempt, run, isEngine, events, () -> calls.remove(attempt));
+        ResponseBudget.Account held = responses.open();
+        AttemptResponseListener listener = AttemptResponseListener.of(attempt, run, isEngine, events, held, () -> {
+            held.set(0);
+            calls.remove(attempt);
+        });
         Optional<HttpCall> call = trySend(method, path, headers, body, timeoutMillis + TIMEOUT_MARGIN_MILLIS, listener);
         if (call.isEmpty()) {
             listener.onFailure("request is not valid HTTP", false);
             return;
         }
         if (!listener.isEnded()) {
-            calls.put(attempt, call.get());
+            calls.put(attempt, new OpenCall(call.get(), held));
         }
     }
 
@@ -150,4 +156,12 @@
                 CANCEL_TIMEOUT_MILLIS,
                 BufferedResponse.collect(answer -> {}));
     }
+
+    /** A call in progress, with the part of its response that is held. */
+    private record OpenCall(HttpCall call, ResponseBudget.Account held) {
+        void cancel() {
+            call.cancel();
+            held.set(0);
+        }
+    }
 }
--- a/server/src/main/java/org/quetzalshunt/server/sidecar/AttemptResponseListener.java
+++ b/server/src/main/java/org/quetzalshunt/server/sidecar/AttemptResponseListener.java
@@ -5,34 +5,51 @@
 import org.quetzalshunt.core.attempt.EndpointEvent;
 import org.quetzalshunt.core.attempt.EndpointHeaders;
 import org.quetzalshunt.core.attempt.EventStreamParser;
+import org.quetzalshunt.core.memory.ResponseBudget;
 import org.quetzalshunt.server.http.HttpResponseListener;
 
-/** Converts one HTTP response of the endpoint into events for the gate, each part as soon as it arrives. */
+/**
+ * Converts one HTTP response of the endpoint into events for the gate, each part as soon as it arrives. A body that is no
+ * stream of events is held by the gate and by the entry until its end, so that its size is limited.
+ */
 final class AttemptResponseListener implements HttpResponseListener {
     private static final int STATUS_OK = 200;
 
     private final long attempt;
     private final int run;
     private final Consumer<EndpointEvent> events;
+    private final ResponseBudget.Account held;
     private final Runnable endAction;
     private final boolean isChat;
     private final EventStreamParser parser = EventStreamParser.create(this::onStreamEvent);
     private boolean isEventStream;
-    private boolean eventTooLong;
+    private boolean tooLarge;
+    private long bodyBytes;
     private boolean ended;
 
     private AttemptResponseListener(
-            long attempt, int run, boolean isChat, Consumer<EndpointEvent> events, Runnable endAction) {
+            long attempt,
+            int run,
+            boolean isChat,
+            Consumer<EndpointEvent> events,
+            ResponseBudget.Account held,
+            Runnable endAction) {
         this.attempt = attempt;
         this.run = run;
         this.isChat = isChat;
         this.events = events;
+        this.held = held;
         this.endAction = endAction;
     }
 
     static AttemptResponseListener of(
-            long attempt, int run, boolean isChat, Consumer<EndpointEvent> events, Runnable endAction) {
-        return new AttemptResponseListener(attempt, run, isChat, events, endAction);
+            long attempt,
+            int run,
+            boolean isChat,
+            Consumer<EndpointEvent> events,
+            ResponseBudget.Account held,
+            Runnable endAction) {
+        return new AttemptResponseListener(attempt, run, isChat, events, held, endAction);
     }
 
     boolean isEnded() {
@@ -47,16 +64,20 @@
 
     @Override
     public void onChunk(byte[] data) {
-        if (!isEventStream) {
-            events.accept(new EndpointEvent.Data(attempt, run, data));
+        if (isEventStream) {
+            tooLarge = !parser.accept(data);
             return;
         }
-        eventTooLong = !parser.accept(data);
+        bodyBytes += data.length;
+        tooLarge = !held.set(bodyBytes);
+        if (!tooLarge) {
+            events.accept(new EndpointEvent.Data(attempt, run, data));
+        }
     }
 
     @Override
     public boolean exceedsLimit() {
-        return eventTooLong;
+        return tooLarge;
     }
 
     @Override
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/CutService.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/CutService.java
@@ -56,7 +56,7 @@
         }
     }
 
-    private static void readRequest(InputStream in) throws IOException {
+    static void readRequest(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int next = in.read();
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/EndlessEventTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/EndlessEventTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.quetzalshunt.core.attempt.EndpointEvent;
+import org.quetzalshunt.core.memory.ResponseBudget;
 
 /** An engine that sends an event without end. */
 final class EndlessEventTest {
@@ -17,7 +18,8 @@
     @Test
     void eventWithoutEndExceedsTheLimitOfItsListener() {
         List<EndpointEvent> events = new ArrayList<>();
-        AttemptResponseListener listener = AttemptResponseListener.of(1, 1, true, events::add, () -> {});
+        AttemptResponseListener listener = AttemptResponseListener.of(
+                1, 1, true, events::add, ResponseBudget.ofHeap(Long.MAX_VALUE).open(), () -> {});
         listener.onHead(200, new DefaultHttpHeaders());
         int chunks = 0;
         while (!listener.exceedsLimit() && chunks < MAXIMUM_CHUNKS) {
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalshunt.core.document.ServiceKind;
+import org.quetzalshunt.core.memory.ResponseBudget;
 import org.quetzalshunt.core.vm.VmId;
 import org.quetzalshunt.server.http.HttpExchange;
 import org.quetzalshunt.wire.generated.AttemptStart;
@@ -162,6 +163,24 @@
         }
     }
 
+    /** Guards against a body without end that fills the heap of the sidecar, and of the entry that collects it. */
+    @ParameterizedTest
+    @CsvSource({
+        "PLAIN, 200, OUTCOME_UNKNOWN UNKNOWN",
+        "PLAIN, 500, OUTCOME_UNKNOWN UNKNOWN",
+        "ENGINE, 500, ANSWER_CUT RAN"
+    })
+    void responseWithoutEndFails(ServiceKind kind, int status, String outcome) throws IOException {
+        try (EndlessService service = EndlessService.start("HTTP/1.1 " + status + " Status\r\n\r\n")) {
+            FakeEntry entry = fixture.connect(fixture.startSidecar(kind, SidecarTimes.defaults(), service.address()));
+            entry.start(attemptStart(false));
+            assertThat(outcome(entry.awaitEnd(ATTEMPT))).isEqualTo(outcome);
+            int received =
+                    entry.chunks(ATTEMPT).stream().mapToInt(String::length).sum();
+            assertThat(received).isAtMost((int) ResponseBudget.MAXIMUM_RESPONSE_BYTES);
+        }
+    }
+
     static Stream<Arguments> kindsAndMalformedResponses() {
         String rest = "content-type: text/plain\r\ncontent-length: 4\r\n\r\nbody";
         String chunks = "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
