--- a/server/src/main/java/org/quetzalshunt/server/http/UnmatchedResponses.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/UnmatchedResponses.java
@@ -17,8 +17,8 @@
         /** It was received on an idle connection. */
         UNEXPECTED,
         /**
-         * Bytes that are no whole head were received on an idle connection, directly behind a response, or joined with
-         * the head of one.
+         * Bytes that are no response were received on an idle connection, directly behind a response, joined with the
+         * head of one, or in its place.
          */
         BYTES
     }
--- a/server/src/test/java/org/quetzalshunt/server/http/HttpClientTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/http/HttpClientTest.java
@@ -156,7 +156,9 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
+                "HTTP/1.1 2",
                 "HTTP/1.1 200 O",
+                "HTTP/1.1 200 OK\r\nx-st",
                 "HTTP/1.1 200 OK\r\nx-stamp: 1",
                 "HTTP/1.1 200 OK\r\nx-stamp: ",
                 "HTTP/1.1 200 OK\r\n"
