--- a/server/src/main/java/org/quetzalshunt/server/http/ResponseDecoder.java
+++ b/server/src/main/java/org/quetzalshunt/server/http/ResponseDecoder.java
@@ -46,6 +46,7 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Refuses a folded line (RFC 9112, section 5.2) before the codec joins it with the value before it, out of sight. */
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
         if (readingHead && hasLineWithLeadingBlank(buffer)) {
