Answer 504 at a deadline, whichever timer fires first

A look-up whose second attempt was in progress at its deadline got 502 (4000) instead of 504 (4008) at times, and its endpoint counted as failed.

Cause: the forwarder and the HTTP client each had a timer for the same moment; which one fires first depends on fractions of a millisecond. The same answer came from a second cause, in the tests' first case: with less than 15 ms left, the second attempt is not sent, and "no time left" was reported as a failure of the endpoint.

Change: the client's limit lies 500 ms behind the deadline, at which the forwarder cancels the attempt; and a retry that is not sent for want of time is reported as a passed deadline. In both cases the outcome stays unknown.

--- a/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/BufferedForwarder.java
@@ -142,11 +142,15 @@
     @Override
     public void onRefused(Refusal refusal) {
         cancelAttemptTimeout();
-        // An earlier attempt may have run, so that reporting "not run" could be false.
-        refuse(
-                attempts > 1
-                        ? Refusal.withExecution(ResultCode.ENDPOINT_FAILED, Execution.UNKNOWN, refusal.detail())
-                        : refusal);
+        refuse(attempts > 1 ? withUnknownOutcome(refusal) : refusal);
+    }
+
+    /** An earlier attempt may have run, so that reporting "not run" could be false. */
+    private static Refusal withUnknownOutcome(Refusal refusal) {
+        ResultCode code = refusal.code() == ResultCode.DEADLINE_UNREACHABLE
+                ? ResultCode.DEADLINE_PASSED_RUNNING
+                : ResultCode.ENDPOINT_FAILED;
+        return Refusal.withExecution(code, Execution.UNKNOWN, refusal.detail());
     }
 
     private void onDeadline() {
--- a/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
+++ b/server/src/main/java/org/quetzalshunt/server/gateway/EndpointCall.java
@@ -55,6 +55,12 @@
      */
     private static final long CONNECT_TIMEOUT_MILLIS = 300;
 
+    /**
+     * Time behind the deadline after which the HTTP client ends an attempt. The listener cancels it at the deadline; an
+     * attempt that the client ended first would count as a broken response of its endpoint.
+     */
+    private static final long DEADLINE_MARGIN_MILLIS = 500;
+
     /**
      * Pooled connections that were idle for longer are not reused: endpoints close idle connections after several
      * seconds, so that the connection may be half-open.
@@ -280,7 +286,9 @@
 
     private static CallTimeouts callTimeouts(long remainingMillis) {
         return new CallTimeouts(
-                Math.min(CONNECT_TIMEOUT_MILLIS, remainingMillis), remainingMillis, MAXIMUM_IDLE_MILLIS);
+                Math.min(CONNECT_TIMEOUT_MILLIS, remainingMillis),
+                remainingMillis + DEADLINE_MARGIN_MILLIS,
+                MAXIMUM_IDLE_MILLIS);
     }
 
     private ResponseMatch match(HttpHeaders headers) {
