SidecarFaultTest: wait until the stopped endpoint refuses connections

Cause: the test waited for the event loop to run the close. The JDK closes a socket that is registered with a selector after the next select, so the sidecar could still connect and send its request to a socket that closed right after. That the outcome is unknown is right then.

Change: the test waits until connections are refused. What it expects of the sidecar is unchanged.

--- a/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEndpoint.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/FakeEndpoint.java
@@ -3,8 +3,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -60,14 +65,14 @@
         group.next().submit(action).syncUninterruptibly();
     }
 
-    /** Waits until the event loop has run everything submitted before. */
-    void awaitEventLoop() {
-        run(() -> {});
+    /** Waits after {@link #crash()} until connections are refused: the socket closes after the event loop's next select. */
+    void awaitUnreachable() {
+        InetSocketAddress address = address();
+        FakeEntry.await(() -> isRefused(address));
     }
 
     /** Closes every connection and accepts no more; may be called by a script. */
     void crash() {
-        // Closes on the event loop, so that awaitEventLoop() waits for it.
         server.close();
     }
 
@@ -95,6 +100,20 @@
                         () -> exchange.respondText(STATUS_NOT_FOUND, "no script"));
     }
 
+    private static boolean isRefused(InetSocketAddress address) {
+        try (Socket socket = new Socket()) {
+            socket.connect(address);
+            return false;
+        } catch (ConnectException exception) {
+            return true;
+        } catch (SocketException exception) {
+            // Closed while it was being opened; the next connection tells.
+            return false;
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
     private static String requestLine(HttpExchange exchange) {
         return exchange.method() + " " + exchange.uri();
     }
--- a/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
+++ b/server/src/test/java/org/quetzalshunt/server/sidecar/SidecarFaultTest.java
@@ -221,7 +221,7 @@
     void unreachableEndpointIsReportedAsNotRun(ServiceKind kind) {
         FakeEntry entry = fixture.connect(fixture.startSidecar(kind));
         fixture.endpoint.crash();
-        fixture.endpoint.awaitEventLoop();
+        fixture.endpoint.awaitUnreachable();
         entry.start(attemptStart(false));
         assertThat(outcome(entry.awaitEnd(ATTEMPT))).isEqualTo("ENDPOINT_FAILED NOT_RUN");
     }
